--- /dev/null
+++ b/idl/wire.thrift
@@ -0,0 +1,128 @@
+// Messages that hosts exchange over their links. Every frame carries one
+// Frame with exactly one field set.
+namespace py cactusmill.internal.wire
+
+// First frame in each direction of a link.
+struct Hello {
+  1: required string host
+  2: required string zone
+  3: required string incarnation
+  4: required binary nonce
+}
+
+// Second frame in each direction: proves that the sender holds the secret of
+// the links, without showing it.
+struct Proof {
+  1: required binary mac
+}
+
+// Sent every heartbeat interval, and at once when a version rises.
+struct Heartbeat {
+  1: required i64 sequence
+  2: required i64 records_version
+  3: required i64 hosts_version
+  4: required bool leaving
+  5: optional list<string> leaving_endpoints
+}
+
+struct HeartbeatAck {
+  1: required i64 sequence
+  2: required i64 records_version
+  3: required i64 hosts_version
+  4: required bool leaving
+  5: optional list<string> leaving_endpoints
+}
+
+// Asks for the changes of a book, "records" or "hosts", above a version.
+struct ChangesPull {
+  1: required i64 call
+  2: required string book
+  3: required i64 since_version
+}
+
+// `update` is JSON text in the form of the platform's own answers, so that a
+// host passes on records of schema versions that it does not understand.
+struct ChangesReply {
+  1: required i64 call
+  2: required binary update
+}
+
+struct Header {
+  1: required string name
+  2: required string value
+}
+
+// A caller's request, authenticated by the sending host. The caller's key is
+// not part of it.
+struct Forward {
+  1: required i64 call
+  2: required string request_id
+  3: required string route
+  4: required string team
+  5: required i64 records_version
+  6: required string method
+  7: required string target
+  8: required list<Header> headers
+  9: required binary body
+  10: optional string identifier
+  11: required i64 remaining_ms
+  12: required string incarnation
+}
+
+struct AnswerHead {
+  1: required i64 call
+  2: required string request_id
+  3: required i32 status
+  4: required list<Header> headers
+}
+
+struct AnswerData {
+  1: required i64 call
+  2: required binary data
+}
+
+struct AnswerEnd {
+  1: required i64 call
+  2: required bool complete
+}
+
+struct Cancel {
+  1: required i64 call
+}
+
+struct LoanAsk {
+  1: required i64 call
+  2: required string team
+  3: required i64 tokens
+  4: required string borrower
+}
+
+struct LoanGrant {
+  1: required i64 call
+  2: required string team
+  3: required i64 tokens
+  4: required i64 valid_ms
+}
+
+// A keyed digest of a request that was running when its endpoint died.
+struct Suspect {
+  1: required string digest
+  2: required i32 deaths
+}
+
+union Frame {
+  1: Hello hello
+  2: Proof proof
+  3: Heartbeat heartbeat
+  4: HeartbeatAck heartbeat_ack
+  5: ChangesPull changes_pull
+  6: ChangesReply changes_reply
+  7: Forward forward
+  8: AnswerHead answer_head
+  9: AnswerData answer_data
+  10: AnswerEnd answer_end
+  11: Cancel cancel
+  12: LoanAsk loan_ask
+  13: LoanGrant loan_grant
+  14: Suspect suspect
+}
--- /dev/null
+++ b/src/cactusmill/daemon.py
@@ -0,0 +1,78 @@
+"""``cactusmilld``: the daemon that runs on every entry host."""
+
+import argparse
+import signal
+import sys
+
+import trio
+from absl import logging
+
+from .errors import SettingsError
+from .internal.host import HostProcess
+from .internal.logs import log_json_lines
+from .settings import load_settings
+
+EXIT_USAGE = 2
+EXIT_CANNOT_LISTEN = 3
+
+
+def _parser():
+    parser = argparse.ArgumentParser(
+        prog="cactusmilld",
+        description="Serve callers on this host, together with the other hosts. "
+        "SIGTERM or SIGINT leaves the fleet without cutting off any request; "
+        "a second one ends at once.",
+    )
+    parser.add_argument("--config", required=True, metavar="FILE.yaml")
+    parser.add_argument(
+        "--verbosity", default="info", choices=["debug", "info", "warning", "error"]
+    )
+    return parser
+
+
+async def _run(cfg):
+    host = HostProcess(cfg)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_leave_on_signal, host, nursery.cancel_scope)
+        await host.run()
+        nursery.cancel_scope.cancel()
+
+
+async def _leave_on_signal(host, scope):
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        is_first = True
+        async for _ in signals:
+            if not is_first or not host.ready.is_set():
+                scope.cancel()
+                return
+            is_first = False
+            host.nursery.start_soon(host.shut_down)
+
+
+def _is_listen_failure(exc):
+    if isinstance(exc, BaseExceptionGroup):
+        return any(_is_listen_failure(e) for e in exc.exceptions)
+    return isinstance(exc, OSError)
+
+
+def main(argv=None):
+    """Run the daemon; return its exit code."""
+    args = _parser().parse_args(argv)
+    log_json_lines(args.verbosity)
+    try:
+        cfg = load_settings(args.config)
+    except SettingsError as exc:
+        print(f"cactusmilld: {exc}", file=sys.stderr)
+        return EXIT_USAGE
+    try:
+        trio.run(_run, cfg)
+    except BaseException as exc:
+        if not _is_listen_failure(exc):
+            raise
+        logging.error("cannot listen: %r", exc)
+        return EXIT_CANNOT_LISTEN
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/cactusmill/internal/__init__.py
@@ -0,0 +1,1 @@
+"""Implementation of cactusmill; nothing here is a public interface."""
--- /dev/null
+++ b/src/cactusmill/internal/admission.py
@@ -0,0 +1,110 @@
+"""Whether a team's rate allows a request, with loans from other hosts."""
+
+import contextlib
+
+import trio
+from returns.result import Failure, Success
+
+from ..errors import CostTooLarge, LinkClosedError, RateExceeded
+from .job import is_permitted
+from .limits import LOAN_VALID_S
+from .peers import next_answer
+from .wire.ttypes import LoanAsk
+
+LOAN_TIMEOUT_S = 0.5
+# A loan is asked for with this much ahead of the request that lacks tokens,
+# so that the requests behind it do not each wait for one.
+_LOAN_AHEAD_S = 0.5
+_MIN_RETRY_AFTER_S = 0.05
+_MAX_RETRY_AFTER_S = 60.0
+
+
+async def admit(host, job):
+    """Reserve a request's tokens.
+
+    Parameters
+    ----------
+    host : HostProcess
+        This process.
+    job : Job
+        The request.
+
+    Returns
+    -------
+    Success of Reservation or None, or Failure of Refusal
+        None if the request costs nothing.
+    """
+    team, cost = job.team, job.cost_tokens
+    if team is None or cost <= 0:
+        return Success(None)
+    if cost > team.burst_tokens:
+        return Failure(
+            CostTooLarge(
+                detail=f"{cost:.0f} tokens at most, prompt and answer together, "
+                f"are over the burst of {team.burst_tokens:.0f}; ask for fewer"
+            )
+        )
+    account = host.limiter.account(host.book, team, host.now())
+    account.note_demand(cost, host.now())
+    reservation = host.limiter.reserve(host.book, team, cost, host.now())
+    if reservation is None:
+        await _borrow(host, job, account)
+        reservation = host.limiter.reserve(host.book, team, cost, host.now())
+    if reservation is None:
+        return Failure(_rate_exceeded(host, team, cost))
+    return Success(reservation)
+
+
+def _rate_exceeded(host, team, cost):
+    lacking = cost - host.limiter.account(host.book, team, host.now()).available(
+        host.now()
+    )
+    wait_s = lacking / max(team.rate_tokens_per_s, 1e-9)
+    return RateExceeded(
+        detail=f"the rate of {team.rate_tokens_per_s:.0f} tokens/s and burst of "
+        f"{team.burst_tokens:.0f} are used up",
+        retry_after_s=min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, wait_s)),
+    )
+
+
+async def _borrow(host, job, account):
+    """Ask peers for what is lacking, those of the own zone first."""
+    for in_zone in (True, False):
+        lenders = [
+            p
+            for p in host.peers.values()
+            if p.is_reachable
+            and (p.host.zone == host.cfg.zone) is in_zone
+            and is_permitted(p.host.region, job.team, job.route)
+        ]
+        lacking = job.cost_tokens - account.available(host.now())
+        if lacking <= 0:
+            return
+        await _ask_all(host, job.team, account, lenders, lacking)
+
+
+async def _ask_all(host, team, account, lenders, lacking):
+    if not lenders:
+        return
+    ahead = account.demand_at(host.now()) * _LOAN_AHEAD_S
+    host.rng.shuffle(lenders)
+    with trio.move_on_after(LOAN_TIMEOUT_S):
+        async with trio.open_nursery() as nursery:
+            for peer in lenders:
+                # Each is asked for the whole: how much each can spare is
+                # unknown, and what is borrowed in excess serves the requests
+                # that come within the loan's validity.
+                nursery.start_soon(_ask, host, team, peer, lacking + ahead)
+
+
+async def _ask(host, team, peer, tokens):
+    asked_at = host.now()
+    with contextlib.suppress(LinkClosedError):
+        async with peer.call() as (number, link, answers):
+            await link.send(
+                loan_ask=LoanAsk(number, team.name, int(tokens) + 1, host.cfg.host)
+            )
+            grant = (await next_answer(answers)).loan_grant
+            valid_s = min(LOAN_VALID_S, grant.valid_ms / 1000)
+            if grant.tokens > 0 and valid_s > 0:
+                host.limiter.borrow(host.book, team, grant.tokens, asked_at, host.now())
--- /dev/null
+++ b/src/cactusmill/internal/answering.py
@@ -0,0 +1,206 @@
+"""The links that other hosts dial: their heartbeats, pulls and requests."""
+
+import contextlib
+import json
+
+import trio
+from returns.result import Failure
+
+from ..errors import (
+    AnswerCutError,
+    CallerGoneError,
+    LinkClosedError,
+    Outcome,
+    OutcomeUnknown,
+    WrongRegion,
+)
+from .configuration import change_to_json
+from .identifiers import read_identifier
+from .intake import build_job
+from .job import Sink, is_permitted
+from .limits import LOAN_VALID_S
+from .link import open_link
+from .once import is_bound_here, run_once
+from .peers import note_versions
+from .problems import problem_answer
+from .repeatable import run_repeatable
+from .wire.ttypes import (
+    AnswerData,
+    AnswerEnd,
+    AnswerHead,
+    ChangesReply,
+    Header,
+    HeartbeatAck,
+    LoanGrant,
+)
+
+
+async def serve_link(host, stream):
+    """Serve one link that a peer dialled, until it ends."""
+    with contextlib.suppress(LinkClosedError):
+        link = await open_link(stream, host.hello, host.cfg.link_secret, dialled=False)
+        scopes = {}
+        async with trio.open_nursery() as nursery:
+            try:
+                while True:
+                    with trio.fail_after(2 * host.cfg.peer_timeout_s):
+                        frame = await link.receive()
+                    await _take_frame(host, link, frame, nursery, scopes)
+            except (LinkClosedError, trio.TooSlowError):
+                # Requests that may be repeated end with the link; those that
+                # may not run in the host's own nursery and are not affected.
+                nursery.cancel_scope.cancel()
+
+
+async def _take_frame(host, link, frame, nursery, scopes):
+    if frame.heartbeat is not None:
+        await _acknowledge(host, link, frame.heartbeat)
+    elif frame.changes_pull is not None:
+        await _send_changes(host, link, frame.changes_pull)
+    elif frame.loan_ask is not None:
+        await _answer_loan(host, link, frame.loan_ask)
+    elif frame.suspect is not None:
+        host.suspects.learn(frame.suspect.digest, frame.suspect.deaths, host.now())
+    elif frame.forward is not None:
+        scope = scopes[frame.forward.call] = trio.CancelScope()
+        nursery.start_soon(_serve_forward, host, link, frame.forward, scope, scopes)
+    elif frame.cancel is not None and frame.cancel.call in scopes:
+        scopes[frame.cancel.call].cancel()
+
+
+async def _acknowledge(host, link, beat):
+    peer = host.peers.get(link.peer.host)
+    if peer is not None:
+        note_versions(host, peer, beat)
+    await link.send(
+        heartbeat_ack=HeartbeatAck(
+            beat.sequence,
+            host.book.version,
+            host.roster.version,
+            host.leaving,
+            host.pool.leaving_names() or None,
+        )
+    )
+
+
+async def _send_changes(host, link, pull):
+    book = host.book_named(pull.book)
+    changes = book.changes_since(pull.since_version)
+    update = {
+        "version": book.version,
+        "changes": [change_to_json(c) for c in changes],
+    }
+    await link.send(changes_reply=ChangesReply(pull.call, json.dumps(update).encode()))
+
+
+async def _answer_loan(host, link, ask):
+    team = host.book.get("team", ask.team)
+    tokens = 0.0
+    if team is not None and is_listed(host, ask.borrower):
+        tokens = host.limiter.lend(host.book, team, float(ask.tokens), host.now())
+    await link.send(
+        loan_grant=LoanGrant(ask.call, ask.team, int(tokens), int(LOAN_VALID_S * 1000))
+    )
+
+
+def is_listed(host, name):
+    """Tell whether a host is in the platform's host list, as known here."""
+    return host.roster.get("host", name) is not None
+
+
+async def _serve_forward(host, link, message, scope, scopes):
+    sink = _link_sink(link, message)
+    try:
+        with scope:
+            result = await _run_forward(host, message, sink)
+            match result:
+                case Failure(refusal):
+                    await _send_refusal(sink, refusal, message.request_id)
+    except AnswerCutError:
+        with contextlib.suppress(LinkClosedError):
+            await link.send(answer_end=AnswerEnd(message.call, False))
+    except (LinkClosedError, CallerGoneError):
+        pass
+    finally:
+        scopes.pop(message.call, None)
+
+
+async def _send_refusal(sink, refusal, request_id):
+    status, headers, body = problem_answer(refusal, request_id)
+    await sink.head(status, headers)
+    await sink.data(body)
+    await sink.end()
+
+
+async def _run_forward(host, message, sink):
+    job = _job_of(host, message)
+    match job:
+        case Failure(_):
+            return job
+    job = job.unwrap()
+    if not is_permitted(host.cfg.region, job.team, job.route):
+        return Failure(
+            WrongRegion(
+                detail=f"region {host.cfg.region} is not permitted",
+                outcome=_outcome_before_owner(job),
+            )
+        )
+    if job.route.repeatable:
+        return await run_repeatable(host, job, sink, is_forwarded=True)
+    if not is_bound_here(host, job.identifier):
+        # Passing it on would be a second hop, and no one here may run it.
+        return Failure(
+            OutcomeUnknown(
+                detail="the incarnation that alone may run it is gone",
+                outcome=Outcome.UNKNOWN,
+                status_url=job.route.status_path or None,
+            )
+        )
+    return await run_once(host, job, sink)
+
+
+def _outcome_before_owner(job):
+    return Outcome.UNKNOWN if job.identifier else Outcome.NOT_RUN
+
+
+def _job_of(host, message):
+    return build_job(
+        host,
+        request_id=message.request_id,
+        route=host.book.get("route", message.route),
+        team_name=message.team,
+        method=message.method,
+        target=message.target,
+        headers=[(h.name.encode(), h.value.encode()) for h in message.headers],
+        body=message.body,
+        identifier=read_identifier(message.identifier) if message.identifier else None,
+        timeout_s=message.remaining_ms / 1000,
+    )
+
+
+def _link_sink(link, message):
+    async def head(status, headers):
+        await _send(
+            link,
+            answer_head=AnswerHead(
+                message.call,
+                message.request_id,
+                status,
+                [Header(k.decode("latin-1"), v.decode("latin-1")) for k, v in headers],
+            ),
+        )
+
+    async def data(chunk):
+        await _send(link, answer_data=AnswerData(message.call, chunk))
+
+    async def end():
+        await _send(link, answer_end=AnswerEnd(message.call, True))
+
+    return Sink(head, data, end)
+
+
+async def _send(link, **field):
+    try:
+        await link.send(**field)
+    except LinkClosedError as exc:
+        raise CallerGoneError("the forwarding host is gone") from exc
--- /dev/null
+++ b/src/cactusmill/internal/chat.py
@@ -0,0 +1,143 @@
+"""The chat-completions shapes, as far as a gateway must read them.
+
+Only this module knows the format of model requests and answers.
+"""
+
+import json
+
+import attrs
+import xxhash
+from returns.result import Failure, Success
+
+from ..errors import MalformedRequest
+
+DEFAULT_MAX_TOKENS = 512
+_BYTES_PER_TOKEN = 3
+_PREFIX_BYTES = 1024
+_EVENT_MARK = b"data:"
+_USAGE_MARK = b'"usage"'
+# A stream ends with one event that carries no token.
+_EVENTS_WITHOUT_TOKEN = 1
+
+
+@attrs.frozen
+class ChatRequest:
+    """What a gateway needs to know of a chat completion.
+
+    Attributes
+    ----------
+    model : str
+        Model that is asked for.
+    is_stream : bool
+        True if the answer is to come as events.
+    prompt_tokens : int
+        Estimate of the prompt's length.
+    max_tokens : int
+        Most tokens that may be generated.
+    affinity : str
+        Digest of model and beginning of the prompt.
+    """
+
+    model: str
+    is_stream: bool
+    prompt_tokens: int
+    max_tokens: int
+    affinity: str
+
+
+def parse_chat(body):
+    """Read a chat completion's body.
+
+    Parameters
+    ----------
+    body : bytes
+        JSON text.
+
+    Returns
+    -------
+    Success of ChatRequest or Failure of MalformedRequest
+    """
+    try:
+        data = json.loads(body)
+    except (ValueError, RecursionError):
+        return _malformed("the body is not JSON")
+    if not isinstance(data, dict) or not isinstance(data.get("model"), str):
+        return _malformed("the body must be an object with a text 'model'")
+    messages = data.get("messages")
+    if not isinstance(messages, list) or not messages:
+        return _malformed("'messages' must be a list with at least one message")
+    max_tokens = data.get("max_completion_tokens", data.get("max_tokens"))
+    if max_tokens is None:
+        max_tokens = DEFAULT_MAX_TOKENS
+    if not isinstance(max_tokens, int) or not 0 < max_tokens < 1_000_000:
+        return _malformed(f"'max_tokens' {max_tokens!r} must be 1 to 999999")
+    choices = data.get("n", 1)
+    if not isinstance(choices, int) or not 0 < choices <= 128:
+        return _malformed(f"'n' {choices!r} must be 1 to 128")
+    text = json.dumps(messages, ensure_ascii=False).encode("utf-8", "surrogatepass")
+    prefix = data["model"].encode("utf-8", "surrogatepass") + text[:_PREFIX_BYTES]
+    return Success(
+        ChatRequest(
+            model=data["model"],
+            is_stream=data.get("stream") is True,
+            prompt_tokens=len(text) // _BYTES_PER_TOKEN + 1,
+            max_tokens=max_tokens * choices,
+            affinity=xxhash.xxh3_64_hexdigest(prefix),
+        )
+    )
+
+
+def _malformed(detail):
+    return Failure(MalformedRequest(detail=detail))
+
+
+@attrs.define
+class UsageMeter:
+    """Counts the tokens of an answer as it passes.
+
+    Attributes
+    ----------
+    prompt_tokens : int
+        Estimate, until the engine says better.
+    is_stream : bool
+        Whether the answer comes as events.
+    """
+
+    prompt_tokens: int
+    is_stream: bool
+    _events: int = 0
+    _tail: bytes = b""
+
+    def feed(self, chunk):
+        """Take note of a part of the answer."""
+        if self.is_stream:
+            self._events += chunk.count(_EVENT_MARK)
+            if _USAGE_MARK in chunk:
+                self._tail = chunk
+        else:
+            self._tail += chunk
+
+    def used(self):
+        """Return the tokens used so far, prompt included."""
+        total = self._reported()
+        if total is not None:
+            return total
+        return self.prompt_tokens + max(0, self._events - _EVENTS_WITHOUT_TOKEN)
+
+    def _reported(self):
+        text = self._tail
+        if self.is_stream:
+            text = next(
+                (e for e in reversed(text.split(_EVENT_MARK)) if _USAGE_MARK in e), b""
+            )
+        try:
+            usage = json.loads(text)["usage"]
+            return int(usage["prompt_tokens"]) + int(usage["completion_tokens"])
+        except (ValueError, KeyError, TypeError):
+            return None
+
+
+def error_event(title):
+    """Return the event that ends a stream which failed, as clients expect it."""
+    error = {"error": {"message": title, "type": "upstream_error"}}
+    return b"data: " + json.dumps(error).encode() + b"\n\n"
--- /dev/null
+++ b/src/cactusmill/internal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the operators' tool, a module each."""
--- /dev/null
+++ b/src/cactusmill/internal/commands/burn.py
@@ -0,0 +1,105 @@
+"""``cactusmill burn``: service-level burn per team and route."""
+
+import json
+
+import attrs
+
+from ..burn import burn_rate
+from .asking import (
+    EXIT_FAULT,
+    EXIT_UNREACHABLE,
+    HostUnreachableError,
+    ask_fleet,
+    complain,
+    print_table,
+)
+
+
+@attrs.define
+class BurnRow:
+    """Burn of one team on one route, over the whole fleet.
+
+    Attributes
+    ----------
+    team, route : str
+        Who asked for what.
+    short_rate, long_rate : float
+        Burn rate over the short and the long window.
+    budget_left : float
+        Part of the long window's error budget that is left, 0 to 1.
+    requests : int
+        Requests within the long window.
+    """
+
+    team: str
+    route: str
+    short_rate: float
+    long_rate: float
+    budget_left: float
+    requests: int
+
+
+def combine(answers):
+    """Add up the hosts' counts.
+
+    Parameters
+    ----------
+    answers : list of dict
+        The hosts' burn pages.
+
+    Returns
+    -------
+    list of BurnRow
+    """
+    objective = min(a["objective"] for a in answers)
+    totals = {}
+    for answer in answers:
+        for c in answer["counts"]:
+            windows = totals.setdefault((c["team"], c["route"]), {})
+            good, bad = windows.get(c["window_s"], (0, 0))
+            windows[c["window_s"]] = (good + c["good"], bad + c["bad"])
+    rows = []
+    for (team, route), windows in sorted(totals.items()):
+        short, long = windows[min(windows)], windows[max(windows)]
+        long_rate = burn_rate(*long, objective)
+        rows.append(
+            BurnRow(
+                team=team,
+                route=route,
+                short_rate=burn_rate(*short, objective),
+                long_rate=long_rate,
+                budget_left=max(0.0, 1.0 - long_rate),
+                requests=sum(long),
+            )
+        )
+    return rows
+
+
+def run(args):
+    """Show the burn report; return the exit code."""
+    try:
+        answers, lost = ask_fleet(args.host, "/v1/burn")
+    except HostUnreachableError as exc:
+        complain(exc)
+        return EXIT_UNREACHABLE
+    rows = combine(answers)
+    if args.json:
+        report = {"rows": [attrs.asdict(r) for r in rows], "lost": lost}
+        print(json.dumps(report, indent=2))
+    else:
+        print_table(
+            ["TEAM", "ROUTE", "BURN 5 MIN", "BURN 1 H", "BUDGET LEFT", "REQUESTS"],
+            [
+                [
+                    r.team or "(open)",
+                    r.route,
+                    f"{r.short_rate:.1f}",
+                    f"{r.long_rate:.1f}",
+                    f"{r.budget_left:.0%}",
+                    r.requests,
+                ]
+                for r in rows
+            ],
+        )
+    is_burning = any(min(r.short_rate, r.long_rate) > args.max_rate for r in rows)
+    return EXIT_FAULT if is_burning else 0
--- /dev/null
+++ b/src/cactusmill/internal/edge.py
@@ -0,0 +1,444 @@
+"""The callers' edge: connections, keys, regions and final answers."""
+
+import contextlib
+import json
+
+import attrs
+import h11
+import trio
+from returns.result import Failure, Success
+
+from ..errors import (
+    AnswerCutError,
+    BadRequestError,
+    BodyTooLarge,
+    CallerGoneError,
+    ExchangeError,
+    MalformedRequest,
+    NotPermitted,
+    Outcome,
+    UnknownKey,
+    UnknownRoute,
+    WrongRegion,
+)
+from .chat import error_event
+from .http import header, read_body, server_connection
+from .identifiers import read_identifier
+from .intake import build_job, new_request_id, passed_headers
+from .job import Sink, is_permitted
+from .once import IDENTIFIER_HEADER, run_once
+from .problems import problem_answer
+from .repeatable import run_repeatable
+from .routing import rank_hosts
+
+BODY_TIMEOUT_S = 30.0
+LINGER_S = 1.0
+DIRECTORY_PATH = "/v1/hosts"
+MAX_IDENTIFIERS = 64
+_LINGER_BYTES = 1024 * 1024
+_BEARER = "bearer "
+
+
+@attrs.define(eq=False)
+class CallerRequest:
+    """One request on a caller's connection.
+
+    Attributes
+    ----------
+    conn : Connection
+        The caller's connection.
+    head : h11.Request
+        Head of the request.
+    request_id : str
+        Identifier for logs.
+    began_at : float
+        When the head was complete, in seconds.
+    has_begun : bool
+        True once the answer's head was sent.
+    first_byte_s : float or None
+        Time until then, in seconds.
+    """
+
+    conn: object
+    head: h11.Request
+    request_id: str
+    began_at: float
+    has_begun: bool = False
+    first_byte_s: float | None = None
+
+    @property
+    def path(self):
+        """Path of the target, without the query."""
+        return self.head.target.decode("latin-1").partition("?")[0]
+
+    @property
+    def identifier(self):
+        """Minted identifier that came with the request, or None."""
+        text = header(self.head.headers, IDENTIFIER_HEADER)
+        return read_identifier(text) if text else None
+
+    @property
+    def secret(self):
+        """The caller's key, or empty bytes."""
+        text = header(self.head.headers, b"authorization", "")
+        if text[: len(_BEARER)].lower() != _BEARER:
+            return b""
+        return text[len(_BEARER) :].strip().encode("latin-1")
+
+    @property
+    def outcome_before_owner(self):
+        """What is known of the request before its owner was asked.
+
+        An earlier attempt with the same identifier may have run through
+        another host, so "not run" would be a guess.
+        """
+        return Outcome.UNKNOWN if self.identifier else Outcome.NOT_RUN
+
+
+async def serve_caller(host, stream):
+    """Serve one caller's connection until it ends."""
+    conn = server_connection(stream, host.cfg.max_head_bytes)
+    host.caller_connections += 1
+    try:
+        while await _serve_request(host, conn):
+            conn.h11.start_next_cycle()
+    except (ExchangeError, CallerGoneError, AnswerCutError):
+        # Closing without the answer's terminator tells the caller that it is
+        # not whole.
+        pass
+    finally:
+        host.caller_connections -= 1
+        await conn.close()
+
+
+async def _serve_request(host, conn):
+    """Serve the next request; return whether the connection can go on."""
+    try:
+        head = None
+        with trio.move_on_after(host.cfg.idle_timeout_s):
+            head = await conn.next_event()
+    except h11.RemoteProtocolError as exc:
+        await _refuse_head(host, conn, exc.error_status_hint, str(exc))
+        return False
+    if head is None and conn.h11.trailing_data[0]:
+        await _refuse_head(host, conn, 408, "the head did not come in time")
+    if not isinstance(head, h11.Request):
+        return False
+    caller = CallerRequest(conn, head, new_request_id(), host.now())
+    await _answer(host, caller)
+    if conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE:
+        return True
+    await _linger(conn)
+    return False
+
+
+async def _refuse_head(host, conn, status, problem):
+    refusal = MalformedRequest(status_code=status, detail=problem)
+    if conn.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        status, headers, body = problem_answer(refusal, new_request_id())
+        headers.append((b"connection", b"close"))
+        response = h11.Response(status_code=status, headers=headers)
+        await conn.send(response, h11.Data(data=body), h11.EndOfMessage())
+    await _linger(conn)
+
+
+async def _linger(conn):
+    """Let the caller read the answer before the connection is reset.
+
+    Closing a socket with unread bytes resets it, and the reset may overtake
+    the answer.
+    """
+    with trio.move_on_after(LINGER_S), contextlib.suppress(trio.BrokenResourceError):
+        await conn.stream.send_eof()
+        received = 0
+        while received < _LINGER_BYTES:
+            data = await conn.stream.receive_some()
+            if not data:
+                return
+            received += len(data)
+
+
+async def _answer(host, caller):
+    if caller.path == DIRECTORY_PATH:
+        await _answer_directory(host, caller)
+        return
+    route = host.book.route_for(caller.path)
+    result = await _serve_on_route(host, caller, route)
+    name = "answered"
+    match result:
+        case Failure(refusal):
+            name = refusal.type_name
+            if not caller.has_begun:
+                await _send_refusal(host, caller, refusal)
+    host.note_request(caller, route, result, name)
+
+
+async def _serve_on_route(host, caller, route):
+    match _authorize(host, caller, route):
+        case Failure(refusal):
+            return Failure(refusal)
+        case Success(key):
+            pass
+    try:
+        with trio.fail_after(BODY_TIMEOUT_S):
+            body = await read_body(caller.conn, _body_limit(host, route))
+    except BadRequestError as exc:
+        return Failure(_body_refusal(caller, exc))
+    except trio.TooSlowError:
+        return Failure(
+            MalformedRequest(
+                status_code=408,
+                detail=f"the body did not come within {BODY_TIMEOUT_S:.0f} s",
+                outcome=caller.outcome_before_owner,
+            )
+        )
+    if caller.secret and _holds_key(caller, body):
+        return Failure(
+            MalformedRequest(
+                detail="the key stands in the body or the target; remove it there, "
+                "since endpoints must not see it",
+                outcome=caller.outcome_before_owner,
+            )
+        )
+    job = build_job(
+        host,
+        request_id=caller.request_id,
+        route=route,
+        team_name=key.team if key else "",
+        method=caller.head.method.decode("latin-1"),
+        target=caller.head.target.decode("latin-1"),
+        headers=passed_headers(caller.head.headers),
+        body=body,
+        identifier=caller.identifier,
+        timeout_s=route.timeout_s,
+    )
+    match job:
+        case Failure(_):
+            return job
+    return await _run(host, caller, job.unwrap(), key)
+
+
+def _body_limit(host, route):
+    return min(route.max_body_bytes, host.cfg.max_body_bytes)
+
+
+def _body_refusal(caller, exc):
+    if exc.status == BodyTooLarge.status:
+        return BodyTooLarge(detail=exc.problem, outcome=caller.outcome_before_owner)
+    return MalformedRequest(
+        status_code=exc.status,
+        detail=exc.problem,
+        outcome=caller.outcome_before_owner,
+    )
+
+
+def _holds_key(caller, body):
+    return caller.secret in body or caller.secret in bytes(caller.head.target)
+
+
+def _authorize(host, caller, route):
+    """Decide, before the body is read, whether it may be read here at all."""
+    outcome = caller.outcome_before_owner
+    if route is None:
+        return Failure(
+            UnknownRoute(detail=f"no route for {caller.path!r}", outcome=outcome)
+        )
+    key = host.book.key_for(caller.secret) if caller.secret else None
+    if key is None and not route.open:
+        return Failure(
+            UnknownKey(
+                detail="send an active key as 'Authorization: Bearer KEY'",
+                outcome=outcome,
+            )
+        )
+    team = host.book.get("team", key.team) if key else None
+    if key is not None and team is None:
+        return Failure(UnknownKey(detail="the key has no team", outcome=outcome))
+    if route.teams and (team is None or team.name not in route.teams):
+        return Failure(
+            NotPermitted(
+                detail=f"route {route.name} is not open to the key's team",
+                outcome=outcome,
+            )
+        )
+    if not is_permitted(host.cfg.region, team, route):
+        return Failure(
+            WrongRegion(
+                detail=f"region {host.cfg.region} may not handle this; "
+                "use one of the hosts given here",
+                outcome=outcome,
+                hosts=tuple(
+                    f"http://{h.callers}" for h in _hosts_for(host, team, route)
+                ),
+            )
+        )
+    return _check_length(host, caller, route, key)
+
+
+def _check_length(host, caller, route, key):
+    length = header(caller.head.headers, b"content-length", "0")
+    limit = _body_limit(host, route)
+    if int(length) > limit:
+        return Failure(
+            BodyTooLarge(
+                detail=f"a body of {length} bytes is over {limit}",
+                outcome=caller.outcome_before_owner,
+            )
+        )
+    return Success(key)
+
+
+def _hosts_for(host, team, route=None):
+    """Return the hosts that a caller may use, best first."""
+    listed = [
+        h
+        for h in host.roster.all("host")
+        if host.takes_callers(h)
+        and (not team or not team.regions or h.region in team.regions)
+        and (not route or not route.regions or h.region in route.regions)
+    ]
+    return rank_hosts(listed, team.name if team else "", host.cfg.zone)
+
+
+async def _run(host, caller, job, key):
+    """Run a job while watching for the caller's leaving and the key's end."""
+    sink = _caller_sink(host, caller)
+    run = run_repeatable if job.route.repeatable else run_once
+    result, failure = None, None
+    with host.key_uses.scope(key) as key_scope:
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_cancel_on_hangup, caller.conn, nursery.cancel_scope)
+            try:
+                result = await run(host, job, sink)
+            except (AnswerCutError, CallerGoneError) as exc:
+                failure = exc
+            nursery.cancel_scope.cancel()
+    if result is not None:
+        return result
+    if isinstance(failure, AnswerCutError):
+        await _cut_answer(caller, job)
+    if key_scope.cancelled_caught and not caller.has_begun:
+        outcome = Outcome.NOT_RUN if job.route.repeatable else Outcome.UNKNOWN
+        return Failure(UnknownKey(detail="the key was withdrawn", outcome=outcome))
+    raise failure or CallerGoneError("the caller left, or its key was withdrawn")
+
+
+async def _cut_answer(caller, job):
+    """Say in the stream that it is not whole, as stream clients expect."""
+    if caller.has_begun and job.is_stream:
+        with contextlib.suppress(ExchangeError, h11.LocalProtocolError):
+            await caller.conn.send(h11.Data(data=error_event("the answer was cut")))
+
+
+async def _cancel_on_hangup(conn, scope):
+    try:
+        data = await conn.stream.receive_some()
+    except (trio.BrokenResourceError, trio.ClosedResourceError):
+        data = b""
+    conn.h11.receive_data(data)
+    if not data:
+        scope.cancel()
+
+
+def _caller_sink(host, caller):
+    conn = caller.conn
+
+    async def head(status, headers):
+        caller.has_begun = True
+        caller.first_byte_s = host.now() - caller.began_at
+        await _send(
+            conn,
+            h11.Response(
+                status_code=status,
+                headers=[*headers, *_connection_headers(host, caller)],
+            ),
+        )
+
+    async def data(chunk):
+        await _send(conn, h11.Data(data=chunk))
+
+    async def end():
+        await _send(conn, h11.EndOfMessage())
+
+    return Sink(head, data, end)
+
+
+async def _send(conn, event):
+    try:
+        await conn.send(event)
+    except ExchangeError as exc:
+        raise CallerGoneError("the caller left") from exc
+
+
+def _connection_headers(host, caller):
+    headers = [(b"x-request-id", caller.request_id.encode())]
+    if host.leaving or caller.conn.h11.their_state is not h11.DONE:
+        headers.append((b"connection", b"close"))
+    else:
+        # A caller that heeds this never sends on a connection about to close.
+        idle_s = max(1, int(host.cfg.idle_timeout_s) - 2)
+        headers.append((b"keep-alive", f"timeout={idle_s}".encode()))
+    return headers
+
+
+async def _send_refusal(host, caller, refusal):
+    status, headers, body = problem_answer(refusal, caller.request_id)
+    await _send_whole(host, caller, status, headers, body)
+
+
+async def _send_whole(host, caller, status, headers, body):
+    response = h11.Response(
+        status_code=status, headers=[*headers, *_connection_headers(host, caller)]
+    )
+    await caller.conn.send(response, h11.Data(data=body), h11.EndOfMessage())
+
+
+async def _answer_directory(host, caller):
+    """Tell a caller which hosts to use, with identifiers to use there."""
+    key = host.book.key_for(caller.secret) if caller.secret else None
+    team = host.book.get("team", key.team) if key else None
+    if team is None:
+        refusal = UnknownKey(detail="send an active key as 'Authorization: Bearer KEY'")
+        await _send_refusal(host, caller, refusal)
+        return
+    with contextlib.suppress(BadRequestError):
+        await read_body(caller.conn, 0)
+    may_mint = is_permitted(host.cfg.region, team, _ANY_ROUTE) and not host.leaving
+    wanted = _wanted_identifiers(caller.head.target) if may_mint else 0
+    minted = [host.mint(team.name) for _ in range(wanted)]
+    answer = {
+        "hosts": [
+            {
+                "url": f"http://{h.callers}",
+                "name": h.name,
+                "zone": h.zone,
+                "region": h.region,
+            }
+            for h in _hosts_for(host, team)
+        ],
+        "identifiers": [text for text in minted if text],
+        "identifier_ttl_s": host.cfg.identifier_ttl_s,
+    }
+    body = json.dumps(answer).encode()
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    await _send_whole(host, caller, 200, headers, body)
+
+
+@attrs.frozen
+class _AnyRoute:
+    regions: tuple = ()
+
+
+_ANY_ROUTE = _AnyRoute()
+
+
+def _wanted_identifiers(target):
+    query = target.decode("latin-1").partition("?")[2]
+    for part in query.split("&"):
+        name, _, value = part.partition("=")
+        if name == "identifiers" and value.isdigit():
+            return min(int(value), MAX_IDENTIFIERS)
+    return 0
--- /dev/null
+++ b/src/cactusmill/internal/intake.py
@@ -0,0 +1,106 @@
+"""From a message to a :class:`Job`: the same for callers and for peers."""
+
+import uuid
+
+from returns.result import Failure, Success
+
+from ..errors import Outcome, UnknownKey, UnknownRoute
+from .chat import parse_chat
+from .job import Job
+
+# Everything else stays at the gateway: a key may stand in any header.
+PASSED_HEADERS = frozenset(
+    {
+        b"accept",
+        b"accept-language",
+        b"content-type",
+        b"content-language",
+    }
+)
+
+
+def new_request_id():
+    """Return an identifier for logs, unique over the fleet."""
+    return uuid.uuid4().hex
+
+
+def passed_headers(headers):
+    """Return the headers that may reach an endpoint."""
+    return [(k, v) for k, v in headers if k in PASSED_HEADERS]
+
+
+def build_job(
+    host,
+    *,
+    request_id,
+    route,
+    team_name,
+    method,
+    target,
+    headers,
+    body,
+    identifier,
+    timeout_s,
+):
+    """Build a job from an authenticated message.
+
+    Parameters
+    ----------
+    host : HostProcess
+        This process.
+    request_id : str
+        Identifier for logs.
+    route : Route or None
+        The route in force here.
+    team_name : str
+        The authenticated team; empty on an open route.
+    method, target : str
+        Of the request.
+    headers : list of (bytes, bytes)
+        Headers that may be passed on.
+    body : bytes
+        The whole body.
+    identifier : Identifier or None
+        As sent by the caller.
+    timeout_s : float
+        Time until the answer must begin, in seconds.
+
+    Returns
+    -------
+    Success of Job or Failure of Refusal
+    """
+    outcome = Outcome.UNKNOWN if identifier else Outcome.NOT_RUN
+    if route is None:
+        return Failure(UnknownRoute(detail="the route is not known", outcome=outcome))
+    team = host.book.get("team", team_name) if team_name else None
+    if team is None and (team_name or not route.open):
+        return Failure(UnknownKey(detail="the team is not known", outcome=outcome))
+    service, cost, affinity, is_stream = route.service, route.charge_tokens, "", False
+    prompt_tokens = 0
+    if route.kind == "model":
+        match parse_chat(body):
+            case Failure(refusal):
+                return Failure(refusal)
+            case Success(chat):
+                service, affinity, is_stream = chat.model, chat.affinity, chat.is_stream
+                prompt_tokens = chat.prompt_tokens
+                cost = float(chat.prompt_tokens + chat.max_tokens)
+    return Success(
+        Job(
+            request_id=request_id,
+            route=route,
+            team=team,
+            records_version=host.book.version,
+            method=method,
+            target=target,
+            headers=headers,
+            body=body,
+            deadline=host.now() + timeout_s,
+            service=service,
+            cost_tokens=cost,
+            prompt_tokens=prompt_tokens,
+            affinity=affinity,
+            is_stream=is_stream,
+            identifier=identifier,
+        )
+    )
--- /dev/null
+++ b/src/cactusmill/internal/key_uses.py
@@ -0,0 +1,47 @@
+"""Requests that run under each key, so that a withdrawal can stop them."""
+
+import contextlib
+
+import attrs
+import trio
+
+
+@attrs.define
+class KeyUses:
+    """Cancel scopes of the running requests, by the key's digest."""
+
+    _scopes: dict = attrs.field(factory=dict)
+
+    @contextlib.contextmanager
+    def scope(self, key):
+        """Run a block that ends when the key is withdrawn.
+
+        Parameters
+        ----------
+        key : Key or None
+            None on a route open to all, where nothing ends the block.
+
+        Yields
+        ------
+        trio.CancelScope
+        """
+        scope = trio.CancelScope()
+        if key is None:
+            with scope:
+                yield scope
+            return
+        running = self._scopes.setdefault(key.digest, set())
+        running.add(scope)
+        try:
+            with scope:
+                yield scope
+        finally:
+            running.discard(scope)
+            if not running:
+                self._scopes.pop(key.digest, None)
+
+    def stop_withdrawn(self, book):
+        """Cancel the requests whose keys are no longer active."""
+        for digest in [d for d in self._scopes if not book.key_is_active(d)]:
+            for scope in self._scopes[digest]:
+                scope.cancel()
--- /dev/null
+++ b/src/cactusmill/internal/once.py
@@ -0,0 +1,282 @@
+"""Requests that may run at most once.
+
+The identifier names the only incarnation that may run the request. Every
+other host forwards to it, and answers "unknown" where it cannot be reached.
+"""
+
+import hashlib
+
+import attrs
+import trio
+from returns.result import Failure, Success
+
+from ..errors import (
+    ConnectError,
+    DeadlineExceeded,
+    ExchangeError,
+    IdentifierRequired,
+    LinkClosedError,
+    NoEndpoint,
+    Outcome,
+    OutcomeUnknown,
+)
+from .admission import admit
+from .endpoints import receive_data, receive_head, send_request
+from .forwarding import forward
+from .http import end_to_end
+from .job import is_permitted
+from .ledger import Answer, spent
+from .peers import retry_after_outage_s
+from .routing import candidate, choose_endpoint
+
+IDENTIFIER_HEADER = b"idempotency-key"
+DEADLINE_HEADER = b"x-request-deadline"
+LEAVING_HEADER = b"x-endpoint-leaving"
+_UNAVAILABLE = 503
+_NO_ENDPOINT_RETRY_S = 2.0
+
+
+async def run_once(host, job, sink):
+    """Run a request at most once, here or at the incarnation it is bound to.
+
+    Parameters
+    ----------
+    host : HostProcess
+        This process.
+    job : Job
+        A request on a route that may not be repeated.
+    sink : Sink
+        Where the answer goes.
+
+    Returns
+    -------
+    Success of None or Failure of Refusal
+    """
+    if job.identifier is None:
+        return Failure(
+            IdentifierRequired(
+                detail="send the request again with the identifier given here as "
+                "Idempotency-Key, and use the same for every resend of it",
+                identifier=host.mint(job.team_name),
+                retry_after_s=0.0,
+            )
+        )
+    if is_bound_here(host, job.identifier):
+        result = await run_bound(host, job)
+    else:
+        return await _run_at_owner(host, job, sink)
+    match result:
+        case Success(answer):
+            await sink.head(answer.status, answer.headers)
+            await sink.data(answer.body)
+            await sink.end()
+            return Success(None)
+    return result
+
+
+def is_bound_here(host, identifier):
+    """Tell whether this very process is the one that an identifier names."""
+    return (identifier.host, identifier.incarnation) == (
+        host.cfg.host,
+        host.incarnation,
+    )
+
+
+async def run_bound(host, job):
+    """Run a request whose identifier this process minted, or join its run.
+
+    Returns
+    -------
+    Success of Answer or Failure of Refusal
+    """
+    claim = host.ledger.claim(
+        job.identifier, job.team_name, _fingerprint(job), host.now()
+    )
+    match claim:
+        case Failure(refusal):
+            return Failure(_with_look_up(refusal, job.route))
+        case Success((entry, is_first)):
+            pass
+    if is_first:
+        # Not in the caller's task: a caller who leaves must not cancel a
+        # request whose bytes may already have reached the endpoint.
+        host.nursery.start_soon(_execute, host, job, entry)
+    await entry.done.wait()
+    match entry.result:
+        case Failure(refusal) if not is_first:
+            return Failure(spent(refusal, host.mint(job.team_name)))
+        case Failure(refusal):
+            return Failure(_with_fresh_identifier(host, job, refusal))
+    return entry.result
+
+
+def _fingerprint(job):
+    digest = hashlib.sha256()
+    for part in (job.method.encode(), job.target.encode(), job.body):
+        digest.update(len(part).to_bytes(8, "big") + part)
+    return digest.hexdigest()
+
+
+def _with_look_up(refusal, route):
+    if refusal.outcome is Outcome.NOT_RUN or not route.status_path:
+        return refusal
+    return attrs.evolve(refusal, status_url=route.status_path)
+
+
+def _with_fresh_identifier(host, job, refusal):
+    if refusal.outcome is not Outcome.NOT_RUN:
+        return refusal
+    return attrs.evolve(refusal, identifier=host.mint(job.team_name))
+
+
+async def _execute(host, job, entry):
+    # The refusal that holds if this task is cancelled at any point.
+    result = Failure(OutcomeUnknown(detail="the host ended", outcome=Outcome.UNKNOWN))
+    host.running_once += 1
+    try:
+        result = await _admit_and_send(host, job)
+    finally:
+        host.running_once -= 1
+        match result:
+            case Success(answer):
+                host.ledger.answer(entry, answer)
+            case Failure(refusal):
+                host.ledger.refuse(entry, _with_look_up(refusal, job.route))
+
+
+async def _admit_and_send(host, job):
+    match await admit(host, job):
+        case Failure(refusal):
+            return Failure(refusal)
+        case Success(reservation):
+            pass
+    result = await _send_to_any(host, job)
+    if reservation is not None and _is_not_run(result):
+        host.limiter.settle(reservation, 0.0, host.now())
+    return result
+
+
+def _is_not_run(result):
+    match result:
+        case Failure(refusal):
+            return refusal.outcome is Outcome.NOT_RUN
+    return False
+
+
+async def _send_to_any(host, job):
+    """Send to endpoints in turn until one may have received a byte."""
+    tried = set()
+    while True:
+        endpoint = _choose(host, job, tried)
+        if endpoint is None:
+            return Failure(_no_endpoint(tried))
+        tried.add(endpoint.name)
+        state = host.pool.state(endpoint.name)
+        try:
+            exchange = await host.pool.open(endpoint, host.now(), fresh=True)
+        except ConnectError:
+            state.note_failure(host.now())
+            continue
+        result = await _send(host, job, endpoint, exchange)
+        if result is not None:
+            return result
+
+
+def _choose(host, job, tried):
+    """Choose an endpoint of the own zone, or else of any permitted region."""
+    now = host.now()
+    listed = [
+        candidate(e, host.pool.state(e.name), now)
+        for e in host.endpoints_for(job.service)
+        if e.name not in tried and is_permitted(e.region, job.team, job.route)
+    ]
+    own = [c for c in listed if c.endpoint.zone == host.cfg.zone]
+    return choose_endpoint(own, "", host.rng) or choose_endpoint(listed, "", host.rng)
+
+
+def _no_endpoint(tried):
+    if tried:
+        detail = f"no connection to any of {len(tried)} endpoints"
+    else:
+        detail = "no permitted endpoint has room"
+    return NoEndpoint(detail=detail, retry_after_s=_NO_ENDPOINT_RETRY_S)
+
+
+async def _send(host, job, endpoint, exchange):
+    """Send a request once; None if the endpoint said that it did not run it."""
+    state = host.pool.state(endpoint.name)
+    remaining_s = job.deadline - host.now()
+    headers = [
+        (IDENTIFIER_HEADER, job.identifier.text.encode()),
+        (DEADLINE_HEADER, f"{host.wall_time() + remaining_s:.3f}".encode()),
+    ]
+    # The process may have been paused since the deadline was last checked.
+    # Nothing may come between this check and the write.
+    if remaining_s <= 0:
+        await exchange.conn.close()
+        return Failure(
+            DeadlineExceeded(detail="the deadline passed before it was sent")
+        )
+    state.in_flight += 1
+    try:
+        with trio.fail_after(remaining_s):
+            await send_request(exchange, endpoint, job, headers)
+            await receive_head(exchange, job, remaining_s)
+            body = await _whole_body(exchange)
+    except (ExchangeError, trio.TooSlowError) as exc:
+        state.note_failure(host.now())
+        await exchange.conn.close()
+        return Failure(
+            OutcomeUnknown(
+                detail=f"the endpoint failed after it may have received the "
+                f"request: {exc or type(exc).__name__}",
+                outcome=Outcome.UNKNOWN,
+                retry_after_s=max(1.0, job.deadline - host.now()),
+            )
+        )
+    finally:
+        state.in_flight -= 1
+        host.queue_for(job.service).call_next()
+    state.note_success(host.now())
+    await host.pool.finish(endpoint, exchange, host.now())
+    if _refused_as_leaving(exchange):
+        state.leaving = True
+        return None
+    return Success(Answer(exchange.status, end_to_end(exchange.headers), body))
+
+
+def _refused_as_leaving(exchange):
+    names = {name for name, _ in exchange.headers}
+    return exchange.status == _UNAVAILABLE and LEAVING_HEADER in names
+
+
+async def _whole_body(exchange):
+    chunks = []
+    while (data := await receive_data(exchange)) is not None:
+        chunks.append(data)
+    return b"".join(chunks)
+
+
+async def _run_at_owner(host, job, sink):
+    """Forward to the incarnation that the identifier names."""
+    peer = host.peers.get(job.identifier.host)
+    if peer is None or not peer.is_reachable:
+        return Failure(_owner_lost(host, job, "cannot be reached"))
+    if peer.incarnation != job.identifier.incarnation:
+        return Failure(_owner_lost(host, job, "was replaced"))
+    if not is_permitted(peer.host.region, job.team, job.route):
+        return Failure(_owner_lost(host, job, "is outside the permitted regions"))
+    try:
+        return await forward(host, peer, job, sink)
+    except LinkClosedError:
+        return Failure(_owner_lost(host, job, "was lost"))
+
+
+def _owner_lost(host, job, what):
+    return OutcomeUnknown(
+        detail=f"host {job.identifier.host}, which alone may run this identifier, "
+        f"{what}; look up the outcome before sending it under another",
+        outcome=Outcome.UNKNOWN,
+        retry_after_s=max(retry_after_outage_s(host.cfg), job.deadline - host.now()),
+        status_url=job.route.status_path or None,
+    )
--- /dev/null
+++ b/src/cactusmill/internal/operators.py
@@ -0,0 +1,215 @@
+"""The operators' port: health, metrics, status, burn and explain."""
+
+import json
+import urllib.parse
+
+import attrs
+import h11
+import trio
+
+from ..errors import ExchangeError
+from .http import server_connection
+from .job import is_permitted
+from .routing import candidate, rank_hosts
+
+_IDLE_TIMEOUT_S = 30.0
+_MAX_HEAD_BYTES = 16 * 1024
+_JSON = b"application/json"
+_TEXT = b"text/plain; version=0.0.4"
+
+
+@attrs.frozen
+class _Page:
+    status: int
+    body: bytes
+    content_type: bytes = _JSON
+
+
+async def serve_operator(host, stream):
+    """Serve one operator's connection until it ends."""
+    conn = server_connection(stream, _MAX_HEAD_BYTES)
+    try:
+        while await _serve_page(host, conn):
+            conn.h11.start_next_cycle()
+    except (ExchangeError, h11.RemoteProtocolError):
+        pass
+    finally:
+        await conn.close()
+
+
+async def _serve_page(host, conn):
+    head = None
+    with trio.move_on_after(_IDLE_TIMEOUT_S):
+        head = await conn.next_event()
+    if not isinstance(head, h11.Request):
+        return False
+    while not isinstance(await conn.next_event(), h11.EndOfMessage):
+        pass
+    page = _render(host, head.target.decode("latin-1"))
+    headers = [
+        (b"content-type", page.content_type),
+        (b"content-length", str(len(page.body)).encode()),
+    ]
+    await conn.send(
+        h11.Response(status_code=page.status, headers=headers),
+        h11.Data(data=page.body),
+        h11.EndOfMessage(),
+    )
+    return conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
+
+
+def _render(host, target):
+    path, _, query = target.partition("?")
+    args = dict(urllib.parse.parse_qsl(query))
+    pages = {
+        "/healthz": lambda: _Page(200, b"ok\n", _TEXT),
+        "/readyz": lambda: _readiness(host),
+        "/metrics": lambda: _Page(200, host.metrics.render(gauges(host)), _TEXT),
+        "/v1/status": lambda: _json(status(host)),
+        "/v1/burn": lambda: _json(burn(host)),
+        "/v1/explain": lambda: _json(explain(host, args)),
+    }
+    page = pages.get(path)
+    return page() if page else _Page(404, b"no such page\n", _TEXT)
+
+
+def _json(value):
+    return _Page(200, json.dumps(value).encode())
+
+
+def _readiness(host):
+    if host.ready.is_set() and not host.leaving:
+        return _Page(200, b"ready\n", _TEXT)
+    return _Page(503, b"leaving\n" if host.leaving else b"learning\n", _TEXT)
+
+
+def gauges(host):
+    """Return the sizes and versions that the metrics page shows."""
+    return {
+        "records_version": host.book.version,
+        "hosts_version": host.roster.version,
+        "records_rejected": len(host.book.faults()) + len(host.roster.faults()),
+        "peers_reachable": sum(p.is_reachable for p in host.peers.values()),
+        "caller_connections": host.caller_connections,
+        "ledger_entries": len(host.ledger),
+        "ledger_held_bytes": host.ledger.held_bytes,
+        "platform_calls": sum(s.calls for s in host.services.values()),
+        "link_bytes_sent": sum(
+            p.link.bytes_sent for p in host.peers.values() if p.link
+        ),
+    }
+
+
+def status(host):
+    """Return what this host reports of itself and of the fleet."""
+    now = host.now()
+    return {
+        "host": host.cfg.host,
+        "zone": host.cfg.zone,
+        "region": host.cfg.region,
+        "incarnation": host.incarnation,
+        "leaving": host.leaving,
+        "records_version": host.book.version,
+        "hosts_version": host.roster.version,
+        "rejected": [
+            {"version": version, "fault": str(fault)}
+            for book in (host.book, host.roster)
+            for version, fault in book.faults()
+        ],
+        "peers": [
+            {
+                "host": p.host.name,
+                "operators": p.host.operators,
+                "reachable": p.is_reachable,
+                "leaving": p.leaving,
+                "records_version": p.records_version,
+            }
+            for p in host.peers.values()
+        ],
+        "teams": [
+            {"team": team.name, "available_tokens": round(account.available(now))}
+            for team in host.book.all("team")
+            for account in [host.limiter.account(host.book, team, now)]
+        ],
+        "endpoints": [
+            {
+                "endpoint": e.name,
+                "zone": e.zone,
+                "leaving": not e.live or host.pool.state(e.name).leaving,
+                "usable": candidate(e, host.pool.state(e.name), now).usable,
+                "in_flight": host.pool.state(e.name).in_flight,
+            }
+            for e in host.roster.all("endpoint")
+        ],
+    }
+
+
+def burn(host):
+    """Return the counts behind the burn report."""
+    counts = [attrs.asdict(c) for c in host.burn.counts(host.now())]
+    return {"objective": host.book.policy().objective, "counts": counts}
+
+
+def explain(host, args):
+    """Return where a request would go, and why.
+
+    Parameters
+    ----------
+    host : HostProcess
+        This process.
+    args : dict of str to str
+        ``team``, ``path`` and, for model routes, ``model``.
+    """
+    route = host.book.route_for(args.get("path", ""))
+    team = host.book.get("team", args.get("team", ""))
+    if route is None:
+        return {"decision": "refused", "reason": "UnknownRoute"}
+    if team is None and not route.open:
+        return {"decision": "refused", "reason": "UnknownKey"}
+    if route.teams and (team is None or team.name not in route.teams):
+        return {"decision": "refused", "reason": "NotPermitted"}
+    hosts = [
+        h.name
+        for h in rank_hosts(
+            [h for h in host.roster.all("host") if is_permitted(h.region, team, route)],
+            team.name if team else "",
+            host.cfg.zone,
+        )
+        if host.takes_callers(host.roster.get("host", h.name))
+    ]
+    if not is_permitted(host.cfg.region, team, route):
+        return {"decision": "refused", "reason": "WrongRegion", "hosts": hosts}
+    service = args.get("model", "") if route.kind == "model" else route.service
+    return {
+        "decision": "served",
+        "route": route.name,
+        "runs": "any number of times" if route.repeatable else "at most once",
+        "hosts": hosts,
+        "endpoints": _explain_endpoints(host, service, team, route),
+    }
+
+
+def _explain_endpoints(host, service, team, route):
+    now = host.now()
+    rows = []
+    for endpoint in host.endpoints_for(service):
+        found = candidate(endpoint, host.pool.state(endpoint.name), now)
+        if not is_permitted(endpoint.region, team, route):
+            why = "region not permitted"
+        elif not found.usable:
+            why = "leaving or backed off"
+        elif not found.has_room:
+            why = "full"
+        elif endpoint.zone != host.cfg.zone:
+            why = "other zone: only if the own zone has no room"
+        else:
+            why = "candidate"
+        rows.append(
+            {
+                "endpoint": endpoint.name,
+                "zone": endpoint.zone,
+                "load": round(found.load, 3),
+                "why": why,
+            }
+        )
+    return rows
--- /dev/null
+++ b/src/cactusmill/internal/peers.py
@@ -0,0 +1,215 @@
+"""Links to the other hosts: who is reachable, and calls to them.
+
+Each peer has one task that keeps a dialled link to it and one that reads it.
+Answers and heartbeats come back over the same link. The link that the peer
+dials in turn is served in :mod:`cactusmill.internal.answering`.
+"""
+
+import contextlib
+import itertools
+import math
+
+import attrs
+import trio
+
+from ..errors import ConnectError, LinkClosedError
+from .link import open_link
+from .wire.ttypes import Heartbeat
+
+CALL_BUFFER_FRAMES = 1024
+_DIAL_TIMEOUT_S = 1.0
+_REDIAL_S = 0.3
+
+
+@attrs.define(eq=False)
+class Peer:
+    """Another host, as this one sees it.
+
+    Attributes
+    ----------
+    host : Host
+        As listed.
+    link : Link or None
+        The open link, if any.
+    was_reached : bool
+        True once a link was open.
+    leaving : bool
+        True once it said that it is leaving.
+    records_version, hosts_version : int
+        Newest versions that it said to have.
+    """
+
+    host: object
+    link: object = None
+    was_reached: bool = False
+    leaving: bool = False
+    records_version: int = 0
+    hosts_version: int = 0
+    scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    _calls: dict = attrs.field(factory=dict)
+    _numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
+
+    @property
+    def is_reachable(self):
+        """Whether a link is open."""
+        return self.link is not None
+
+    @property
+    def incarnation(self):
+        """Incarnation at the far side of the open link, or an empty text."""
+        return self.link.peer.incarnation if self.link else ""
+
+    @contextlib.asynccontextmanager
+    async def call(self):
+        """Open a call on the present link.
+
+        Yields
+        ------
+        number : int
+            To put in the call's frames.
+        link : Link
+            Where to send them.
+        answers : trio.MemoryReceiveChannel
+            Frames with that number; ends if the link does.
+
+        Raises
+        ------
+        LinkClosedError
+            If there is no open link.
+        """
+        if self.link is None:
+            raise LinkClosedError(f"no link to {self.host.name}")
+        number = next(self._numbers)
+        send, receive = trio.open_memory_channel(CALL_BUFFER_FRAMES)
+        self._calls[number] = send
+        try:
+            yield number, self.link, receive
+        finally:
+            self._calls.pop(number, None)
+            send.close()
+
+    def deliver(self, number, frame):
+        """Hand an answer's frame to its call; late ones are dropped."""
+        channel = self._calls.get(number)
+        if channel is None:
+            return
+        try:
+            channel.send_nowait(frame)
+        except (trio.WouldBlock, trio.BrokenResourceError):
+            # The caller reads too slowly for the bounded buffer. Ending this
+            # call keeps it from holding up all others on the link.
+            self._calls.pop(number, None)
+            channel.close()
+
+    def drop_link(self):
+        """End all calls after the link broke."""
+        self.link = None
+        for channel in self._calls.values():
+            channel.close()
+        self._calls.clear()
+
+
+async def next_answer(answers):
+    """Return a call's next frame.
+
+    Raises
+    ------
+    LinkClosedError
+        If the link ended first.
+    """
+    try:
+        return await answers.receive()
+    except trio.EndOfChannel as exc:
+        raise LinkClosedError("the link ended before the answer") from exc
+
+
+async def keep_link(host, peer):
+    """Keep a link to a peer open for as long as the peer is listed."""
+    with peer.scope:
+        while True:
+            with contextlib.suppress(ConnectError, LinkClosedError):
+                await _run_link(host, peer)
+            await trio.sleep(_REDIAL_S * (0.5 + host.rng.random()))
+
+
+async def _run_link(host, peer):
+    stream = await host.net.connect(peer.host.peers, _DIAL_TIMEOUT_S)
+    try:
+        link = await open_link(stream, host.hello, host.cfg.link_secret, dialled=True)
+        if link.peer.host != peer.host.name:
+            raise LinkClosedError(f"{peer.host.peers} is {link.peer.host}")
+        peer.link = link
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_send_heartbeats, host, peer, link, nursery.cancel_scope)
+            nursery.start_soon(_read_answers, host, peer, link, nursery.cancel_scope)
+    finally:
+        peer.drop_link()
+        await trio.aclose_forcefully(stream)
+
+
+async def _send_heartbeats(host, peer, link, scope):
+    try:
+        for sequence in itertools.count(1):
+            await link.send(heartbeat=heartbeat(host, sequence))
+            # A risen version is told at once, the rest at intervals.
+            with trio.move_on_after(host.cfg.heartbeat_s):
+                await host.news.wait()
+    except LinkClosedError:
+        scope.cancel()
+
+
+def heartbeat(host, sequence):
+    """Return a heartbeat with what this host knows."""
+    return Heartbeat(
+        sequence,
+        host.book.version,
+        host.roster.version,
+        host.leaving,
+        host.pool.leaving_names() or None,
+    )
+
+
+async def _read_answers(host, peer, link, scope):
+    try:
+        while True:
+            with trio.move_on_after(host.cfg.peer_timeout_s) as silence:
+                frame = await link.receive()
+            if silence.cancelled_caught:
+                # Heartbeats are acknowledged, so silence means that the link
+                # or the peer is lost, even if the connection looks open.
+                break
+            _take_frame(host, peer, frame)
+    except LinkClosedError:
+        pass
+    scope.cancel()
+
+
+def _take_frame(host, peer, frame):
+    if frame.heartbeat_ack is not None:
+        note_versions(host, peer, frame.heartbeat_ack)
+        return
+    for field in ("changes_reply", "answer_head", "answer_data", "answer_end"):
+        message = getattr(frame, field)
+        if message is not None:
+            peer.deliver(message.call, frame)
+            return
+    if frame.loan_grant is not None:
+        peer.deliver(frame.loan_grant.call, frame)
+
+
+def note_versions(host, peer, beat):
+    """Take note of what a peer's heartbeat or acknowledgement says."""
+    peer.was_reached = True
+    peer.leaving = beat.leaving
+    peer.records_version = beat.records_version
+    peer.hosts_version = beat.hosts_version
+    host.pool.note_leaving(beat.leaving_endpoints or ())
+    if beat.records_version > host.book.version:
+        host.pull_from(peer, "records")
+    if beat.hosts_version > host.roster.version:
+        host.pull_from(peer, "hosts")
+
+
+def retry_after_outage_s(cfg):
+    """Return when a caller may come back after a peer was lost, in seconds."""
+    return float(math.ceil(cfg.peer_timeout_s))
--- /dev/null
+++ b/src/cactusmill/internal/platform.py
@@ -0,0 +1,139 @@
+"""The platform's services, as this system reads them.
+
+Both services speak the same protocol: ``GET /v1/changes?since=V&wait=S``
+answers ``{"version": N, "changes": [...]}`` as soon as `N` is above `V`, or
+after `S` seconds with no changes. Only this module knows the format.
+"""
+
+import json
+
+import attrs
+import trio
+
+from ..errors import ConnectError, ExchangeError, PlatformError, RecordError
+from .configuration import change_from_json
+from .http import client_connection, exchange
+from .net import Network
+
+_CONNECT_TIMEOUT_S = 1.0
+_ANSWER_MARGIN_S = 1.0
+_OK = 200
+
+
+@attrs.frozen
+class Update:
+    """One answer of a platform service.
+
+    Attributes
+    ----------
+    version : int
+        Version that the changes lead to.
+    changes : list of Change
+        Changes above the version asked for. Members that are no change at
+        all are left out.
+    """
+
+    version: int
+    changes: list
+
+
+def parse_update(text):
+    """Read the JSON text of an answer.
+
+    Parameters
+    ----------
+    text : bytes
+        Body of the answer.
+
+    Returns
+    -------
+    Update
+
+    Raises
+    ------
+    PlatformError
+        If the text has another shape.
+    """
+    try:
+        data = json.loads(text)
+        version, members = data["version"], data["changes"]
+    except (ValueError, KeyError, TypeError) as exc:
+        raise PlatformError(f"answer of another shape: {exc!r}") from exc
+    if not isinstance(version, int) or not isinstance(members, list):
+        raise PlatformError("answer with a version or changes of another type")
+    changes = []
+    for member in members:
+        try:
+            changes.append(change_from_json(member))
+        except RecordError:
+            # One unreadable member must not keep the others out of force.
+            continue
+    return Update(version, changes)
+
+
+@attrs.define
+class PlatformService:
+    """A client of one platform service, with one connection.
+
+    Attributes
+    ----------
+    address : str
+        ``"IP:PORT"`` of the service.
+    net : Network
+        How to reach it.
+    calls : int
+        Calls made so far; the platform counts each.
+    """
+
+    address: str
+    net: Network
+    calls: int = 0
+    _conn: object = None
+
+    async def fetch(self, since, wait_s):
+        """Ask for the changes above a version.
+
+        Parameters
+        ----------
+        since : int
+            Version that the host has.
+        wait_s : float
+            Longest time that the service may wait for a change, in seconds.
+
+        Returns
+        -------
+        Update
+
+        Raises
+        ------
+        PlatformError
+            If there is no usable answer shortly after `wait_s`. The
+            connection is dropped then: a watch that went silent is never
+            trusted again.
+        """
+        self.calls += 1
+        target = f"/v1/changes?since={since}&wait={wait_s:g}"
+        try:
+            with trio.fail_after(wait_s + _ANSWER_MARGIN_S):
+                if self._conn is None:
+                    stream = await self.net.connect(self.address, _CONNECT_TIMEOUT_S)
+                    self._conn = client_connection(stream)
+                status, _, body = await exchange(
+                    self._conn, "GET", target, [(b"host", self.address.encode())]
+                )
+                self._conn.h11.start_next_cycle()
+        except (ConnectError, ExchangeError, trio.TooSlowError) as exc:
+            await self.close()
+            raise PlatformError(f"{self.address}: {exc!r}") from exc
+        except BaseException:
+            await self.close()
+            raise
+        if status != _OK:
+            raise PlatformError(f"{self.address}: status {status}")
+        return parse_update(body)
+
+    async def close(self):
+        """Drop the connection; the next call opens another."""
+        conn, self._conn = self._conn, None
+        if conn is not None:
+            await conn.close()
--- /dev/null
+++ b/src/cactusmill/internal/problems.py
@@ -0,0 +1,45 @@
+"""Refusals as problem details (RFC 9457)."""
+
+import json
+import math
+
+
+def problem_answer(refusal, request_id):
+    """Render a refusal.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        What the caller is told.
+    request_id : str
+        The request's identifier in logs.
+
+    Returns
+    -------
+    status : int
+    headers : list of (bytes, bytes)
+    body : bytes
+    """
+    problem = {
+        "type": f"urn:cactusmill:problem:{refusal.type_name}",
+        "title": refusal.title,
+        "status": refusal.status,
+        "detail": refusal.detail,
+        "outcome": refusal.outcome.value,
+        "request_id": request_id,
+    }
+    headers = [(b"content-type", b"application/problem+json")]
+    if refusal.retry_after_s is not None:
+        # Whole seconds are all the header can say; the body is exact.
+        seconds = max(1, math.ceil(refusal.retry_after_s))
+        headers.append((b"retry-after", str(seconds).encode()))
+        problem["retry_after_s"] = round(refusal.retry_after_s, 3)
+    if refusal.hosts:
+        problem["hosts"] = list(refusal.hosts)
+    if refusal.identifier:
+        problem["identifier"] = refusal.identifier
+    if refusal.status_url:
+        problem["status_url"] = refusal.status_url
+    body = json.dumps(problem).encode()
+    headers.append((b"content-length", str(len(body)).encode()))
+    return refusal.status, headers, body
--- /dev/null
+++ b/src/cactusmill/internal/wire/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
--- /dev/null
+++ b/src/cactusmill/records.py
@@ -0,0 +1,441 @@
+"""Published records: zones, teams, keys, routes, policies, hosts, endpoints.
+
+Operators write the first five to the configuration service; the platform's
+host list holds the last two.
+
+A record names its kind and schema version. Two schema versions of one record
+may be published side by side; a host uses the newest that it understands, see
+:mod:`cactusmill.internal.configuration`.
+"""
+
+import re
+
+import attrs
+
+from .errors import RecordError
+
+DEFAULT_TIMEOUT_S = 60.0
+DEFAULT_MAX_BODY_BYTES = 1024 * 1024
+_DIGEST = re.compile(r"[0-9a-f]{64}")
+_ADDRESS = re.compile(r"(\d+\.\d+\.\d+\.\d+|\[[0-9a-f:]+\]):\d{1,5}")
+_NAME = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
+
+
+@attrs.frozen(kw_only=True)
+class Zone:
+    """An availability zone.
+
+    Attributes
+    ----------
+    name, region : str
+        The zone and its region.
+    slots : int
+        Greatest number of hosts of the zone that hold a share of the teams'
+        rates. Each host holds one slot.
+    """
+
+    name: str
+    region: str
+    slots: int
+
+
+@attrs.frozen(kw_only=True)
+class Team:
+    """A customer with a rate, a burst and permitted regions.
+
+    Attributes
+    ----------
+    name : str
+        The team.
+    rate_tokens_per_s : float
+        Rate over all hosts together, in tokens per second.
+    burst_tokens : float
+        Burst over all hosts together, in tokens.
+    regions : tuple of str
+        Regions that the team's data may be in; empty for all.
+    weight : float
+        Weight in the fair queues.
+    zone_shares : dict of str to float
+        Share of rate and burst per zone, with a sum of at most 1. Empty for
+        equal shares of all published zones.
+    """
+
+    name: str
+    rate_tokens_per_s: float
+    burst_tokens: float
+    regions: tuple = ()
+    weight: float = 1.0
+    zone_shares: dict = attrs.field(factory=dict, hash=False)
+
+
+@attrs.frozen(kw_only=True)
+class Key:
+    """A team's key, known by its digest only.
+
+    Attributes
+    ----------
+    name : str
+        Public name of the key, fit for logs.
+    digest : str
+        SHA-256 of the key, in hexadecimal.
+    team : str
+        The team that the key belongs to.
+    active : bool
+        False once the key is withdrawn.
+    """
+
+    name: str
+    digest: str
+    team: str
+    active: bool
+
+
+@attrs.frozen(kw_only=True)
+class Route:
+    """What callers may ask for under a path prefix.
+
+    Attributes
+    ----------
+    name, prefix : str
+        The route and the path prefix that selects it.
+    kind : {"model", "service"}
+        Whether requests are chat completions or are passed on as they are.
+    service : str
+        What endpoints of a service route serve.
+    repeatable : bool
+        False if a request may run at most once.
+    open : bool
+        True if no key is asked for.
+    teams, regions : tuple of str
+        Who may use it and where it may be handled; empty for all.
+    timeout_s : float
+        Longest time until the answer begins, in seconds.
+    max_body_bytes : int
+        Largest request body, in bytes.
+    status_path : str
+        Where callers look up the outcome of an unknown request.
+    charge_tokens : float
+        Tokens that a request of a service route costs.
+    checks_identifier : bool
+        True if the endpoints themselves run an identifier at most once.
+    """
+
+    name: str
+    prefix: str
+    kind: str
+    service: str = ""
+    repeatable: bool = True
+    open: bool = False
+    teams: tuple = ()
+    regions: tuple = ()
+    timeout_s: float = DEFAULT_TIMEOUT_S
+    max_body_bytes: int = DEFAULT_MAX_BODY_BYTES
+    status_path: str = ""
+    charge_tokens: float = 0.0
+    checks_identifier: bool = False
+
+
+@attrs.frozen(kw_only=True)
+class Policy:
+    """Fleet-wide rules that operators tune.
+
+    Attributes
+    ----------
+    name : str
+        ``"default"`` is the one in force.
+    retry_share : float
+        Retries allowed per success, 0 to 1.
+    wide_area_cost_s : float
+        Expected wait that a request saves before it is worth sending it to
+        another region, in seconds.
+    objective : float
+        Share of requests that must succeed, for the burn report.
+    objective_latency_s : float
+        Time to the first byte that counts as a success, in seconds.
+    """
+
+    name: str
+    retry_share: float = 0.1
+    wide_area_cost_s: float = 0.25
+    objective: float = 0.999
+    objective_latency_s: float = 2.0
+
+
+@attrs.frozen(kw_only=True)
+class Host:
+    """A machine that runs ``cactusmilld``, as the platform lists it.
+
+    Attributes
+    ----------
+    name, zone, region : str
+        The host and where it is.
+    slot : int
+        Which of the zone's shares of the teams' rates the host holds.
+    callers, peers, operators : str
+        ``"IP:PORT"`` for callers, other hosts and operators.
+    live : bool
+        False once the host is leaving.
+    """
+
+    name: str
+    zone: str
+    region: str
+    slot: int
+    callers: str
+    peers: str
+    operators: str = ""
+    live: bool = True
+
+
+@attrs.frozen(kw_only=True)
+class Endpoint:
+    """A back end: a model engine or a plain service.
+
+    Attributes
+    ----------
+    name, zone, region : str
+        The endpoint and where it is.
+    address : str
+        ``"IP:PORT"`` of its HTTP server.
+    serves : tuple of str
+        Model names or services that it serves.
+    capacity : int
+        Requests that it works on at a time.
+    live : bool
+        False once the endpoint is leaving.
+    checks_fencing : bool
+        True if it refuses orders with an old fencing number.
+    """
+
+    name: str
+    zone: str
+    region: str
+    address: str
+    serves: tuple
+    capacity: int = 8
+    live: bool = True
+    checks_fencing: bool = False
+
+
+@attrs.define
+class _Fields:
+    """Reads the body of one record field by field, so that no field is missed."""
+
+    record: str
+    body: dict
+    used: set = attrs.field(factory=set)
+
+    def _take(self, name, default):
+        self.used.add(name)
+        if name in self.body:
+            return self.body[name]
+        if default is attrs.NOTHING:
+            raise RecordError(self.record, name, "the field is missing; add it")
+        return default
+
+    def text(self, name, default=attrs.NOTHING, pattern=None, one_of=None):
+        value = self._take(name, default)
+        if not isinstance(value, str):
+            raise RecordError(self.record, name, f"{value!r} must be a text")
+        if one_of and value not in one_of:
+            raise RecordError(
+                self.record, name, f"{value!r} must be one of {', '.join(one_of)}"
+            )
+        if pattern and value != default and not pattern.fullmatch(value):
+            raise RecordError(
+                self.record, name, f"{value!r} must match {pattern.pattern}"
+            )
+        return value
+
+    def number(self, name, default=attrs.NOTHING, low=0.0, high=1e15):
+        value = self._take(name, default)
+        is_number = isinstance(value, int | float) and not isinstance(value, bool)
+        if not is_number or not low <= value <= high:
+            raise RecordError(
+                self.record, name, f"{value!r} must be a number, {low} to {high}"
+            )
+        return value
+
+    def flag(self, name, default=attrs.NOTHING):
+        value = self._take(name, default)
+        if not isinstance(value, bool):
+            raise RecordError(self.record, name, f"{value!r} must be true or false")
+        return value
+
+    def names(self, name):
+        value = self._take(name, ())
+        if isinstance(value, str) or not all(isinstance(v, str) for v in value):
+            raise RecordError(self.record, name, f"{value!r} must be a list of names")
+        return tuple(value)
+
+    def shares(self, name):
+        value = self._take(name, {})
+        if not isinstance(value, dict):
+            raise RecordError(self.record, name, f"{value!r} must map zones to shares")
+        for zone, share in value.items():
+            if not isinstance(share, int | float) or not 0 <= share <= 1:
+                raise RecordError(
+                    self.record, name, f"{zone}: {share!r} must be 0 to 1"
+                )
+        if sum(value.values()) > 1 + 1e-9:
+            raise RecordError(
+                self.record, name, f"sum {sum(value.values())} is over 1; lower it"
+            )
+        return dict(value)
+
+    def done(self):
+        unknown = sorted(set(self.body) - self.used)
+        if unknown:
+            raise RecordError(
+                self.record, unknown[0], "unknown field; remove it or raise the schema"
+            )
+
+
+def _zone_v1(name, fields):
+    return Zone(
+        name=name,
+        region=fields.text("region", pattern=_NAME),
+        slots=int(fields.number("slots", low=1, high=1000)),
+    )
+
+
+def _team_v1(name, fields):
+    return Team(
+        name=name,
+        rate_tokens_per_s=fields.number("rate_tokens_per_s"),
+        burst_tokens=fields.number("burst_tokens"),
+        regions=fields.names("regions"),
+    )
+
+
+def _team_v2(name, fields):
+    return attrs.evolve(
+        _team_v1(name, fields),
+        weight=fields.number("weight", 1.0, low=0.01, high=100),
+        zone_shares=fields.shares("zone_shares"),
+    )
+
+
+def _key_v1(name, fields):
+    return Key(
+        name=name,
+        digest=fields.text("digest", pattern=_DIGEST),
+        team=fields.text("team", pattern=_NAME),
+        active=fields.text("state", one_of=("active", "withdrawn")) == "active",
+    )
+
+
+def _route_v1(name, fields):
+    route = Route(
+        name=name,
+        prefix=fields.text("prefix"),
+        kind=fields.text("kind", one_of=("model", "service")),
+        service=fields.text("service", ""),
+        repeatable=fields.flag("repeatable", True),
+        open=fields.flag("open", False),
+        teams=fields.names("teams"),
+        regions=fields.names("regions"),
+        timeout_s=fields.number("timeout_s", DEFAULT_TIMEOUT_S, low=0.01, high=3600),
+        max_body_bytes=int(fields.number("max_body_bytes", DEFAULT_MAX_BODY_BYTES)),
+        status_path=fields.text("status_path", ""),
+        charge_tokens=fields.number("charge_tokens", 0.0),
+        checks_identifier=fields.flag("checks_identifier", False),
+    )
+    if not route.prefix.startswith("/"):
+        raise RecordError(
+            f"route/{name}", "prefix", f"{route.prefix!r} must start with '/'"
+        )
+    if route.kind == "service" and not route.service:
+        raise RecordError(f"route/{name}", "service", "name what endpoints must serve")
+    return route
+
+
+def _policy_v1(name, fields):
+    return Policy(
+        name=name,
+        retry_share=fields.number("retry_share", 0.1, high=1),
+        wide_area_cost_s=fields.number("wide_area_cost_s", 0.25, high=60),
+        objective=fields.number("objective", 0.999, low=0.5, high=0.99999),
+        objective_latency_s=fields.number("objective_latency_s", 2.0, low=0.001),
+    )
+
+
+def _host_v1(name, fields):
+    return Host(
+        name=name,
+        zone=fields.text("zone", pattern=_NAME),
+        region=fields.text("region", pattern=_NAME),
+        slot=int(fields.number("slot", high=1000)),
+        callers=fields.text("callers", pattern=_ADDRESS),
+        peers=fields.text("peers", pattern=_ADDRESS),
+        operators=fields.text("operators", "", pattern=_ADDRESS),
+        live=fields.text("state", one_of=("live", "leaving")) == "live",
+    )
+
+
+def _endpoint_v1(name, fields):
+    return Endpoint(
+        name=name,
+        zone=fields.text("zone", pattern=_NAME),
+        region=fields.text("region", pattern=_NAME),
+        address=fields.text("address", pattern=_ADDRESS),
+        serves=fields.names("serves"),
+        capacity=int(fields.number("capacity", 8, low=1, high=100_000)),
+        live=fields.text("state", one_of=("live", "leaving")) == "live",
+        checks_fencing=fields.flag("checks_fencing", False),
+    )
+
+
+_PARSERS = {
+    ("host", 1): _host_v1,
+    ("endpoint", 1): _endpoint_v1,
+    ("zone", 1): _zone_v1,
+    ("team", 1): _team_v1,
+    ("team", 2): _team_v2,
+    ("key", 1): _key_v1,
+    ("route", 1): _route_v1,
+    ("policy", 1): _policy_v1,
+}
+
+
+def known_schemas(kind):
+    """Return the schema versions of a kind understood here, newest first."""
+    return sorted((s for k, s in _PARSERS if k == kind), reverse=True)
+
+
+def parse_record(kind, name, schema, body):
+    """Check one published record.
+
+    Parameters
+    ----------
+    kind, name : str
+        What the record describes.
+    schema : int
+        Version of the body's schema.
+    body : dict
+        Fields of the record.
+
+    Returns
+    -------
+    Zone, Team, Key, Route, Policy, Host or Endpoint
+
+    Raises
+    ------
+    RecordError
+        Naming the record, the field, the bad value and the mend.
+    """
+    record = f"{kind}/{name}"
+    parser = _PARSERS.get((kind, schema))
+    if parser is None:
+        known = ", ".join(f"{k} v{v}" for k, v in sorted(_PARSERS))
+        raise RecordError(
+            record, "schema", f"{kind} v{schema} is unknown here; known: {known}"
+        )
+    if not isinstance(name, str) or not _NAME.fullmatch(name):
+        raise RecordError(record, "name", f"{name!r} must match {_NAME.pattern}")
+    if not isinstance(body, dict):
+        raise RecordError(record, "body", f"{body!r} must hold fields")
+    fields = _Fields(record, body)
+    parsed = parser(name, fields)
+    fields.done()
+    return parsed
--- /dev/null
+++ b/standins/engine.py
@@ -0,0 +1,203 @@
+"""A model engine: continuous batches, a prefix cache, streams and cancels.
+
+Its answers are a function of the prompt, so that a caller can tell its own
+answer from another's.
+"""
+
+import collections
+import hashlib
+import json
+import os
+import random
+
+import attrs
+import h11
+import trio
+
+from standins.serving import Page, json_page, listen_parser, run_server, serve_pages
+
+CRASH_MARK = "please crash the engine"
+_PREFIX_CHARS = 256
+_CHARS_PER_TOKEN = 4
+
+
+def answer_words(prompt, count):
+    """Return the words that the engine generates for a prompt."""
+    digest = hashlib.sha256(prompt.encode()).hexdigest()[:12]
+    return [digest, *(f" w{i}" for i in range(1, count))]
+
+
+@attrs.define(eq=False)
+class Engine:
+    """A model engine.
+
+    Attributes
+    ----------
+    batch : int
+        Requests that are decoded together; more wait.
+    token_s : float
+        Time between two tokens of a stream on an idle engine, in seconds.
+    prefill_tokens_per_s : float
+        Speed of prompt processing without cache.
+    cache_prefixes : int
+        Prompt beginnings that the cache holds.
+    crash : callable
+        Called when a prompt asks for a crash.
+    """
+
+    name: str = "engine"
+    batch: int = 8
+    token_s: float = 0.005
+    prefill_tokens_per_s: float = 20_000.0
+    cache_prefixes: int = 64
+    crash: object = lambda: os._exit(1)
+    is_leaving: bool = False
+    served: int = 0
+    cancelled: int = 0
+    cache_hits: int = 0
+    in_system: int = 0
+    _cache: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
+    _slots: trio.CapacityLimiter = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        """Size the batch."""
+        self._slots = trio.CapacityLimiter(self.batch)
+
+    async def serve(self, stream):
+        """Serve one connection."""
+        await serve_pages(stream, self._answer)
+
+    async def _answer(self, conn, head, body):
+        if head.target == b"/stats":
+            return json_page(
+                {
+                    "served": self.served,
+                    "cancelled": self.cancelled,
+                    "cache_hits": self.cache_hits,
+                }
+            )
+        if head.target == b"/control":
+            self.is_leaving = json.loads(body)["is_leaving"]
+            return json_page({})
+        if self.is_leaving:
+            return Page(503, b"{}", ((b"x-endpoint-leaving", b"1"),))
+        request = json.loads(body)
+        self.in_system += 1
+        try:
+            await self._run(conn, head, request)
+            self.served += 1
+        except BaseException:
+            self.cancelled += 1
+            raise
+        finally:
+            self.in_system -= 1
+        return None
+
+    async def _run(self, conn, head, request):
+        prompt = json.dumps(request["messages"])
+        count = request.get("max_tokens") or 16
+        async with self._slots:
+            await trio.sleep(self._prefill_s(request["model"], prompt))
+            if CRASH_MARK in prompt:
+                self.crash()
+                return
+            words = answer_words(prompt, count)
+            usage = {
+                "prompt_tokens": len(prompt) // _CHARS_PER_TOKEN,
+                "completion_tokens": count,
+                "total_tokens": len(prompt) // _CHARS_PER_TOKEN + count,
+            }
+            headers = self._headers(head)
+            if request.get("stream"):
+                include = request.get("stream_options", {}).get("include_usage")
+                await self._stream(
+                    conn, headers, request, words, usage if include else None
+                )
+            else:
+                await trio.sleep(self._token_s() * count)
+                await self._whole(conn, headers, request, words, usage)
+
+    def _prefill_s(self, model, prompt):
+        tokens = len(prompt) / _CHARS_PER_TOKEN
+        prefix = (model, prompt[:_PREFIX_CHARS])
+        if prefix in self._cache:
+            self.cache_hits += 1
+            self._cache.move_to_end(prefix)
+            tokens -= min(len(prompt), _PREFIX_CHARS) / _CHARS_PER_TOKEN
+        else:
+            self._cache[prefix] = True
+            while len(self._cache) > self.cache_prefixes:
+                self._cache.popitem(last=False)
+        return tokens / self.prefill_tokens_per_s
+
+    def _token_s(self):
+        return self.token_s * (1 + self._slots.borrowed_tokens / self.batch)
+
+    def _headers(self, head):
+        echoed = [(k, v) for k, v in head.headers if k == b"x-request-id"]
+        return [*echoed, (b"x-endpoint-load", str(self.in_system).encode())]
+
+    async def _whole(self, conn, headers, request, words, usage):
+        text = json.dumps(
+            {
+                "id": "chatcmpl-0",
+                "object": "chat.completion",
+                "created": 0,
+                "model": request["model"],
+                "choices": [
+                    {
+                        "index": 0,
+                        "message": {"role": "assistant", "content": "".join(words)},
+                        "finish_reason": "stop",
+                    }
+                ],
+                "usage": usage,
+            }
+        ).encode()
+        headers.append((b"content-type", b"application/json"))
+        headers.append((b"content-length", str(len(text)).encode()))
+        response = h11.Response(status_code=200, headers=headers)
+        await conn.send(response, h11.Data(data=text), h11.EndOfMessage())
+
+    async def _stream(self, conn, headers, request, words, usage):
+        headers.append((b"content-type", b"text/event-stream"))
+        await conn.send(h11.Response(status_code=200, headers=headers))
+        for index, word in enumerate(words):
+            if index:
+                await trio.sleep(self._token_s())
+            await conn.send(h11.Data(data=_event(request["model"], word)))
+        if usage:
+            await conn.send(h11.Data(data=_event(request["model"], None, usage)))
+        await conn.send(h11.Data(data=b"data: [DONE]\n\n"), h11.EndOfMessage())
+
+
+def _event(model, word, usage=None):
+    chunk = {
+        "id": "chatcmpl-0",
+        "object": "chat.completion.chunk",
+        "created": 0,
+        "model": model,
+        "choices": [],
+    }
+    if word is not None:
+        delta = {"index": 0, "delta": {"content": word}, "finish_reason": None}
+        chunk["choices"] = [delta]
+    if usage is not None:
+        chunk["usage"] = usage
+    return b"data: " + json.dumps(chunk).encode() + b"\n\n"
+
+
+def main():
+    """Run the engine as a program."""
+    parser = listen_parser(__doc__)
+    parser.add_argument("--name", default="engine")
+    parser.add_argument("--batch", type=int, default=8)
+    parser.add_argument("--token-s", type=float, default=0.005)
+    args = parser.parse_args()
+    random.seed(args.seed)
+    engine = Engine(name=args.name, batch=args.batch, token_s=args.token_s)
+    run_server(args.listen, engine.serve, args.capture)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,181 @@
+"""Starts a fleet of real processes on loopback: hosts and stand-ins.
+
+Scripts and tests use it; the system itself starts no process.
+"""
+
+import contextlib
+import pathlib
+import re
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+
+import attrs
+import yaml
+
+_START_TIMEOUT_S = 30.0
+_STOP_TIMEOUT_S = 30.0
+_PORT = re.compile(r"127\.0\.0\.1:(\d+)")
+_FIRST_PORT = 7000
+
+
+def copy_example(source, folder):
+    """Copy an example's files, with its ports moved to free ones.
+
+    Parameters
+    ----------
+    source, folder : pathlib.Path
+        The example and where the copy goes.
+    """
+    offset = _free_offset(source)
+    for path in source.rglob("*.yaml"):
+        text = _PORT.sub(
+            lambda m: f"127.0.0.1:{int(m.group(1)) + offset}", path.read_text()
+        )
+        target = folder / path.relative_to(source)
+        target.parent.mkdir(parents=True, exist_ok=True)
+        target.write_text(text)
+
+
+def _free_offset(source):
+    ports = {
+        int(port)
+        for path in source.rglob("*.yaml")
+        for port in _PORT.findall(path.read_text())
+    }
+    for offset in range(1000, 50_000, 600):
+        if all(_is_free(port + offset) for port in ports):
+            return offset
+    raise RuntimeError("no range of free ports was found")
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        try:
+            probe.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+@attrs.define(eq=False)
+class Fleet:
+    """Processes of one fleet.
+
+    Attributes
+    ----------
+    folder : pathlib.Path
+        Settings, records and host list; logs and captures are written there.
+    processes : dict of str to subprocess.Popen
+        By name of host, endpoint or service.
+    """
+
+    folder: pathlib.Path
+    captures: bool = False
+    processes: dict = attrs.field(factory=dict)
+
+    def __attrs_post_init__(self):
+        """Read the host list."""
+        listed = yaml.safe_load((self.folder / "platform-hosts.yaml").read_text())
+        self._entries = {entry["name"]: entry for entry in listed}
+
+    _entries: dict = attrs.field(factory=dict)
+
+    def settings(self, host):
+        """Return a host's settings as written."""
+        return yaml.safe_load((self.folder / "hosts" / f"{host}.yaml").read_text())
+
+    @property
+    def hosts(self):
+        """Names of the hosts."""
+        return [n for n, e in self._entries.items() if e["kind"] == "host"]
+
+    @property
+    def endpoints(self):
+        """Entries of the endpoints, by name."""
+        return {n: e for n, e in self._entries.items() if e["kind"] == "endpoint"}
+
+    def start(self):
+        """Start everything and wait until every host is ready."""
+        cfg = self.settings(self.hosts[0])
+        for name, address, records in (
+            ("configuration", cfg["configuration"], "records.yaml"),
+            ("host-list", cfg["host_list"], "platform-hosts.yaml"),
+        ):
+            self._start_standin(
+                name, "changes", address, "--records", str(self.folder / records)
+            )
+        for name in self.endpoints:
+            self.start_endpoint(name)
+        for name in self.hosts:
+            self.start_host(name)
+        for name in self.hosts:
+            self.wait_ready(name)
+
+    def start_endpoint(self, name):
+        """Start an engine or an order desk, as the host list says."""
+        body = self.endpoints[name]["body"]
+        kind = "engine" if name.startswith("engine") else "desk"
+        self._start_standin(name, kind, body["address"], "--name", name)
+
+    def _start_standin(self, name, module, address, *args):
+        command = [sys.executable, "-m", f"standins.{module}", "--listen", address]
+        if self.captures:
+            command += ["--capture", str(self.folder / f"{name}.capture")]
+        self._start(name, [*command, *args])
+
+    def start_host(self, name):
+        """Start a host's daemon."""
+        config = self.folder / "hosts" / f"{name}.yaml"
+        self._start(
+            name, [sys.executable, "-m", "cactusmill.daemon", "--config", str(config)]
+        )
+
+    def _start(self, name, command):
+        with (self.folder / f"{name}.log").open("ab") as log:
+            self.processes[name] = subprocess.Popen(command, stderr=log, stdout=log)
+
+    def wait_ready(self, host):
+        """Wait until a host serves callers."""
+        url = f"http://{self.settings(host)['operators']}/readyz"
+        deadline = time.monotonic() + _START_TIMEOUT_S
+        while time.monotonic() < deadline and self.processes[host].poll() is None:
+            with contextlib.suppress(OSError):
+                if urllib.request.urlopen(url, timeout=1).status == 200:
+                    return
+            time.sleep(0.05)
+        log = (self.folder / f"{host}.log").read_text()
+        raise RuntimeError(f"{host} is not ready; its log:\n{log}")
+
+    def signal(self, name, number):
+        """Send a signal to a process of this fleet."""
+        self.processes[name].send_signal(number)
+
+    def kill(self, name):
+        """Kill a process at once."""
+        process = self.processes.pop(name)
+        process.kill()
+        process.wait()
+
+    def stop(self):
+        """Leave cleanly: hosts first, then the stand-ins."""
+        for name in self.hosts:
+            if name in self.processes:
+                self.signal(name, signal.SIGCONT)
+                self.signal(name, signal.SIGTERM)
+        codes = {
+            name: self.processes.pop(name).wait(_STOP_TIMEOUT_S)
+            for name in self.hosts
+            if name in self.processes
+        }
+        self.end()
+        return codes
+
+    def end(self):
+        """Kill whatever still runs."""
+        for name in list(self.processes):
+            self.kill(name)
--- /dev/null
+++ b/tests/test_processes.py
@@ -0,0 +1,160 @@
+"""The whole path with real processes on loopback."""
+
+import json
+import pathlib
+import signal
+import threading
+import time
+import urllib.error
+import urllib.request
+
+import openai
+import pytest
+
+from standins.engine import answer_words
+from standins.fleet import Fleet, copy_example
+
+EXAMPLE = pathlib.Path(__file__).parent.parent / "examples" / "slovenia"
+MODEL = "povzetek-7b"
+pytestmark = pytest.mark.processes
+
+
+@pytest.fixture(scope="module")
+def fleet(tmp_path_factory):
+    folder = tmp_path_factory.mktemp("fleet")
+    copy_example(EXAMPLE, folder)
+    fleet = Fleet(folder, captures=True)
+    try:
+        fleet.start()
+        yield fleet
+    finally:
+        fleet.end()
+
+
+def base_url(fleet, host):
+    return f"http://{fleet.settings(host)['callers']}"
+
+
+def client(fleet, host, team="ljubljana"):
+    return openai.OpenAI(
+        base_url=base_url(fleet, host) + "/v1",
+        api_key=f"example-key-of-{team}",
+        max_retries=5,
+        timeout=20,
+    )
+
+
+def messages(text):
+    return [{"role": "user", "content": text}]
+
+
+def expected(text, count):
+    return "".join(answer_words(json.dumps(messages(text)), count))
+
+
+def send(fleet, host, path, body=None, team="ljubljana", headers=()):
+    request = urllib.request.Request(base_url(fleet, host) + path, data=body)
+    if team:
+        request.add_header("Authorization", f"Bearer example-key-of-{team}")
+    for name, value in headers:
+        request.add_header(name, value)
+    try:
+        with urllib.request.urlopen(request, timeout=20) as answer:
+            return answer.status, answer.read()
+    except urllib.error.HTTPError as exc:
+        return exc.code, exc.read()
+
+
+@pytest.mark.parametrize("host", ["osrednja-1", "primorska-2"])
+def test_client_library_gets_whole_and_streamed_answers(fleet, host):
+    chat = client(fleet, host).chat.completions
+    whole = chat.create(model=MODEL, max_tokens=8, messages=messages(f"whole {host}"))
+    assert whole.choices[0].message.content == expected(f"whole {host}", 8)
+    stream = chat.create(
+        model=MODEL, max_tokens=8, messages=messages(f"stream {host}"), stream=True
+    )
+    parts = [c.choices[0].delta.content or "" for c in stream if c.choices]
+    assert "".join(parts) == expected(f"stream {host}", 8)
+
+
+def test_identifier_runs_once_through_any_host(fleet):
+    _, body = send(fleet, "osrednja-1", "/v1/hosts?identifiers=1")
+    headers = [("Idempotency-Key", json.loads(body)["identifiers"][0])]
+    answers = [
+        send(fleet, host, "/enrolments", b"seat 7", headers=headers)
+        for host in ("osrednja-1", "stajerska-2", "primorska-1")
+    ]
+    assert {status for status, _ in answers} == {200}
+    assert len({body for _, body in answers}) == 1
+
+
+def test_refusals_are_typed(fleet):
+    status, body = send(fleet, "osrednja-1", "/enrolments", b"seat 7")
+    problem = json.loads(body)
+    assert (status, problem["outcome"]) == (428, "not_run")
+    assert problem["identifier"].startswith("cm1~osrednja-1~")
+    assert send(fleet, "osrednja-1", "/nowhere")[0] == 404
+    assert send(fleet, "osrednja-1", "/v1/chat/completions", b"{}", team="")[0] == 401
+    status, body = send(
+        fleet, "osrednja-1", "/v1/chat/completions", b"{}", team="celje"
+    )
+    assert status == 421
+    assert json.loads(body)["hosts"]
+
+
+def test_no_key_reaches_an_endpoint_or_a_log(fleet):
+    secret = "example-key-of-ljubljana"
+    body = json.dumps(
+        {"model": MODEL, "messages": messages("a secret"), "user": secret}
+    )
+    assert send(fleet, "osrednja-1", "/v1/chat/completions", body.encode())[0] == 400
+    path = f"/v1/chat/completions?key={secret}"
+    assert send(fleet, "osrednja-1", path, b"{}")[0] == 400
+    client(fleet, "stajerska-1").chat.completions.create(
+        model=MODEL,
+        max_tokens=2,
+        messages=messages("kept"),
+        extra_headers={"api-key": secret},
+    )
+    captures = list(fleet.folder.glob("*.capture"))
+    logs = list(fleet.folder.glob("*.log"))
+    assert any(b"kept" in path.read_bytes() for path in captures)
+    for path in captures + logs:
+        assert b"example-key-of-" not in path.read_bytes()
+
+
+def test_sigterm_under_load_cuts_nothing(fleet):
+    host = "stajerska-2"
+    results, stop = [], threading.Event()
+
+    def work(number):
+        # The directory, not a fixed host, tells each request where to go.
+        while not stop.is_set():
+            text = f"load {number} {len(results)}"
+            _, body = send(fleet, "osrednja-1", "/v1/hosts")
+            names = [h["name"] for h in json.loads(body)["hosts"]]
+            target = host if host in names else "stajerska-1"
+            answer = client(fleet, target).chat.completions.create(
+                model=MODEL, max_tokens=20, messages=messages(text)
+            )
+            results.append(answer.choices[0].message.content == expected(text, 20))
+
+    failures = []
+
+    def guarded(number):
+        try:
+            work(number)
+        except Exception as exc:
+            failures.append(exc)
+
+    workers = [threading.Thread(target=guarded, args=(n,)) for n in range(4)]
+    for worker in workers:
+        worker.start()
+    time.sleep(1)
+    fleet.signal(host, signal.SIGTERM)
+    code = fleet.processes.pop(host).wait(30)
+    stop.set()
+    for worker in workers:
+        worker.join()
+    assert (code, failures) == (0, [])
+    assert all(results) and len(results) > 4
