Prove at most once by histories of concurrent callers under faults

Cause: the ledger was argued, not shown. Order desks count the runs of each identifier; callers resend through any host under kills, freezes, cuts and platform outages, on simulated time with the real hosts.

Ruled out: checking inside the ledger only. It would miss what a forwarding host says of an owner that it cannot reach.

Change: a simulated network and world, a fault injector, order histories and their checks; a late forward as its own case.

With a mechanism switched off the checks fail: execution by any host, a retry after bytes were sent, a refusal that is not final, 'not run' from a host that cannot know.

--- /dev/null
+++ b/standins/faults.py
@@ -0,0 +1,134 @@
+"""Faults that strike a simulated world at random, from a seed."""
+
+import attrs
+import trio
+
+ZONES = ("osrednja-a", "stajerska-a", "primorska-a")
+PLATFORM = "platform"
+
+
+@attrs.define(eq=False)
+class FaultInjector:
+    """Strikes a world with faults and heals them.
+
+    Attributes
+    ----------
+    world : World
+        The deployment.
+    mean_gap_s : float
+        Mean time between two faults, in seconds.
+    counts : dict of str to int
+        Faults so far, by kind.
+    """
+
+    world: object
+    mean_gap_s: float = 1.0
+    counts: dict = attrs.field(factory=dict)
+    _struck: set = attrs.field(factory=set)
+
+    @property
+    def total(self):
+        """Number of faults so far."""
+        return sum(self.counts.values())
+
+    async def strike_until(self, end):
+        """Strike until a time, and return once every fault is healed."""
+        kinds = {
+            "kill host": self._kill_host,
+            "freeze host": self._freeze_host,
+            "cut zones": self._cut_zones,
+            "cut platform": self._cut_platform,
+            "kill endpoint": self._kill_endpoint,
+            "freeze endpoint": self._freeze_endpoint,
+            "platform down": self._platform_down,
+            "platform stale": self._platform_stale,
+        }
+        rng = self.world.rng
+        async with trio.open_nursery() as nursery:
+            while trio.current_time() < end:
+                await trio.sleep(rng.expovariate(1 / self.mean_gap_s))
+                kind = rng.choice(sorted(kinds))
+                nursery.start_soon(self._strike, kind, kinds[kind])
+
+    async def _strike(self, kind, strike):
+        if await strike(self.world.rng.uniform(0.1, 8.0)):
+            self.counts[kind] = self.counts.get(kind, 0) + 1
+
+    def _claim(self, names):
+        """Return a name that no other fault holds, or None."""
+        free = sorted(set(names) - self._struck)
+        if not free:
+            return None
+        name = self.world.rng.choice(free)
+        self._struck.add(name)
+        return name
+
+    async def _kill_host(self, duration_s):
+        name = self._claim(self.world.settings)
+        if name is None:
+            return False
+        self.world.kill(name)
+        await trio.sleep(duration_s)
+        self.world.start_host(name)
+        self._struck.discard(name)
+        return True
+
+    async def _freeze_host(self, duration_s):
+        return await self._freeze(self.world.settings, duration_s)
+
+    async def _freeze_endpoint(self, duration_s):
+        return await self._freeze(self.world.addresses, duration_s)
+
+    async def _freeze(self, names, duration_s):
+        name = self._claim(names)
+        if name is None:
+            return False
+        machine = self.world.machines[name]
+        machine.freeze()
+        await trio.sleep(duration_s)
+        machine.thaw()
+        self._struck.discard(name)
+        return True
+
+    async def _kill_endpoint(self, duration_s):
+        name = self._claim(self.world.addresses)
+        if name is None:
+            return False
+        self.world.kill(name)
+        await trio.sleep(duration_s)
+        self.world.revive(name)
+        self._struck.discard(name)
+        return True
+
+    async def _cut_zones(self, duration_s):
+        one, other = self.world.rng.sample(ZONES, 2)
+        return await self._cut(one, other, duration_s)
+
+    async def _cut_platform(self, duration_s):
+        return await self._cut(self.world.rng.choice(ZONES), PLATFORM, duration_s)
+
+    async def _cut(self, one, other, duration_s):
+        self.world.network.cut(one, other)
+        await trio.sleep(duration_s)
+        self.world.network.heal(one, other)
+        return True
+
+    async def _platform_down(self, duration_s):
+        for service in (self.world.configuration, self.world.host_list):
+            service.is_down = True
+        await trio.sleep(duration_s)
+        for service in (self.world.configuration, self.world.host_list):
+            service.is_down = False
+        return True
+
+    async def _platform_stale(self, duration_s):
+        service = self.world.rng.choice(
+            [
+                self.world.configuration,
+                self.world.host_list,
+            ]
+        )
+        service.stale_at = max(1, service.version - 3)
+        await trio.sleep(duration_s)
+        service.stale_at = None
+        return True
--- /dev/null
+++ b/standins/world.py
@@ -0,0 +1,269 @@
+"""A whole deployment inside one process, on simulated time.
+
+The hosts are the real ones; only the network, the clock and what lies outside
+the system are replaced.
+"""
+
+import hashlib
+import json
+import pathlib
+import random
+
+import attrs
+import h11
+import trio
+import trio.testing
+import yaml
+
+from cactusmill.errors import CactusmillError, ConnectError, ExchangeError
+from cactusmill.internal.host import HostProcess
+from cactusmill.internal.http import client_connection, exchange
+from cactusmill.settings import parse_settings
+from standins.changes import ChangeService
+from standins.desk import Desk
+from standins.engine import Engine
+from standins.network import Machine, SimulatedNetwork
+
+EXAMPLE = pathlib.Path(__file__).parent.parent / "examples" / "slovenia"
+CONFIGURATION = "127.0.0.1:7001"
+HOST_LIST = "127.0.0.1:7002"
+PLATFORM_ZONE = "platform"
+CALLER_ZONE = "callers"
+
+
+class CallFailedError(CactusmillError):
+    """A call from a simulated caller got no whole answer."""
+
+
+@attrs.frozen
+class Reply:
+    """A whole answer as a caller received it."""
+
+    status: int
+    headers: dict
+    body: bytes
+
+    @property
+    def problem(self):
+        """The problem details, if it is a refusal by the gateway."""
+        if self.headers.get(b"content-type") != b"application/problem+json":
+            return None
+        return json.loads(self.body)
+
+
+@attrs.define(eq=False)
+class World:
+    """One deployment.
+
+    Attributes
+    ----------
+    network : SimulatedNetwork
+        Between all machines.
+    rng : random.Random
+        Source of all choices of hosts and faults.
+    configuration, host_list : ChangeService
+        The platform.
+    hosts : dict of str to HostProcess
+        The running hosts, by name.
+    """
+
+    nursery: trio.Nursery
+    network: SimulatedNetwork
+    rng: random.Random
+    configuration: ChangeService = attrs.field(factory=ChangeService)
+    host_list: ChangeService = attrs.field(factory=ChangeService)
+    hosts: dict = attrs.field(factory=dict)
+    engines: dict = attrs.field(factory=dict)
+    desks: dict = attrs.field(factory=dict)
+    machines: dict = attrs.field(factory=dict)
+    settings: dict = attrs.field(factory=dict)
+    addresses: dict = attrs.field(factory=dict)
+    _scopes: dict = attrs.field(factory=dict)
+
+    # Starting and ending machines.
+
+    def machine(self, name, zone):
+        """Return a machine, made on first use."""
+        if name not in self.machines:
+            self.machines[name] = Machine(name, zone)
+        return self.machines[name]
+
+    async def start_standins(self, folder=EXAMPLE):
+        """Start the platform and the endpoints of an example."""
+        self.configuration.load(yaml.safe_load((folder / "records.yaml").read_text()))
+        listed = yaml.safe_load((folder / "platform-hosts.yaml").read_text())
+        self.host_list.load(listed)
+        for name, address, service in (
+            ("configuration", CONFIGURATION, self.configuration),
+            ("host-list", HOST_LIST, self.host_list),
+        ):
+            await self._serve(self.machine(name, PLATFORM_ZONE), address, service.serve)
+        for entry in listed:
+            if entry["kind"] == "endpoint":
+                await self._start_endpoint(entry["name"], entry["body"])
+        for path in sorted((folder / "hosts").glob("*.yaml")):
+            data = yaml.safe_load(path.read_text())
+            self.settings[data["host"]] = data
+
+    async def _start_endpoint(self, name, body):
+        machine = self.machine(name, body["zone"])
+        self.addresses[name] = body["address"]
+        if name.startswith("engine"):
+            standin = Engine(
+                name=name, batch=body["capacity"], crash=lambda: self.kill(name)
+            )
+            self.engines[name] = standin
+        else:
+            standin = self.desks[name] = Desk(name=name)
+        await self._serve(machine, body["address"], standin.serve)
+
+    async def _serve(self, machine, address, serve):
+        network = self.network.network_of(machine)
+        await self.nursery.start(network.serve, address, serve)
+
+    def start_host(self, name, **changes):
+        """Start a host's process; it serves once it is ready."""
+        cfg = parse_settings({**self.settings[name], **changes})
+        machine = self.machine(name, cfg.zone)
+        machine.is_up = True
+        host = HostProcess(
+            cfg,
+            net=self.network.network_of(machine),
+            rng=random.Random(self.rng.random()),
+            wall_time=trio.current_time,
+        )
+        self.hosts[name] = host
+        scope = self._scopes[name] = trio.CancelScope()
+        self.nursery.start_soon(self._run_host, host, scope)
+        return host
+
+    async def _run_host(self, host, scope):
+        with scope:
+            await host.run()
+
+    def kill(self, name):
+        """Kill a machine's process at once."""
+        self.machines[name].kill()
+        if name in self._scopes:
+            self._scopes.pop(name).cancel()
+            del self.hosts[name]
+
+    def revive(self, name):
+        """Start a killed endpoint or host again."""
+        if name in self.settings:
+            return self.start_host(name)
+        self.machines[name].is_up = True
+        return None
+
+    async def start(self):
+        """Start everything and wait until all hosts are ready."""
+        await self.start_standins()
+        for name in self.settings:
+            self.start_host(name)
+        for host in list(self.hosts.values()):
+            await host.ready.wait()
+
+    # Calling.
+
+    async def call(
+        self, host, method, path, *, body=b"", team=None, headers=(), timeout_s=30.0
+    ):
+        """Send one request to a host on a connection of its own.
+
+        Returns
+        -------
+        Reply
+
+        Raises
+        ------
+        CallFailedError
+            If there is no whole answer.
+        """
+        cfg = parse_settings(self.settings[host])
+        caller = self.machine(f"caller-of-{cfg.zone}", cfg.zone)
+        network = self.network.network_of(caller)
+        sent = [(b"host", b"cactusmill"), *headers]
+        if team:
+            sent.append((b"authorization", f"Bearer {key_of(team)}".encode()))
+        stream = None
+        try:
+            with trio.fail_after(timeout_s):
+                stream = await network.connect(str(cfg.callers), timeout_s)
+                conn = client_connection(stream)
+                status, got, answer = await exchange(conn, method, path, sent, body)
+        except (ConnectError, ExchangeError, h11.ProtocolError, trio.TooSlowError) as e:
+            raise CallFailedError(repr(e)) from e
+        finally:
+            if stream is not None:
+                await trio.aclose_forcefully(stream)
+        return Reply(status, dict(got), answer)
+
+    async def mint(self, host, team, count=1):
+        """Return identifiers minted by a host."""
+        reply = await self.call(
+            host, "GET", f"/v1/hosts?identifiers={count}", team=team
+        )
+        return json.loads(reply.body)["identifiers"]
+
+    async def chat(self, host, team, text, *, max_tokens=8, timeout_s=30.0):
+        """Ask a model and return the reply."""
+        body = {
+            "model": "povzetek-7b",
+            "max_tokens": max_tokens,
+            "messages": [{"role": "user", "content": text}],
+        }
+        return await self.call(
+            host,
+            "POST",
+            "/v1/chat/completions",
+            body=json.dumps(body).encode(),
+            team=team,
+            timeout_s=timeout_s,
+        )
+
+    def runs(self, identifier):
+        """Return how often all desks together ran an identifier."""
+        return sum(desk.runs[identifier] for desk in self.desks.values())
+
+
+def key_of(team):
+    """Return the example's key of a team."""
+    return f"example-key-of-{team}"
+
+
+def digest_of(secret):
+    """Return a key's digest as records carry it."""
+    return hashlib.sha256(secret.encode()).hexdigest()
+
+
+def run_world(scenario, seed, **network):
+    """Run a scenario in a fresh world on simulated time.
+
+    Parameters
+    ----------
+    scenario : callable
+        ``await scenario(world)``.
+    seed : int
+        Repeats the run.
+    **network
+        Fields of :class:`SimulatedNetwork`.
+
+    Returns
+    -------
+    object
+        What the scenario returns.
+    """
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            simulated = SimulatedNetwork(nursery, **network)
+            world = World(nursery, simulated, random.Random(seed))
+            result = await scenario(world)
+            nursery.cancel_scope.cancel()
+        return result
+
+    # Trio shuffles its ready tasks; seeding that makes a seed repeat a run.
+    trio._core._run._ALLOW_DETERMINISTIC_SCHEDULING = True
+    trio._core._run._r.seed(seed)
+    clock = trio.testing.MockClock(autojump_threshold=0)
+    return trio.run(main, clock=clock, strict_exception_groups=True)
--- /dev/null
+++ b/tests/test_at_most_once.py
@@ -0,0 +1,125 @@
+"""At most once, and true refusals: histories of concurrent callers under faults."""
+
+import attrs
+import pytest
+import trio
+from returns.result import Failure
+
+from cactusmill.errors import Outcome
+from cactusmill.internal import answering, once
+from cactusmill.internal.identifiers import Minter
+from cactusmill.internal.ledger import Ledger
+from standins.orders import commit_orders
+from standins.world import run_world
+
+pytestmark = pytest.mark.histories
+
+
+def run_history(seed, orders=80, duration_s=20.0, mean_fault_gap_s=1.0):
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(2)
+        return await commit_orders(
+            world,
+            orders=orders,
+            duration_s=duration_s,
+            mean_fault_gap_s=mean_fault_gap_s,
+        )
+
+    history = run_world(scenario, seed)
+    print(f"seed {seed}: {history.sends} sends, faults {history.faults}")
+    return history
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_orders_run_at_most_once_and_refusals_are_true(seed):
+    history = run_history(seed)
+    assert sum(history.faults.values()) >= 8
+    assert history.violations == []
+    assert history.count_final("ran") > 40
+
+
+def test_without_faults_every_order_runs():
+    history = run_history(4, orders=60, mean_fault_gap_s=None)
+    assert history.violations == []
+    assert history.count_final("ran") == 60
+
+
+def any_violation(seeds=range(1, 6)):
+    return any(run_history(seed).violations for seed in seeds)
+
+
+def test_checks_see_execution_by_any_host(monkeypatch):
+    monkeypatch.setattr(once, "is_bound_here", lambda host, identifier: True)
+    monkeypatch.setattr(answering, "is_bound_here", lambda host, identifier: True)
+    monkeypatch.setattr(Minter, "is_genuine", lambda self, identifier, team: True)
+    assert any_violation()
+
+
+def test_checks_see_a_retry_after_bytes_were_sent(monkeypatch):
+    send = once._send
+
+    async def send_and_retry(host, job, endpoint, exchange):
+        result = await send(host, job, endpoint, exchange)
+        match result:
+            case Failure(refusal) if refusal.outcome is Outcome.UNKNOWN:
+                return None
+        return result
+
+    monkeypatch.setattr(once, "_send", send_and_retry)
+    assert any_violation()
+
+
+async def late_forward(world):
+    """A forward is held up while its order is refused elsewhere as not run."""
+    await world.start()
+    await trio.sleep(2)
+    identifier = (await world.mint("osrednja-1", "ljubljana"))[0]
+    for name in world.desks:
+        world.kill(name)
+    world.network.cut("osrednja-1", "primorska-1")
+    replies = []
+
+    async def send(host):
+        headers = [(b"idempotency-key", identifier.encode())]
+        replies.append(
+            await world.call(
+                host, "POST", "/enrolments", team="ljubljana", headers=headers
+            )
+        )
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(send, "primorska-1")
+        await trio.sleep(0.3)
+        await send("osrednja-1")
+        for name in world.desks:
+            world.revive(name)
+        await trio.sleep(0.7)
+        world.network.heal()
+    outcomes = [reply.problem and reply.problem["outcome"] for reply in replies]
+    return outcomes, world.runs(identifier)
+
+
+def test_not_run_is_final_for_an_attempt_that_arrives_later():
+    assert run_world(late_forward, 1) == (["not_run", "not_run"], 0)
+
+
+def test_checks_see_a_refusal_that_is_not_final(monkeypatch):
+    refuse = Ledger.refuse
+
+    def refuse_and_forget(self, entry, refusal):
+        refuse(self, entry, refusal)
+        self._entries.pop(entry.identifier, None)
+
+    monkeypatch.setattr(Ledger, "refuse", refuse_and_forget)
+    assert run_world(late_forward, 1) == (["not_run", None], 1)
+
+
+def test_checks_see_not_run_said_by_a_host_that_cannot_know(monkeypatch):
+    def say_not_run(host, job, what):
+        refusal = real(host, job, what)
+        return attrs.evolve(refusal, outcome=Outcome.NOT_RUN)
+
+    real = once._owner_lost
+    monkeypatch.setattr(once, "_owner_lost", say_not_run)
+    assert any_violation()
