--- a/src/cactusmill/internal/limits.py
+++ b/src/cactusmill/internal/limits.py
@@ -277,7 +277,7 @@
 LOAN_MARGIN_S = 1.0
 
 
-@attrs.define
+@attrs.define(slots=False)
 class Limiter:
     """All teams' accounts on one host.
 
--- a/standins/world.py
+++ b/standins/world.py
@@ -65,6 +65,8 @@
         The platform.
     hosts : dict of str to HostProcess
         The running hosts, by name.
+    on_host_start : list of callable
+        Each is called with every host that starts.
     """
 
     nursery: trio.Nursery
@@ -78,7 +80,9 @@
     machines: dict = attrs.field(factory=dict)
     settings: dict = attrs.field(factory=dict)
     addresses: dict = attrs.field(factory=dict)
+    on_host_start: list = attrs.field(factory=list)
     _scopes: dict = attrs.field(factory=dict)
+    _parsed: dict = attrs.field(factory=dict)
 
     # Starting and ending machines.
 
@@ -133,6 +137,8 @@
             wall_time=trio.current_time,
         )
         self.hosts[name] = host
+        for watch in self.on_host_start:
+            watch(host)
         scope = self._scopes[name] = trio.CancelScope()
         self.nursery.start_soon(self._run_host, host, scope)
         return host
@@ -179,7 +185,7 @@
         CallFailedError
             If there is no whole answer.
         """
-        cfg = parse_settings(self.settings[host])
+        cfg = self._settings_of(host)
         caller = self.machine(f"caller-of-{cfg.zone}", cfg.zone)
         network = self.network.network_of(caller)
         sent = [(b"host", b"cactusmill"), *headers]
@@ -198,6 +204,11 @@
                 await trio.aclose_forcefully(stream)
         return Reply(status, dict(got), answer)
 
+    def _settings_of(self, host):
+        if host not in self._parsed:
+            self._parsed[host] = parse_settings(self.settings[host])
+        return self._parsed[host]
+
     async def mint(self, host, team, count=1):
         """Return identifiers minted by a host."""
         reply = await self.call(
