Prove key withdrawal, residency and configuration in world histories

Cause: the three promises were argued, not shown.

Change: histories in the simulated world. A tap sees every byte between machines, so leaks of keys and of bound content are counted at the sockets.

Figures: a running stream ends within 3 s of its key's withdrawal, also in a zone that only peers reach; a change is in force within 3 s on every host that any path reaches; no marked byte of a bound request reaches a forbidden zone. With the mechanisms off (withdrawal, region check, asking peers first, versions that only rise) the same checks fail.

--- /dev/null
+++ b/tests/test_configuration_in_force.py
@@ -0,0 +1,176 @@
+"""Configuration: in force on every reachable host within 3 s, never reverted."""
+
+import pytest
+import trio
+
+from cactusmill.internal.configuration import RecordBook
+from cactusmill.internal.host import HostProcess
+from cactusmill.internal.platform import PlatformService
+from standins.world import run_world
+
+pytestmark = pytest.mark.histories
+LIMIT_S = 3.0
+
+
+def rate_of(host, team="kranj"):
+    return host.book.get("team", team).rate_tokens_per_s
+
+
+def put_rate(world, rate, team="kranj"):
+    body = {"rate_tokens_per_s": rate, "burst_tokens": 3000}
+    return world.configuration.put("team", team, body)
+
+
+async def seconds_until(condition):
+    start = trio.current_time()
+    while not condition():
+        await trio.sleep(0.01)
+        assert trio.current_time() - start < 30
+    return trio.current_time() - start
+
+
+def in_force(world, rate):
+    return lambda: all(rate_of(host) == rate for host in world.hosts.values())
+
+
+def run(disturb, seed=1):
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(3)
+        return await disturb(world)
+
+    return run_world(scenario, seed)
+
+
+def test_change_is_in_force_within_the_limit():
+    async def disturb(world):
+        put_rate(world, 77)
+        return await seconds_until(in_force(world, 77))
+
+    assert run(disturb) <= LIMIT_S
+
+
+def test_a_zone_cut_from_the_platform_learns_from_peers():
+    async def disturb(world):
+        world.network.cut("primorska-a", "platform")
+        await trio.sleep(1)
+        put_rate(world, 77)
+        return await seconds_until(in_force(world, 77))
+
+    assert run(disturb) <= LIMIT_S
+
+
+def test_silent_watches_are_replaced():
+    async def disturb(world):
+        world.configuration.is_silent = True
+        await trio.sleep(10)
+        world.configuration.is_silent = False
+        put_rate(world, 77)
+        return await seconds_until(in_force(world, 77))
+
+    # The watch that was silent ends by its deadline of 2 s and 1 s margin.
+    assert run(disturb) <= LIMIT_S + 1.0
+
+
+def rates_after_restart(is_platform_stale):
+    """Return the rates in force anywhere after a host restarts in an outage."""
+
+    async def disturb(world):
+        before = world.configuration.version
+        put_rate(world, 77)
+        await trio.sleep(LIMIT_S)
+        if is_platform_stale:
+            world.configuration.stale_at = before
+        else:
+            world.configuration.is_down = world.host_list.is_down = True
+        world.kill("stajerska-1")
+        host = world.start_host("stajerska-1")
+        await host.ready.wait()
+        seen = [rate_of(host)]
+        for _ in range(50):
+            await trio.sleep(0.1)
+            seen.extend(rate_of(h) for h in world.hosts.values())
+        return set(seen)
+
+    return run(disturb)
+
+
+@pytest.mark.parametrize("is_platform_stale", [True, False])
+def test_restarted_host_never_serves_what_was_replaced(is_platform_stale):
+    assert rates_after_restart(is_platform_stale) == {77}
+
+
+def test_check_sees_a_host_that_does_not_ask_its_peers_first(monkeypatch):
+    async def learn_from_platform_only(self):
+        while not (self.book.version and self.roster.version):
+            await trio.sleep(0.0001)
+
+    monkeypatch.setattr(HostProcess, "_learn_first", learn_from_platform_only)
+    assert rates_after_restart(is_platform_stale=True) != {77}
+
+
+def test_check_sees_records_that_revert(monkeypatch):
+    real = RecordBook.apply
+
+    def apply_any(self, changes, version):
+        for change in changes:
+            self._changes.pop((change.kind, change.name, change.schema), None)
+        self.version = version
+        return real(self, changes, version)
+
+    monkeypatch.setattr(RecordBook, "apply", apply_any)
+    monkeypatch.setattr(PlatformService, "fetch", fetch_all(PlatformService.fetch))
+    assert rates_after_restart(is_platform_stale=True) != {77}
+
+
+def fetch_all(fetch):
+    async def fetch_from_start(self, since, wait_s):
+        await trio.sleep(0.5)
+        return await fetch(self, 0, 0.0)
+
+    return fetch_from_start
+
+
+def test_a_bad_record_harms_only_itself():
+    async def disturb(world):
+        bad = {"rate_tokens_per_s": "fast", "burst_tokens": 3000}
+        world.configuration.put("team", "kranj", bad)
+        world.configuration.put("team", "kranj", {"new": "schema"}, schema=9)
+        body = {"rate_tokens_per_s": 5, "burst_tokens": 50}
+        world.configuration.put("team", "koper", body)
+        await trio.sleep(LIMIT_S)
+        host = world.hosts["osrednja-1"]
+        return rate_of(host), rate_of(host, "koper"), str(host.book.faults()[0][1])
+
+    kranj, koper, fault = run(disturb)
+    assert (kranj, koper) == (300, 5)
+    assert fault.startswith("team/kranj: rate_tokens_per_s: 'fast'")
+
+
+def test_racing_operators_converge_to_the_platforms_order():
+    async def disturb(world):
+        for rate in range(1, 60):
+            put_rate(world, rate)
+            await trio.sleep(world.rng.uniform(0, 0.1))
+            if rate == 30:
+                world.network.cut("osrednja-a", "platform")
+        world.network.heal()
+        await trio.sleep(LIMIT_S)
+        return {rate_of(host) for host in world.hosts.values()}
+
+    assert run(disturb) == {59}
+
+
+def test_platform_calls_fit_four_hundred_hosts():
+    async def disturb(world):
+        services = (world.configuration, world.host_list)
+        before = sum(s.calls for s in services)
+        for number in range(20):
+            put_rate(world, number + 1)
+            await trio.sleep(3)
+        calls = sum(s.calls for s in services) - before
+        return calls / 60 / len(world.hosts)
+
+    reads_per_s = run(disturb)
+    print(f"{reads_per_s:.2f} reads/s per host with a change every 3 s")
+    assert 400 * reads_per_s <= 2000
--- /dev/null
+++ b/tests/test_keys.py
@@ -0,0 +1,159 @@
+"""Keys and teams: withdrawal everywhere within seconds, and no key passed on."""
+
+import json
+
+import h11
+import pytest
+import trio
+
+from cactusmill.internal.http import client_connection
+from cactusmill.internal.key_uses import KeyUses
+from standins.world import digest_of, key_of, run_world
+
+pytestmark = pytest.mark.histories
+TEAM = "ljubljana"
+LIMIT_S = 3.0
+
+
+def withdraw(world, team=TEAM):
+    body = {"digest": digest_of(key_of(team)), "team": team, "state": "withdrawn"}
+    world.configuration.put("key", f"{team}-1", body)
+
+
+async def open_caller(world, host):
+    machine = world.machine("open-caller", world.settings[host]["zone"])
+    network = world.network.network_of(machine)
+    stream = await network.connect(world.settings[host]["callers"], 5.0)
+    return client_connection(stream)
+
+
+async def send_chat(conn, max_tokens):
+    body = json.dumps(
+        {
+            "model": "povzetek-7b",
+            "stream": True,
+            "max_tokens": max_tokens,
+            "messages": [{"role": "user", "content": "a long answer, please"}],
+        }
+    ).encode()
+    head = h11.Request(
+        method="POST",
+        target="/v1/chat/completions",
+        headers=[
+            ("host", "x"),
+            ("authorization", f"Bearer {key_of(TEAM)}"),
+            ("content-length", str(len(body))),
+        ],
+    )
+    await conn.send(head, h11.Data(data=body), h11.EndOfMessage())
+    return await conn.next_event()
+
+
+async def stream_until_cut(world, host):
+    """Return the time from a key's withdrawal to its stream's cut, if it is cut."""
+    conn = await open_caller(world, host)
+    answer = await send_chat(conn, max_tokens=1500)
+    assert answer.status_code == 200
+    await trio.sleep(0.5)
+    withdraw(world)
+    withdrawn_at = trio.current_time()
+    try:
+        while await conn.next_data() is not None:
+            pass
+    except h11.RemoteProtocolError:
+        return trio.current_time() - withdrawn_at
+    return None
+
+
+@pytest.mark.parametrize("is_cut_off", [False, True], ids=["reached", "by peers only"])
+def test_withdrawal_ends_a_running_stream(is_cut_off):
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(9)
+        if is_cut_off:
+            world.network.cut("stajerska-a", "platform")
+        return await stream_until_cut(world, "stajerska-1")
+
+    assert run_world(scenario, 1) <= LIMIT_S
+
+
+def test_check_sees_a_stream_that_outlives_its_key(monkeypatch):
+    monkeypatch.setattr(KeyUses, "stop_withdrawn", lambda self, book: None)
+
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(9)
+        return await stream_until_cut(world, "stajerska-1")
+
+    assert run_world(scenario, 1) is None
+
+
+def test_withdrawal_holds_on_an_open_connection():
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(9)
+        conn = await open_caller(world, "primorska-1")
+        first = await send_chat(conn, max_tokens=2)
+        while await conn.next_data() is not None:
+            pass
+        conn.h11.start_next_cycle()
+        withdraw(world)
+        await trio.sleep(LIMIT_S)
+        second = await send_chat(conn, max_tokens=2)
+        return first.status_code, second.status_code
+
+    assert run_world(scenario, 1) == (200, 401)
+
+
+def test_withdrawn_and_unknown_keys_look_alike():
+    async def scenario(world):
+        await world.start()
+        withdraw(world)
+        await trio.sleep(LIMIT_S)
+        replies = [await world.chat("osrednja-1", t, "x") for t in (TEAM, "nobody")]
+        problems = [reply.problem for reply in replies]
+        for problem in problems:
+            del problem["request_id"]
+        return problems
+
+    withdrawn, unknown = run_world(scenario, 1)
+    assert withdrawn == unknown
+    assert withdrawn["status"] == 401
+
+
+def test_no_key_crosses_a_link_or_reaches_an_endpoint():
+    leaks = []
+
+    def tap(sender, receiver, data):
+        if b"example-key-of" in data and not sender.name.startswith("caller"):
+            leaks.append((sender.name, receiver.name))
+
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(5)
+        for name in [n for n in world.engines if "osrednja" in n]:
+            world.kill(name)
+        identifier = (await world.mint("osrednja-1", TEAM))[0]
+        headers = [(b"idempotency-key", identifier.encode())]
+        order = await world.call(
+            "primorska-1", "POST", "/enrolments", team=TEAM, headers=headers
+        )
+        spilled = await world.chat("osrednja-1", TEAM, "to another zone")
+        return order.status, spilled.status
+
+    assert run_world(scenario, 1, tap=tap) == (200, 200)
+    assert leaks == []
+
+
+def test_a_key_of_one_team_cannot_use_another_teams_identifier():
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(2)
+        identifier = (await world.mint("osrednja-1", TEAM))[0]
+        headers = [(b"idempotency-key", identifier.encode())]
+        reply = await world.call(
+            "osrednja-1", "POST", "/enrolments", team="kranj", headers=headers
+        )
+        return reply.status, world.runs(identifier)
+
+    assert run_world(scenario, 1) == (422, 0)
--- /dev/null
+++ b/tests/test_residency.py
@@ -0,0 +1,123 @@
+"""Residency and loops: where a bound request's bytes go, and how often."""
+
+import pytest
+import trio
+
+from cactusmill.internal import job, once, repeatable
+from standins.faults import FaultInjector
+from standins.world import CallFailedError, run_world
+
+pytestmark = pytest.mark.histories
+TEAM = "koper"  # bound to primorska and osrednja
+FORBIDDEN_ZONE = "stajerska-a"
+MARK = "confidential-notes-of-koper"
+
+
+class Watcher:
+    """Sees every byte between machines and notes the marked ones."""
+
+    def __init__(self):
+        self.escapes = set()
+        self.hops = {}
+
+    def __call__(self, sender, receiver, data):
+        if MARK.encode() not in data or sender.name.startswith("caller"):
+            return
+        if FORBIDDEN_ZONE in (receiver.zone, sender.zone):
+            self.escapes.add((sender.name, receiver.name))
+
+
+async def send_everywhere(world, seed_faults, duration_s=15.0):
+    replies = []
+
+    async def send(host, number):
+        try:
+            text = f"{MARK} {number}"
+            replies.append((host, await world.chat(host, TEAM, text, max_tokens=4)))
+        except CallFailedError:
+            pass
+
+    end = trio.current_time() + duration_s
+    number = 0
+    async with trio.open_nursery() as nursery:
+        if seed_faults:
+            nursery.start_soon(FaultInjector(world, 0.7).strike_until, end)
+        while trio.current_time() < end:
+            number += 1
+            nursery.start_soon(send, world.rng.choice(sorted(world.settings)), number)
+            await trio.sleep(0.15)
+    return replies
+
+
+def run_residency(seed, faults=True, kill_permitted=False):
+    watcher = Watcher()
+
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(5)
+        if kill_permitted:
+            for name in world.engines:
+                if "stajerska" not in name:
+                    world.kill(name)
+        return await send_everywhere(world, faults)
+
+    return run_world(scenario, seed, tap=watcher), watcher
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_no_byte_of_a_bound_request_leaves_its_regions(seed):
+    replies, watcher = run_residency(seed)
+    assert watcher.escapes == set()
+    assert any(reply.status == 200 for _, reply in replies)
+
+
+def test_bound_request_is_refused_with_every_permitted_endpoint_dead():
+    replies, watcher = run_residency(1, faults=False, kill_permitted=True)
+    assert watcher.escapes == set()
+    assert {reply.status for _, reply in replies} <= {421, 429, 503}
+
+
+def test_a_refusal_names_where_to_go():
+    replies, _ = run_residency(1, faults=False)
+    forbidden = [r for host, r in replies if host.startswith("stajerska")]
+    assert forbidden
+    for reply in forbidden:
+        assert reply.status == 421
+        assert len(reply.problem["hosts"]) == 4
+
+
+def test_check_sees_a_gateway_that_permits_all(monkeypatch):
+    for module in (job, once, repeatable):
+        monkeypatch.setattr(module, "is_permitted", lambda region, team, route: True)
+    _, watcher = run_residency(1, faults=False, kill_permitted=True)
+    assert watcher.escapes
+
+
+def test_no_request_visits_a_host_twice(monkeypatch):
+    forwards = []
+    real = repeatable.forward
+
+    async def recorded(host, peer, job, sink):
+        forwards.append((job.request_id, peer.host.name, host.cfg.host))
+        return await real(host, peer, job, sink)
+
+    monkeypatch.setattr(repeatable, "forward", recorded)
+
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(5)
+        # Every zone wants to spill to the others.
+        for name in world.engines:
+            world.kill(name)
+        return await send_everywhere(world, False, duration_s=5.0)
+
+    replies = run_world(scenario, 1)
+    assert forwards
+    assert replies
+    visits = {}
+    for request_id, target, source in forwards:
+        visited = visits.setdefault(request_id, [source])
+        # Only the host that accepted the request forwards it.
+        assert visited[0] == source
+        assert target not in visited
+        visited.append(target)
