Replace silent connections, and count deaths on reused ones with care

Cause: a request on an idle connection that had gone silent waited half its timeout (15 s for four requests).

Ruled out: counting every reset on a reused connection as a death; an innocent request on a stale connection to an endpoint that died earlier would be condemned. Probing idle connections before use; it only shows a close.

Change: a reused connection has four times the usual time, at least 1 s, to bring an answer; a death on a reused connection makes a suspect but never condemns, and suspects get fresh connections.

Concurrent first sends through many hosts can still stop more than two; listed as not covered.

--- a/src/cactusmill/errors.py
+++ b/src/cactusmill/errors.py
@@ -72,6 +72,10 @@
     """An endpoint answered with the identifier of another request."""
 
 
+class SilentEndpointError(ExchangeError):
+    """An endpoint's connection made no progress for too long."""
+
+
 class TruncatedAnswerError(ExchangeError):
     """An answer ended before its framing said that it was complete."""
 
--- a/src/cactusmill/internal/endpoints.py
+++ b/src/cactusmill/internal/endpoints.py
@@ -8,7 +8,7 @@
 
 from ..errors import (
     CrossedAnswerError,
-    ExchangeError,
+    SilentEndpointError,
     TruncatedAnswerError,
 )
 from .http import client_connection, header
@@ -18,6 +18,7 @@
 IDLE_LIMIT_S = 4.0
 STALL_LIMIT_S = 10.0
 _MAX_IDLE = 32
+_SMOOTHING = 0.1
 _FIRST_BACKOFF_S = 0.2
 _LAST_BACKOFF_S = 5.0
 REQUEST_ID = b"x-request-id"
@@ -43,6 +44,8 @@
         When it said so, in seconds.
     leaving : bool
         True once it refused work because it is leaving.
+    head_time_s : float
+        Smoothed time until an answer begins, in seconds.
     recovered_at : float
         When it last came back after a failure, in seconds.
     """
@@ -54,6 +57,7 @@
     reported_load: int | None = None
     reported_at: float = 0.0
     leaving: bool = False
+    head_time_s: float = 0.0
     recovered_at: float = float("-inf")
     idle: collections.deque = attrs.field(factory=collections.deque)
 
@@ -63,6 +67,10 @@
         self.failures += 1
         self.down_until = now + backoff
 
+    def note_head_time(self, seconds):
+        """Feed the smoothed time until an answer begins."""
+        self.head_time_s += _SMOOTHING * (seconds - self.head_time_s)
+
     def note_success(self, now):
         """Take the endpoint as healthy."""
         if self.failures:
@@ -152,6 +160,13 @@
         stream = await self.net.connect(endpoint.address, CONNECT_TIMEOUT_S)
         return Exchange(client_connection(stream), reused=False)
 
+    async def drop_idle(self, endpoint):
+        """Close the idle connections to an endpoint."""
+        state = self.state(endpoint.name)
+        while state.idle:
+            conn, _ = state.idle.pop()
+            await conn.close()
+
     async def finish(self, endpoint, exchange, now):
         """Keep the connection of a whole answer for later requests."""
         state = self.state(endpoint.name)
@@ -207,7 +222,7 @@
             while isinstance(event, h11.InformationalResponse):
                 event = await exchange.conn.next_event()
     except trio.TooSlowError as exc:
-        raise ExchangeError(f"no answer within {timeout_s:.1f} s") from exc
+        raise SilentEndpointError(f"no answer within {timeout_s:.1f} s") from exc
     except h11.RemoteProtocolError as exc:
         raise TruncatedAnswerError(str(exc)) from exc
     if not isinstance(event, h11.Response):
@@ -230,6 +245,6 @@
         with trio.fail_after(STALL_LIMIT_S):
             return await exchange.conn.next_data()
     except trio.TooSlowError as exc:
-        raise ExchangeError(f"no progress for {STALL_LIMIT_S} s") from exc
+        raise SilentEndpointError(f"no progress for {STALL_LIMIT_S} s") from exc
     except h11.RemoteProtocolError as exc:
         raise TruncatedAnswerError(str(exc)) from exc
--- a/src/cactusmill/internal/repeatable.py
+++ b/src/cactusmill/internal/repeatable.py
@@ -16,7 +16,7 @@
     Outcome,
     Overloaded,
     RequestSuspected,
-    TruncatedAnswerError,
+    SilentEndpointError,
 )
 from .admission import admit
 from .chat import UsageMeter
@@ -31,6 +31,10 @@
 
 LOAD_HEADER = b"x-endpoint-load"
 _NO_ENDPOINT_RETRY_S = 1.0
+# A reused connection that brings no answer for this long, and for several
+# times what answers usually take, is replaced.
+_SILENCE_S = 1.0
+_SILENCE_FACTOR = 4.0
 # The first attempt may use this part of the time, so that a connection gone
 # silent leaves time for another.
 _FIRST_ATTEMPT_PART = 0.5
@@ -289,7 +293,10 @@
 
 async def _exchange(host, job, sink, run, endpoint, state):
     try:
-        exchange = await host.pool.open(endpoint, host.now(), fresh=False)
+        # A suspect gets a new connection: should the endpoint die, it is
+        # certain then that it had been alive when the request was sent.
+        is_suspect = host.suspects.deaths(run.digest, host.now()) > 0
+        exchange = await host.pool.open(endpoint, host.now(), fresh=is_suspect)
     except ConnectError as exc:
         state.note_failure(host.now())
         run.tried.add(endpoint.name)
@@ -310,21 +317,21 @@
 
 async def _send_and_await_head(host, job, run, endpoint, state, exchange):
     """Return None once the head of a usable answer is there."""
-    remaining_s = job.deadline - host.now()
-    first = remaining_s * (1.0 if run.was_sent else _FIRST_ATTEMPT_PART)
+    limit_s = _head_limit_s(host, job, run, state, exchange)
     run.was_sent = True
+    sent_at = host.now()
     try:
         await send_request(exchange, endpoint, job, [])
-        await receive_head(exchange, job, first)
+        await receive_head(exchange, job, limit_s)
     except ExchangeError as exc:
         await exchange.conn.close()
+        has_died = await _note_death(host, job, run, endpoint, exchange, exc)
         if exchange.reused:
-            # The endpoint closed an idle connection; others may be stale too.
-            state.idle.clear()
-        else:
+            # Others that have been idle may be closed or silent too.
+            await host.pool.drop_idle(endpoint)
+        if has_died or not exchange.reused:
             run.tried.add(endpoint.name)
             state.note_failure(host.now())
-            await _note_death(host, job, run, endpoint, exc)
         return EndpointFailed(
             detail=f"the endpoint failed: {exc}",
             outcome=Outcome.UNKNOWN,
@@ -340,9 +347,19 @@
         await exchange.conn.close()
         return NoEndpoint(detail="the endpoint is leaving")
     state.note_success(host.now())
+    state.note_head_time(host.now() - sent_at)
     return None
 
 
+def _head_limit_s(host, job, run, state, exchange):
+    """Return how long to wait for the answer's head on this attempt."""
+    remaining_s = job.deadline - host.now()
+    if exchange.reused:
+        # Nothing has shown yet that the far side still knows the connection.
+        return min(remaining_s, max(_SILENCE_S, _SILENCE_FACTOR * state.head_time_s))
+    return remaining_s * (1.0 if run.was_sent else _FIRST_ATTEMPT_PART)
+
+
 async def _relay(host, job, sink, run, endpoint, exchange):
     try:
         await sink.head(exchange.status, end_to_end(exchange.headers))
@@ -351,24 +368,36 @@
                 run.meter.feed(data)
             await sink.data(data)
     except ExchangeError as exc:
-        await _note_death(host, job, run, endpoint, exc)
+        await _note_death(host, job, run, endpoint, exchange, exc)
         raise AnswerCutError(f"the endpoint failed inside its answer: {exc}") from exc
     await sink.end()
     host.retries.note_success(job.team_name, host.book.policy().retry_share)
     await host.pool.finish(endpoint, exchange, host.now())
 
 
-async def _note_death(host, job, run, endpoint, exc):
-    """Suspect the request if its endpoint has died, and tell the fleet."""
-    if not isinstance(exc, TruncatedAnswerError) and "broke" not in str(exc):
-        return
+async def _note_death(host, job, run, endpoint, exchange, exc):
+    """Suspect the request if its endpoint has died, and tell the fleet.
+
+    Returns
+    -------
+    bool
+        True if the endpoint refuses connections.
+    """
+    if isinstance(exc, SilentEndpointError):
+        return False
     try:
         stream = await host.net.connect(endpoint.address, _NO_ENDPOINT_RETRY_S)
     except ConnectError:
-        host.pool.state(endpoint.name).note_failure(host.now())
-        deaths = host.suspects.note_death(run.digest, host.now())
-        # Told before the request is tried again or answered, so that a resend
-        # through another host meets the knowledge of this death.
-        await host.tell_suspect(job, run.digest, deaths)
+        pass
     else:
         await trio.aclose_forcefully(stream)
+        return False
+    if exchange.reused and host.suspects.deaths(run.digest, host.now()) > 0:
+        # It may have been dead before the request was sent, so this death
+        # makes a suspect but never condemns one.
+        return True
+    deaths = host.suspects.note_death(run.digest, host.now())
+    # Told before the request is tried again or answered, so that a resend
+    # through another host meets the knowledge of this death.
+    await host.tell_suspect(job, run.digest, deaths)
+    return True
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -14,11 +14,13 @@
 import h11
 import trio
 
+from cactusmill.errors import ExchangeError
 from standins.serving import Page, json_page, listen_parser, run_server, serve_pages
 
 CRASH_MARK = "please crash the engine"
 _PREFIX_CHARS = 256
 _CHARS_PER_TOKEN = 4
+_LATE_S = 3.0
 
 
 def answer_words(prompt, count):
@@ -43,6 +45,9 @@
         Prompt beginnings that the cache holds.
     crash : callable
         Called when a prompt asks for a crash.
+    misbehave : callable
+        Called for each request; returns None or one of "truncate", "silent",
+        "cross" and "late".
     """
 
     name: str = "engine"
@@ -52,11 +57,14 @@
     cache_prefixes: int = 64
     crash: object = lambda: os._exit(1)
     is_leaving: bool = False
+    misbehave: object = lambda: None
+    offered: int = 0
     served: int = 0
     cancelled: int = 0
     cache_hits: int = 0
     in_system: int = 0
     _cache: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
+    _crossed: tuple = ((), ())
     _slots: trio.CapacityLimiter = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -79,6 +87,7 @@
         if head.target == b"/control":
             self.is_leaving = json.loads(body)["is_leaving"]
             return json_page({})
+        self.offered += 1
         if self.is_leaving:
             return Page(503, b"{}", ((b"x-endpoint-leaving", b"1"),))
         request = json.loads(body)
@@ -108,6 +117,17 @@
                 "total_tokens": len(prompt) // _CHARS_PER_TOKEN + count,
             }
             headers = self._headers(head)
+            fault = self.misbehave()
+            if fault == "silent":
+                await trio.sleep_forever()
+            elif fault == "late":
+                await trio.sleep(_LATE_S)
+            elif fault == "cross":
+                # The answer to an earlier request, which was given up on.
+                headers, words = list(self._crossed[0]), self._crossed[1]
+            self._crossed = self._headers(head), answer_words(prompt, count)
+            if fault == "truncate":
+                words = words[: count // 2]
             if request.get("stream"):
                 include = request.get("stream_options", {}).get("include_usage")
                 await self._stream(
@@ -157,6 +177,9 @@
         headers.append((b"content-type", b"application/json"))
         headers.append((b"content-length", str(len(text)).encode()))
         response = h11.Response(status_code=200, headers=headers)
+        if len(words) < usage["completion_tokens"]:
+            await conn.send(response, h11.Data(data=text[: len(text) // 2]))
+            raise ExchangeError("cut on purpose")
         await conn.send(response, h11.Data(data=text), h11.EndOfMessage())
 
     async def _stream(self, conn, headers, request, words, usage):
@@ -166,6 +189,8 @@
             if index:
                 await trio.sleep(self._token_s())
             await conn.send(h11.Data(data=_event(request["model"], word)))
+        if len(words) < (request.get("max_tokens") or 0):
+            raise ExchangeError("cut on purpose")
         if usage:
             await conn.send(h11.Data(data=_event(request["model"], None, usage)))
         await conn.send(h11.Data(data=b"data: [DONE]\n\n"), h11.EndOfMessage())
--- a/standins/network.py
+++ b/standins/network.py
@@ -69,6 +69,7 @@
     _inbox: collections.deque = attrs.field(factory=collections.deque)
     _inbox_bytes: int = 0
     _changed: trio.Event = attrs.field(factory=trio.Event)
+    is_silent: bool = False
     _is_closed: bool = False
     _is_reset: bool = False
     _sent_eof: bool = False
@@ -128,6 +129,9 @@
             if self._is_reset:
                 raise trio.BrokenResourceError("reset by the far side")
             await self.machine.when_running()
+            if self.is_silent:
+                await changed.wait()
+                continue
             if self.network.is_parted(self.machine, self.far_machine):
                 with trio.move_on_after(self.network.poll_s):
                     await changed.wait()
@@ -203,6 +207,12 @@
         """Part two machines or zones, given by name."""
         self._cuts.add(frozenset((one, other)))
 
+    def silence(self, one, other):
+        """Let the present connections of two machines go silent for good."""
+        for stream in one.streams | other.streams:
+            if {stream.machine, stream.far_machine} == {one, other}:
+                stream.is_silent = True
+
     def heal(self, one=None, other=None):
         """Join two machines or zones again, or all."""
         if one is None:
--- /dev/null
+++ b/tests/test_answers.py
@@ -0,0 +1,96 @@
+"""Each caller gets the whole answer to its own request, or an error."""
+
+import json
+
+import pytest
+import trio
+
+from cactusmill.errors import CrossedAnswerError
+from cactusmill.internal import repeatable
+from standins.engine import answer_words
+from standins.world import CallFailedError, run_world
+
+pytestmark = pytest.mark.histories
+TEAM = "ljubljana"
+FAULTS = ("truncate", "silent", "cross", "late")
+
+
+def expected(text, count):
+    prompt = json.dumps([{"role": "user", "content": text}])
+    return "".join(answer_words(prompt, count))
+
+
+async def ask(world, host, number, results):
+    text = f"question {number}"
+    try:
+        reply = await world.chat(host, TEAM, text, max_tokens=6, timeout_s=40)
+    except CallFailedError:
+        results.append("cut")
+        return
+    if reply.status != 200:
+        results.append("refused")
+        return
+    content = json.loads(reply.body)["choices"][0]["message"]["content"]
+    results.append("own" if content == expected(text, 6) else "wrong")
+
+
+def run_unruly(seed, faults, share=0.2, requests=80):
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(6)
+        for engine in world.engines.values():
+            engine.misbehave = lambda: (
+                world.rng.choice(faults) if world.rng.random() < share else None
+            )
+        results = []
+        async with trio.open_nursery() as nursery:
+            for number in range(requests):
+                host = world.rng.choice(sorted(world.settings))
+                nursery.start_soon(ask, world, host, number, results)
+                await trio.sleep(0.1)
+        return results
+
+    results = run_world(scenario, seed)
+    counts = {end: results.count(end) for end in ("own", "refused", "cut", "wrong")}
+    print(f"seed {seed}: {counts}")
+    return counts
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_unruly_engines_never_make_a_wrong_answer(seed):
+    counts = run_unruly(seed, FAULTS)
+    assert counts["wrong"] == 0
+    assert counts["own"] > 50
+
+
+def test_check_sees_crossed_answers(monkeypatch):
+    real = repeatable.receive_head
+
+    async def ignore_crossed(exchange, job, timeout_s):
+        try:
+            await real(exchange, job, timeout_s)
+        except CrossedAnswerError:
+            pass
+
+    monkeypatch.setattr(repeatable, "receive_head", ignore_crossed)
+    assert run_unruly(1, ("cross",))["wrong"] > 0
+
+
+def test_connections_gone_silent_are_replaced():
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(6)
+        results = []
+        for number in range(8):
+            await ask(world, "osrednja-1", number, results)
+        for engine in ("engine-osrednja-1", "engine-osrednja-2"):
+            world.network.silence(world.machines["osrednja-1"], world.machines[engine])
+        start = trio.current_time()
+        for number in range(4):
+            await ask(world, "osrednja-1", number, results)
+        return results, trio.current_time() - start
+
+    results, elapsed = run_world(scenario, 1)
+    assert set(results) == {"own"}
+    # Two silent connections cost at most a second each.
+    assert elapsed < 3.0
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,141 @@
+"""Isolated regions, leaving endpoints, and requests that stop endpoints."""
+
+import pytest
+import trio
+
+from cactusmill.internal.suspects import Suspects
+from standins.engine import CRASH_MARK
+from standins.world import CallFailedError, run_world
+
+pytestmark = pytest.mark.histories
+TEAM = "ljubljana"
+LIMIT_S = 3.0
+
+
+async def ask(world, host, text, statuses, max_tokens=4):
+    try:
+        reply = await world.chat(host, TEAM, text, max_tokens=max_tokens)
+    except CallFailedError:
+        statuses.append("cut")
+    else:
+        statuses.append(reply.status)
+
+
+def test_isolated_region_goes_on_serving_even_through_a_restart():
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(6)
+        for other in ("osrednja-a", "primorska-a", "platform"):
+            world.network.cut("stajerska-a", other)
+        statuses = []
+        for number in range(100):
+            if number == 40:
+                world.kill("stajerska-2")
+                await world.start_host("stajerska-2").ready.wait()
+                await trio.sleep(2)
+            host = f"stajerska-{number % 2 + 1}"
+            await ask(world, host, f"isolated {number}", statuses)
+            identifier = (await world.mint(host, TEAM))[0]
+            headers = [(b"idempotency-key", identifier.encode())]
+            order = await world.call(
+                host, "POST", "/enrolments", team=TEAM, headers=headers
+            )
+            statuses.append(order.status)
+            await trio.sleep(0.4)
+        return statuses
+
+    assert set(run_world(scenario, 1)) == {200}
+
+
+@pytest.mark.parametrize("is_list_stale", [False, True], ids=["listed", "list lags"])
+def test_leaving_endpoint_gets_nothing_new_within_the_limit(is_list_stale):
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(6)
+        leaving = world.engines["engine-osrednja-1"]
+        statuses = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask_steadily, world, statuses, 12.0)
+            await trio.sleep(3.0)
+            _leave(world, "engine-osrednja-1", is_list_stale)
+            await trio.sleep(LIMIT_S)
+            offered_by_then = leaving.offered
+        return set(statuses), leaving.offered - offered_by_then
+
+    assert run_world(scenario, 1) == ({200}, 0)
+
+
+async def ask_steadily(world, statuses, duration_s):
+    end = trio.current_time() + duration_s
+    number = 0
+    async with trio.open_nursery() as nursery:
+        while trio.current_time() < end:
+            number += 1
+            host = ("osrednja-1", "osrednja-2")[number % 2]
+            nursery.start_soon(ask, world, host, f"q {number}", statuses)
+            await trio.sleep(0.1)
+
+
+def _leave(world, name, is_list_stale):
+    if is_list_stale:
+        world.engines[name].is_leaving = True
+        return
+    body = next(c["body"] for c in world.host_list._changes(0) if c["name"] == name)
+    world.host_list.put("endpoint", name, {**body, "state": "leaving"})
+
+
+def crash_storm(seed, hosts, gap_s=0.5, neighbours=True):
+    """Resend a request that crashes engines, among innocent ones."""
+
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(6)
+        kills, innocent, guilty = [], [], []
+        real_kill = world.kill
+
+        def kill(name):
+            kills.append(name)
+            real_kill(name)
+            world.nursery.start_soon(revive_soon, world, name)
+
+        for name, engine in world.engines.items():
+            engine.crash = lambda name=name: kill(name)
+        async with trio.open_nursery() as nursery:
+            for number in range(40):
+                if neighbours:
+                    host = world.rng.choice(sorted(world.settings))
+                    nursery.start_soon(
+                        ask, world, host, f"innocent {number}", innocent, 40
+                    )
+                if number % 5 == 2:
+                    host = hosts[(number // 5) % len(hosts)]
+                    nursery.start_soon(ask, world, host, CRASH_MARK, guilty)
+                await trio.sleep(gap_s)
+        return kills, innocent, guilty
+
+    return run_world(scenario, seed)
+
+
+async def revive_soon(world, name):
+    await trio.sleep(1.0)
+    world.revive(name)
+
+
+ALL_HOSTS = [
+    f"{region}-{n}" for region in ("osrednja", "stajerska", "primorska") for n in (1, 2)
+]
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_crashing_request_stops_after_two_endpoints(seed):
+    kills, innocent, guilty = crash_storm(seed, ALL_HOSTS)
+    print(f"seed {seed}: kills {kills} innocent {innocent} guilty {guilty}")
+    assert len(kills) <= 2
+    assert guilty[-1] == 422
+    assert innocent.count(200) >= len(innocent) - 2
+
+
+def test_check_sees_a_fleet_without_memory_of_deaths(monkeypatch):
+    monkeypatch.setattr(Suspects, "is_condemned", lambda self, digest, now: False)
+    kills, _, _ = crash_storm(1, ALL_HOSTS)
+    assert len(kills) > 2
