--- a/src/cactusmill/records.py
+++ b/src/cactusmill/records.py
@@ -256,6 +256,14 @@
             )
         return value
 
+    def whole(self, name, default=attrs.NOTHING, low=0, high=10**15):
+        value = self.number(name, default, low, high)
+        if value != int(value):
+            raise RecordError(
+                self.record, name, f"{value!r} must be a whole number, {low} to {high}"
+            )
+        return int(value)
+
     def flag(self, name, default=attrs.NOTHING):
         value = self._take(name, default)
         if not isinstance(value, bool):
@@ -264,7 +272,8 @@
 
     def names(self, name):
         value = self._take(name, ())
-        if isinstance(value, str) or not all(isinstance(v, str) for v in value):
+        is_list = isinstance(value, list | tuple)
+        if not is_list or not all(isinstance(v, str) for v in value):
             raise RecordError(self.record, name, f"{value!r} must be a list of names")
         return tuple(value)
 
@@ -295,7 +304,7 @@
     return Zone(
         name=name,
         region=fields.text("region", pattern=_NAME),
-        slots=int(fields.number("slots", low=1, high=1000)),
+        slots=fields.whole("slots", low=1, high=1000),
     )
 
 
@@ -336,7 +345,7 @@
         teams=fields.names("teams"),
         regions=fields.names("regions"),
         timeout_s=fields.number("timeout_s", DEFAULT_TIMEOUT_S, low=0.01, high=3600),
-        max_body_bytes=int(fields.number("max_body_bytes", DEFAULT_MAX_BODY_BYTES)),
+        max_body_bytes=fields.whole("max_body_bytes", DEFAULT_MAX_BODY_BYTES),
         status_path=fields.text("status_path", ""),
         charge_tokens=fields.number("charge_tokens", 0.0),
         checks_identifier=fields.flag("checks_identifier", False),
@@ -365,7 +374,7 @@
         name=name,
         zone=fields.text("zone", pattern=_NAME),
         region=fields.text("region", pattern=_NAME),
-        slot=int(fields.number("slot", high=1000)),
+        slot=fields.whole("slot", high=999),
         callers=fields.text("callers", pattern=_ADDRESS),
         peers=fields.text("peers", pattern=_ADDRESS),
         operators=fields.text("operators", "", pattern=_ADDRESS),
@@ -380,7 +389,7 @@
         region=fields.text("region", pattern=_NAME),
         address=fields.text("address", pattern=_ADDRESS),
         serves=fields.names("serves"),
-        capacity=int(fields.number("capacity", 8, low=1, high=100_000)),
+        capacity=fields.whole("capacity", 8, low=1, high=100_000),
         live=fields.text("state", one_of=("live", "leaving")) == "live",
         checks_fencing=fields.flag("checks_fencing", False),
     )
