Relay chunked bodies from socket to socket in one task

Ruled out: joining events that arrive together only; streams interleave, so there is rarely more than one to join. One thread per relay: the lock moves the cost, not away.

Change: one task waits on an epoll set of all such sockets, follows the chunk framing by its size lines and passes the bytes on. Everything else keeps the h11 path.

--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -101,7 +101,8 @@
     host.caller_connections += 1
     try:
         while await _serve_request(host, conn):
-            conn.h11.start_next_cycle()
+            if not conn.is_restarted():
+                conn.h11.start_next_cycle()
     except (ExchangeError, CallerGoneError, AnswerCutError):
         # Closing without the answer's terminator tells the caller that it is
         # not whole.
@@ -126,12 +127,18 @@
         return False
     caller = CallerRequest(conn, head, new_request_id(), host.now())
     await _answer(host, caller)
+    if conn.is_restarted():
+        return not host.leaving and not _wants_close(head)
     if conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE:
         return True
     await _linger(conn)
     return False
 
 
+def _wants_close(head):
+    return b"close" in header(head.headers, b"connection", "").lower().encode()
+
+
 async def _refuse_head(host, conn, status, problem):
     refusal = MalformedRequest(status_code=status, detail=problem)
     if conn.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
@@ -360,7 +367,19 @@
     async def end():
         await _send(conn, h11.EndOfMessage())
 
-    return Sink(head, data, end)
+    def chunked_stream():
+        is_chunked = (
+            isinstance(conn.stream, trio.SocketStream)
+            and caller.head.http_version == b"1.1"
+            and caller.head.method != b"HEAD"
+        )
+        return conn.stream if is_chunked else None
+
+    def end_chunked():
+        # What the caller sent meanwhile belongs to its next request.
+        conn.restart(host.cfg.max_head_bytes)
+
+    return Sink(head, data, end, chunked_stream, end_chunked)
 
 
 async def _send(conn, event):
--- a/src/cactusmill/internal/endpoints.py
+++ b/src/cactusmill/internal/endpoints.py
@@ -167,6 +167,14 @@
             conn, _ = state.idle.pop()
             await conn.close()
 
+    def keep(self, endpoint, stream, now):
+        """Keep a connection whose last body was passed on as it came."""
+        idle = self.state(endpoint.name).idle
+        if len(idle) >= _MAX_IDLE:
+            # Dropping the reference closes the socket.
+            return
+        idle.append((client_connection(stream), now))
+
     async def finish(self, endpoint, exchange, now):
         """Keep the connection of a whole answer for later requests."""
         state = self.state(endpoint.name)
--- a/src/cactusmill/internal/host.py
+++ b/src/cactusmill/internal/host.py
@@ -35,6 +35,7 @@
 from .peers import Peer, keep_link, next_answer
 from .platform import PlatformService, parse_update
 from .queues import FairQueue
+from .relay import RelayHub
 from .retries import RetryBudgets
 from .suspects import Suspects
 from .wire.ttypes import ChangesPull, Hello, Suspect
@@ -97,6 +98,7 @@
     suspects: Suspects = attrs.field(factory=Suspects)
     retries: RetryBudgets = attrs.field(factory=RetryBudgets)
     metrics: Metrics = attrs.field(factory=Metrics)
+    relay_hub: RelayHub = attrs.field(factory=RelayHub)
     burn: BurnLog = attrs.field(factory=BurnLog)
     ready: trio.Event = attrs.field(factory=trio.Event)
     leaving: bool = False
@@ -305,6 +307,7 @@
             for name in _BOOKS:
                 nursery.start_soon(self._watch, name)
             nursery.start_soon(self._keep_house)
+            nursery.start_soon(self.relay_hub.run)
             await self._learn_first()
             await self._listen(self.cfg.callers, serve_caller, self._accepting)
             self.ready.set()
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -44,6 +44,23 @@
     stream: trio.abc.Stream
     h11: h11.Connection
 
+    def restart(self, max_head_bytes):
+        """Begin the next message cycle of a server after a body passed by.
+
+        The body was written to the transport without ``h11``, which therefore
+        does not know that it has ended.
+        """
+        data, is_closed = self.h11.trailing_data
+        self.h11 = h11.Connection(h11.SERVER, max_incomplete_event_size=max_head_bytes)
+        if data:
+            self.h11.receive_data(data)
+        if is_closed:
+            self.h11.receive_data(b"")
+
+    def is_restarted(self):
+        """Tell whether the connection is at the start of a message cycle."""
+        return self.h11.our_state is h11.IDLE and self.h11.their_state is h11.IDLE
+
     async def next_event(self):
         """Return the next ``h11`` event, reading as needed."""
         while True:
@@ -141,6 +158,11 @@
     return default
 
 
+def is_chunked(headers):
+    """Tell whether a body comes in chunked transfer coding and nothing else."""
+    return header(headers, b"transfer-encoding", "").strip().lower() == "chunked"
+
+
 def end_to_end(headers):
     """Return the headers that a gateway passes on."""
     return [
--- a/src/cactusmill/internal/job.py
+++ b/src/cactusmill/internal/job.py
@@ -75,11 +75,18 @@
         ``await data(chunk)``, for each part of the body.
     end : callable
         ``await end()``, once the body is whole.
+    chunked_stream : callable or None
+        ``chunked_stream()`` returns the caller's transport if a body in
+        chunked transfer coding may be written to it as it is, else None.
+    end_chunked : callable or None
+        ``end_chunked()``, once that body is whole.
     """
 
     head: object
     data: object
     end: object
+    chunked_stream: object = None
+    end_chunked: object = None
 
 
 def is_permitted(region, team, route):
--- a/src/cactusmill/internal/repeatable.py
+++ b/src/cactusmill/internal/repeatable.py
@@ -20,9 +20,9 @@
 )
 from .admission import admit
 from .chat import UsageMeter
-from .endpoints import receive_data, receive_head, send_request
+from .endpoints import STALL_LIMIT_S, receive_data, receive_head, send_request
 from .forwarding import forward
-from .http import end_to_end, header
+from .http import end_to_end, header, is_chunked
 from .job import is_permitted
 from .once import LEAVING_HEADER
 from .queues import MAX_WAIT_S, MAX_WAITING_PER_TEAM
@@ -31,6 +31,7 @@
 
 LOAD_HEADER = b"x-endpoint-load"
 _NO_ENDPOINT_RETRY_S = 1.0
+_STATUSES_WITHOUT_BODY = (204, 304)
 # A reused connection that brings no answer for this long, and for several
 # times what answers usually take, is replaced.
 _SILENCE_S = 1.0
@@ -363,15 +364,45 @@
 async def _relay(host, job, sink, run, endpoint, exchange):
     try:
         await sink.head(exchange.status, end_to_end(exchange.headers))
-        while (data := await receive_data(exchange)) is not None:
-            if run.meter is not None:
-                run.meter.feed(data)
-            await sink.data(data)
+        target = _chunked_target(sink, exchange)
+        if target is not None:
+            await _relay_chunks(host, sink, run, endpoint, exchange, target)
+        else:
+            await _relay_events(host, sink, run, endpoint, exchange)
     except ExchangeError as exc:
         await _note_death(host, job, run, endpoint, exchange, exc)
         raise AnswerCutError(f"the endpoint failed inside its answer: {exc}") from exc
-    await sink.end()
     host.retries.note_success(job.team_name, host.book.policy().retry_share)
+
+
+def _chunked_target(sink, exchange):
+    """Return the caller's transport if the body can be passed on as it is."""
+    has_body = exchange.status not in _STATUSES_WITHOUT_BODY
+    if sink.chunked_stream is None or not has_body or not is_chunked(exchange.headers):
+        return None
+    is_socket = isinstance(exchange.conn.stream, trio.SocketStream)
+    return sink.chunked_stream() if is_socket else None
+
+
+async def _relay_chunks(host, sink, run, endpoint, exchange, target):
+    first, _ = exchange.conn.h11.trailing_data
+    on_data = run.meter.feed if run.meter is not None else None
+    is_clean = await host.relay_hub.relay(
+        exchange.conn.stream, target, first, on_data, STALL_LIMIT_S
+    )
+    sink.end_chunked()
+    if is_clean:
+        host.pool.keep(endpoint, exchange.conn.stream, host.now())
+    else:
+        await exchange.conn.close()
+
+
+async def _relay_events(host, sink, run, endpoint, exchange):
+    while (data := await receive_data(exchange)) is not None:
+        if run.meter is not None:
+            run.meter.feed(data)
+        await sink.data(data)
+    await sink.end()
     await host.pool.finish(endpoint, exchange, host.now())
 
 
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -99,8 +99,14 @@
         """Entries of the endpoints, by name."""
         return {n: e for n, e in self._entries.items() if e["kind"] == "endpoint"}
 
-    def start(self):
-        """Start everything and wait until every host is ready."""
+    def start(self, endpoints=True):
+        """Start everything and wait until every host is ready.
+
+        Parameters
+        ----------
+        endpoints : bool
+            False to leave out the endpoints' stand-ins.
+        """
         cfg = self.settings(self.hosts[0])
         for name, address, records in (
             ("configuration", cfg["configuration"], "records.yaml"),
@@ -109,7 +115,7 @@
             self._start_standin(
                 name, "changes", address, "--records", str(self.folder / records)
             )
-        for name in self.endpoints:
+        for name in self.endpoints if endpoints else ():
             self.start_endpoint(name)
         for name in self.hosts:
             self.start_host(name)
--- /dev/null
+++ b/tests/internal/test_relay.py
@@ -0,0 +1,130 @@
+"""Bodies pass from socket to socket whole, or the failure is told."""
+
+import socket
+
+import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cactusmill.errors import (
+    CallerGoneError,
+    SilentEndpointError,
+    TruncatedAnswerError,
+)
+from cactusmill.internal.relay import ChunkScanner, RelayHub
+
+fuzz = settings(max_examples=200, derandomize=True, deadline=None)
+
+
+def chunked(parts):
+    body = b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in parts if p)
+    return body + b"0\r\n\r\n"
+
+
+@fuzz
+@given(
+    parts=st.lists(st.binary(max_size=40), max_size=6),
+    surplus=st.binary(max_size=5),
+    cuts=st.lists(st.integers(0, 300), max_size=6),
+)
+def test_scanner_finds_the_end_however_the_bytes_are_cut(parts, surplus, cuts):
+    body = chunked(parts)
+    data = body + surplus
+    edges = sorted({0, len(data), *(c for c in cuts if c < len(data))})
+    scanner, passed = ChunkScanner(), 0
+    for start, stop in zip(edges, edges[1:], strict=False):
+        end = scanner.feed(data[start:stop])
+        if end is not None:
+            assert start + end == len(body)
+            return
+        passed = stop
+    assert passed < len(body) or not parts
+
+
+@fuzz
+@given(st.binary(max_size=60))
+def test_scanner_takes_any_bytes(data):
+    try:
+        ChunkScanner().feed(data)
+    except TruncatedAnswerError:
+        pass
+
+
+async def tcp_pair():
+    listener = socket.create_server(("127.0.0.1", 0))
+    near = await trio.open_tcp_stream(*listener.getsockname())
+    accepted, _ = listener.accept()
+    listener.close()
+    accepted.setblocking(False)
+    return near, trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+
+
+def run_relay(scenario, stall_limit_s=5.0):
+    """Run a scenario at an endpoint's and a caller's end of a relay."""
+
+    async def main():
+        endpoint, source = await tcp_pair()
+        target, caller = await tcp_pair()
+        hub = RelayHub()
+        seen = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(hub.run)
+            nursery.start_soon(scenario, endpoint, caller)
+            try:
+                clean = await hub.relay(source, target, b"", seen.append, stall_limit_s)
+            except Exception as exc:
+                clean = exc
+            nursery.cancel_scope.cancel()
+        return clean, b"".join(seen)
+
+    return trio.run(main)
+
+
+def test_large_body_waits_for_a_slow_caller():
+    parts = [b"x" * 60_000] * 100
+    received = []
+
+    async def scenario(endpoint, caller):
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(endpoint.send_all, chunked(parts))
+            await trio.sleep(0.2)
+            while sum(map(len, received)) < len(chunked(parts)):
+                received.append(await caller.receive_some(100_000))
+
+    clean, seen = run_relay(scenario)
+    assert clean is True
+    assert seen == chunked(parts)
+
+
+def test_bytes_behind_the_body_are_not_passed_on():
+    async def scenario(endpoint, caller):
+        await endpoint.send_all(chunked([b"own"]) + b"HTTP/1.1 200 OK\r\n")
+
+    assert run_relay(scenario) == (False, chunked([b"own"]))
+
+
+def test_body_without_its_end_is_a_failure():
+    async def scenario(endpoint, caller):
+        await endpoint.send_all(chunked([b"own"])[:-5])
+        await endpoint.aclose()
+
+    assert isinstance(run_relay(scenario)[0], TruncatedAnswerError)
+
+
+def test_silent_endpoint_is_given_up():
+    async def scenario(endpoint, caller):
+        await endpoint.send_all(b"3\r\nown\r\n")
+        await trio.sleep_forever()
+
+    result, _ = run_relay(scenario, stall_limit_s=0.1)
+    assert isinstance(result, SilentEndpointError)
+
+
+def test_caller_that_left_is_told_apart_from_the_endpoint():
+    async def scenario(endpoint, caller):
+        await trio.aclose_forcefully(caller)
+        while True:
+            await endpoint.send_all(b"3\r\nown\r\n")
+            await trio.sleep(0.01)
+
+    assert isinstance(run_relay(scenario)[0], CallerGoneError)
