--- a/standins/engine.py
+++ b/standins/engine.py
@@ -18,7 +18,6 @@
 from standins.serving import Page, json_page, listen_parser, run_server, serve_pages
 
 CRASH_MARK = "please crash the engine"
-_PREFIX_CHARS = 256
 _CHARS_PER_TOKEN = 4
 _LATE_S = 3.0
 
@@ -41,10 +40,16 @@
         Time between two tokens of a stream on an idle engine, in seconds.
     prefill_tokens_per_s : float
         Speed of prompt processing without cache.
-    cache_prefixes : int
-        Prompt beginnings that the cache holds.
+    cache_prefixes, prefix_chars : int
+        Prompt beginnings that the cache holds, and their length.
     crash : callable
         Called when a prompt asks for a crash.
+    max_events : int
+        Most events that a streamed answer comes in.
+    report_lag_s : float
+        Age of the load that it reports, in seconds.
+    work_s : float
+        Time that requests have occupied the batch, in seconds.
     misbehave : callable
         Called for each request; returns None or one of "truncate", "silent",
         "cross" and "late".
@@ -55,8 +60,12 @@
     token_s: float = 0.005
     prefill_tokens_per_s: float = 20_000.0
     cache_prefixes: int = 64
+    prefix_chars: int = 256
     crash: object = lambda: os._exit(1)
     is_leaving: bool = False
+    max_events: int = 1_000_000
+    report_lag_s: float = 0.0
+    work_s: float = 0.0
     misbehave: object = lambda: None
     offered: int = 0
     served: int = 0
@@ -64,6 +73,7 @@
     cache_hits: int = 0
     in_system: int = 0
     _cache: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
+    _loads: collections.deque = attrs.field(factory=collections.deque)
     _crossed: tuple = ((), ())
     _slots: trio.CapacityLimiter = attrs.field(init=False)
 
@@ -71,6 +81,15 @@
         """Size the batch."""
         self._slots = trio.CapacityLimiter(self.batch)
 
+    def resize(self, batch):
+        """Change how many requests are decoded together."""
+        self.batch = batch
+        self._slots.total_tokens = batch
+
+    def forget(self):
+        """Lose the cache, as a restart does."""
+        self._cache.clear()
+
     async def serve(self, stream):
         """Serve one connection."""
         await serve_pages(stream, self._answer)
@@ -91,7 +110,7 @@
         if self.is_leaving:
             return Page(503, b"{}", ((b"x-endpoint-leaving", b"1"),))
         request = json.loads(body)
-        self.in_system += 1
+        self._note_load(1)
         try:
             await self._run(conn, head, request)
             self.served += 1
@@ -99,51 +118,72 @@
             self.cancelled += 1
             raise
         finally:
-            self.in_system -= 1
+            self._note_load(-1)
         return None
 
+    def _note_load(self, change):
+        self.in_system += change
+        self._loads.append((trio.current_time(), self.in_system))
+        while len(self._loads) > 1 and self._loads[1][0] <= self._report_time():
+            self._loads.popleft()
+
+    def _report_time(self):
+        return trio.current_time() - self.report_lag_s
+
+    def _reported_load(self):
+        while len(self._loads) > 1 and self._loads[1][0] <= self._report_time():
+            self._loads.popleft()
+        return self._loads[0][1]
+
     async def _run(self, conn, head, request):
         prompt = json.dumps(request["messages"])
         count = request.get("max_tokens") or 16
         async with self._slots:
-            await trio.sleep(self._prefill_s(request["model"], prompt))
-            if CRASH_MARK in prompt:
-                self.crash()
-                return
-            words = answer_words(prompt, count)
-            usage = {
-                "prompt_tokens": len(prompt) // _CHARS_PER_TOKEN,
-                "completion_tokens": count,
-                "total_tokens": len(prompt) // _CHARS_PER_TOKEN + count,
-            }
-            headers = self._headers(head)
-            fault = self.misbehave()
-            if fault == "silent":
-                await trio.sleep_forever()
-            elif fault == "late":
-                await trio.sleep(_LATE_S)
-            elif fault == "cross":
-                # The answer to an earlier request, which was given up on.
-                headers, words = list(self._crossed[0]), self._crossed[1]
-            self._crossed = self._headers(head), answer_words(prompt, count)
-            if fault == "truncate":
-                words = words[: count // 2]
-            if request.get("stream"):
-                include = request.get("stream_options", {}).get("include_usage")
-                await self._stream(
-                    conn, headers, request, words, usage if include else None
-                )
-            else:
-                await trio.sleep(self._token_s() * count)
-                await self._whole(conn, headers, request, words, usage)
+            began_at = trio.current_time()
+            try:
+                await self._generate(conn, head, request, prompt, count)
+            finally:
+                self.work_s += trio.current_time() - began_at
+
+    async def _generate(self, conn, head, request, prompt, count):
+        await trio.sleep(self._prefill_s(request["model"], prompt))
+        if CRASH_MARK in prompt:
+            self.crash()
+            return
+        words = answer_words(prompt, count)
+        usage = {
+            "prompt_tokens": len(prompt) // _CHARS_PER_TOKEN,
+            "completion_tokens": count,
+            "total_tokens": len(prompt) // _CHARS_PER_TOKEN + count,
+        }
+        headers = self._headers(head)
+        fault = self.misbehave()
+        if fault == "silent":
+            await trio.sleep_forever()
+        elif fault == "late":
+            await trio.sleep(_LATE_S)
+        elif fault == "cross":
+            # The answer to an earlier request, which was given up on.
+            headers, words = list(self._crossed[0]), self._crossed[1]
+        self._crossed = self._headers(head), answer_words(prompt, count)
+        if fault == "truncate":
+            words = words[: count // 2]
+        if request.get("stream"):
+            include = request.get("stream_options", {}).get("include_usage")
+            await self._stream(
+                conn, headers, request, words, usage if include else None
+            )
+        else:
+            await trio.sleep(self._token_s() * count)
+            await self._whole(conn, headers, request, words, usage)
 
     def _prefill_s(self, model, prompt):
         tokens = len(prompt) / _CHARS_PER_TOKEN
-        prefix = (model, prompt[:_PREFIX_CHARS])
+        prefix = (model, prompt[: self.prefix_chars])
         if prefix in self._cache:
             self.cache_hits += 1
             self._cache.move_to_end(prefix)
-            tokens -= min(len(prompt), _PREFIX_CHARS) / _CHARS_PER_TOKEN
+            tokens -= min(len(prompt), self.prefix_chars) / _CHARS_PER_TOKEN
         else:
             self._cache[prefix] = True
             while len(self._cache) > self.cache_prefixes:
@@ -155,7 +195,7 @@
 
     def _headers(self, head):
         echoed = [(k, v) for k, v in head.headers if k == b"x-request-id"]
-        return [*echoed, (b"x-endpoint-load", str(self.in_system).encode())]
+        return [*echoed, (b"x-endpoint-load", str(self._reported_load()).encode())]
 
     async def _whole(self, conn, headers, request, words, usage):
         text = json.dumps(
@@ -185,10 +225,12 @@
     async def _stream(self, conn, headers, request, words, usage):
         headers.append((b"content-type", b"text/event-stream"))
         await conn.send(h11.Response(status_code=200, headers=headers))
-        for index, word in enumerate(words):
-            if index:
-                await trio.sleep(self._token_s())
-            await conn.send(h11.Data(data=_event(request["model"], word)))
+        step = -(-len(words) // self.max_events)
+        for start in range(0, len(words), step):
+            group = words[start : start + step]
+            if start:
+                await trio.sleep(self._token_s() * len(group))
+            await conn.send(h11.Data(data=_event(request["model"], "".join(group))))
         if len(words) < (request.get("max_tokens") or 0):
             raise ExchangeError("cut on purpose")
         if usage:
--- a/standins/world.py
+++ b/standins/world.py
@@ -25,8 +25,6 @@
 from standins.network import Machine, SimulatedNetwork
 
 EXAMPLE = pathlib.Path(__file__).parent.parent / "examples" / "slovenia"
-CONFIGURATION = "127.0.0.1:7001"
-HOST_LIST = "127.0.0.1:7002"
 PLATFORM_ZONE = "platform"
 CALLER_ZONE = "callers"
 
@@ -92,22 +90,23 @@
             self.machines[name] = Machine(name, zone)
         return self.machines[name]
 
-    async def start_standins(self, folder=EXAMPLE):
+    async def start_standins(self, folder):
         """Start the platform and the endpoints of an example."""
+        for path in sorted((folder / "hosts").glob("*.yaml")):
+            data = yaml.safe_load(path.read_text())
+            self.settings[data["host"]] = data
         self.configuration.load(yaml.safe_load((folder / "records.yaml").read_text()))
         listed = yaml.safe_load((folder / "platform-hosts.yaml").read_text())
         self.host_list.load(listed)
-        for name, address, service in (
-            ("configuration", CONFIGURATION, self.configuration),
-            ("host-list", HOST_LIST, self.host_list),
+        for name, service in (
+            ("configuration", self.configuration),
+            ("host_list", self.host_list),
         ):
+            address = data[name]
             await self._serve(self.machine(name, PLATFORM_ZONE), address, service.serve)
         for entry in listed:
             if entry["kind"] == "endpoint":
                 await self._start_endpoint(entry["name"], entry["body"])
-        for path in sorted((folder / "hosts").glob("*.yaml")):
-            data = yaml.safe_load(path.read_text())
-            self.settings[data["host"]] = data
 
     async def _start_endpoint(self, name, body):
         machine = self.machine(name, body["zone"])
@@ -150,6 +149,8 @@
     def kill(self, name):
         """Kill a machine's process at once."""
         self.machines[name].kill()
+        if name in self.engines:
+            self.engines[name].forget()
         if name in self._scopes:
             self._scopes.pop(name).cancel()
             del self.hosts[name]
@@ -161,9 +162,9 @@
         self.machines[name].is_up = True
         return None
 
-    async def start(self):
+    async def start(self, folder=EXAMPLE):
         """Start everything and wait until all hosts are ready."""
-        await self.start_standins()
+        await self.start_standins(folder)
         for name in self.settings:
             self.start_host(name)
         for host in list(self.hosts.values()):
