Estimate waits by this host's share of its zone's endpoints

Cause: each host of a zone took the whole zone's capacity for its own queue's pace, so waits were judged two to three times too short and spilled late.

Ruled out: counting other hosts' queues from engine reports; they lag.

Change: the expected wait divides capacity by the zone's reachable hosts.

--- a/src/cactusmill/internal/host.py
+++ b/src/cactusmill/internal/host.py
@@ -158,6 +158,13 @@
         team = self.book.get("team", team_name)
         return team.weight if team else 1.0
 
+    def count_zone_hosts(self):
+        """Return how many hosts of the own zone serve callers, this one too."""
+        return 1 + sum(
+            p.is_reachable and not p.leaving and p.host.zone == self.cfg.zone
+            for p in self.peers.values()
+        )
+
     def takes_callers(self, host):
         """Tell whether callers should be sent to a host, as far as known."""
         if host.name == self.cfg.host:
--- a/src/cactusmill/internal/repeatable.py
+++ b/src/cactusmill/internal/repeatable.py
@@ -231,7 +231,10 @@
 
 
 def _expected_wait(host, job, candidates):
+    # The zone's hosts share its endpoints, so that this host's queue moves at
+    # its share of their pace.
     capacity = sum(c.endpoint.capacity * c.ramp for c in candidates)
+    capacity /= host.count_zone_hosts()
     queue = host.queue_for(job.service)
     return queue.expected_wait_s(job.team_name, capacity, host.weight_of)
 
