Spill to the zone that says it has the shorter wait

Cause: a request spilled to a random zone, also to one as full as its own, and was refused there for good.

Ruled out: probing zones per request; a wide-area round trip each.

Change: heartbeats name the services that wait in the sender's zone and how long; a spill takes the better of two random peers and only if that saves more than the wide-area cost. A peer's refusal for lack of room is tried elsewhere.

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -16,6 +16,13 @@
   1: required binary mac
 }
 
+// A service whose endpoints in the sender's zone are full, with the wait that
+// a new request would have there.
+struct ServiceWait {
+  1: required string serves
+  2: required i32 wait_ms
+}
+
 // Sent every heartbeat interval, and at once when a version rises.
 struct Heartbeat {
   1: required i64 sequence
@@ -23,6 +30,7 @@
   3: required i64 hosts_version
   4: required bool leaving
   5: optional list<string> leaving_endpoints
+  6: optional list<ServiceWait> waits
 }
 
 struct HeartbeatAck {
@@ -31,6 +39,7 @@
   3: required i64 hosts_version
   4: required bool leaving
   5: optional list<string> leaving_endpoints
+  6: optional list<ServiceWait> waits
 }
 
 // Asks for the changes of a book, "records" or "hosts", above a version.
@@ -74,6 +83,7 @@
   2: required string request_id
   3: required i32 status
   4: required list<Header> headers
+  5: optional string refusal
 }
 
 struct AnswerData {
--- a/src/cactusmill/errors.py
+++ b/src/cactusmill/errors.py
@@ -80,6 +80,10 @@
     """An answer ended before its framing said that it was complete."""
 
 
+class ForwardRefusedError(CactusmillError):
+    """A peer had no room for a request that may be tried elsewhere."""
+
+
 class CallerGoneError(CactusmillError):
     """The caller, or the host that forwarded for it, no longer takes the answer."""
 
--- a/src/cactusmill/internal/answering.py
+++ b/src/cactusmill/internal/answering.py
@@ -21,7 +21,7 @@
 from .limits import LOAN_VALID_S
 from .link import open_link
 from .once import is_bound_here, run_once
-from .peers import note_versions
+from .peers import heartbeat, note_versions
 from .problems import problem_answer
 from .repeatable import run_repeatable
 from .wire.ttypes import (
@@ -72,15 +72,7 @@
     peer = host.peers.get(link.peer.host)
     if peer is not None:
         note_versions(host, peer, beat)
-    await link.send(
-        heartbeat_ack=HeartbeatAck(
-            beat.sequence,
-            host.book.version,
-            host.roster.version,
-            host.leaving,
-            host.pool.leaving_names() or None,
-        )
-    )
+    await link.send(heartbeat_ack=heartbeat(host, beat.sequence, HeartbeatAck))
 
 
 async def _send_changes(host, link, pull):
@@ -115,7 +107,7 @@
             result = await _run_forward(host, message, sink)
             match result:
                 case Failure(refusal):
-                    await _send_refusal(sink, refusal, message.request_id)
+                    await _send_refusal(link, message, refusal)
     except AnswerCutError:
         with contextlib.suppress(LinkClosedError):
             await link.send(answer_end=AnswerEnd(message.call, False))
@@ -125,11 +117,18 @@
         scopes.pop(message.call, None)
 
 
-async def _send_refusal(sink, refusal, request_id):
-    status, headers, body = problem_answer(refusal, request_id)
-    await sink.head(status, headers)
-    await sink.data(body)
-    await sink.end()
+async def _send_refusal(link, message, refusal):
+    status, headers, body = problem_answer(refusal, message.request_id)
+    head = _answer_head(message, status, headers)
+    head.refusal = refusal.type_name
+    await _send(link, answer_head=head)
+    await _send(link, answer_data=AnswerData(message.call, body))
+    await _send(link, answer_end=AnswerEnd(message.call, True))
+
+
+def _answer_head(message, status, headers):
+    pairs = [Header(k.decode("latin-1"), v.decode("latin-1")) for k, v in headers]
+    return AnswerHead(message.call, message.request_id, status, pairs)
 
 
 async def _run_forward(host, message, sink):
@@ -180,15 +179,7 @@
 
 def _link_sink(link, message):
     async def head(status, headers):
-        await _send(
-            link,
-            answer_head=AnswerHead(
-                message.call,
-                message.request_id,
-                status,
-                [Header(k.decode("latin-1"), v.decode("latin-1")) for k, v in headers],
-            ),
-        )
+        await _send(link, answer_head=_answer_head(message, status, headers))
 
     async def data(chunk):
         await _send(link, answer_data=AnswerData(message.call, chunk))
--- a/src/cactusmill/internal/forwarding.py
+++ b/src/cactusmill/internal/forwarding.py
@@ -6,11 +6,17 @@
 
 from returns.result import Success
 
-from ..errors import AnswerCutError, LinkClosedError
+from ..errors import (
+    AnswerCutError,
+    ForwardRefusedError,
+    LinkClosedError,
+    NoEndpoint,
+    Overloaded,
+)
 from .peers import next_answer
 from .wire.ttypes import Cancel, Forward, Header
 
-_STALL_MARGIN_S = 2.0
+_TRY_ELSEWHERE = frozenset({Overloaded.__name__, NoEndpoint.__name__})
 
 
 async def forward(host, peer, job, sink):
@@ -35,6 +41,8 @@
     ------
     LinkClosedError
         If the link ended before the answer began.
+    ForwardRefusedError
+        If the peer has no room for a request that may be repeated.
     AnswerCutError
         If it ended later.
     """
@@ -45,6 +53,9 @@
             head = (await next_answer(answers)).answer_head
             if head is None or head.request_id != job.request_id:
                 raise LinkClosedError("the peer answered another request")
+            if job.route.repeatable and head.refusal in _TRY_ELSEWHERE:
+                is_complete = True
+                raise ForwardRefusedError(f"{peer.host.name}: {head.refusal}")
             await sink.head(
                 head.status, [(h.name.encode(), h.value.encode()) for h in head.headers]
             )
--- a/src/cactusmill/internal/host.py
+++ b/src/cactusmill/internal/host.py
@@ -36,6 +36,7 @@
 from .platform import PlatformService, parse_update
 from .queues import FairQueue
 from .relay import RelayHub
+from .repeatable import zone_wait_s
 from .retries import RetryBudgets
 from .suspects import Suspects
 from .wire.ttypes import ChangesPull, Hello, Suspect
@@ -158,6 +159,11 @@
         team = self.book.get("team", team_name)
         return team.weight if team else 1.0
 
+    def waits(self):
+        """Return the services whose requests wait in this zone, and how long."""
+        waits = {s: zone_wait_s(self, s) for s in self._queues}
+        return {s: wait_s for s, wait_s in waits.items() if wait_s > 0}
+
     def count_zone_hosts(self):
         """Return how many hosts of the own zone serve callers, this one too."""
         return 1 + sum(
--- a/src/cactusmill/internal/peers.py
+++ b/src/cactusmill/internal/peers.py
@@ -14,7 +14,7 @@
 
 from ..errors import ConnectError, LinkClosedError
 from .link import open_link
-from .wire.ttypes import Heartbeat
+from .wire.ttypes import Heartbeat, ServiceWait
 
 CALL_BUFFER_FRAMES = 1024
 _DIAL_TIMEOUT_S = 1.0
@@ -37,6 +37,9 @@
         True once it said that it is leaving.
     records_version, hosts_version : int
         Newest versions that it said to have.
+    waits : dict of str to float
+        Wait that a request for a service would have in its zone, in seconds,
+        where it is not 0.
     """
 
     host: object
@@ -45,6 +48,7 @@
     leaving: bool = False
     records_version: int = 0
     hosts_version: int = 0
+    waits: dict = attrs.field(factory=dict)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     _calls: dict = attrs.field(factory=dict)
     _numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
@@ -158,14 +162,19 @@
         scope.cancel()
 
 
-def heartbeat(host, sequence):
-    """Return a heartbeat with what this host knows."""
-    return Heartbeat(
+def heartbeat(host, sequence, kind=Heartbeat):
+    """Return a heartbeat, or its acknowledgement, with what this host knows."""
+    waits = [
+        ServiceWait(service, int(wait_s * 1000))
+        for service, wait_s in host.waits().items()
+    ]
+    return kind(
         sequence,
         host.book.version,
         host.roster.version,
         host.leaving,
         host.pool.leaving_names() or None,
+        waits or None,
     )
 
 
@@ -203,6 +212,7 @@
     peer.leaving = beat.leaving
     peer.records_version = beat.records_version
     peer.hosts_version = beat.hosts_version
+    peer.waits = {w.serves: w.wait_ms / 1000 for w in beat.waits or ()}
     host.pool.note_leaving(beat.leaving_endpoints or ())
     if beat.records_version > host.book.version:
         host.pull_from(peer, "records")
--- a/src/cactusmill/internal/repeatable.py
+++ b/src/cactusmill/internal/repeatable.py
@@ -11,6 +11,7 @@
     DeadlineExceeded,
     EndpointFailed,
     ExchangeError,
+    ForwardRefusedError,
     LinkClosedError,
     NoEndpoint,
     Outcome,
@@ -48,7 +49,7 @@
     Attributes
     ----------
     tried : set of str
-        Endpoints that failed it.
+        Endpoints, hosts and zones that could not serve it.
     digest : str
         By which suspects are known.
     meter : UsageMeter or None
@@ -139,8 +140,9 @@
                 run.was_sent = True
                 try:
                     return await forward(host, peer, job, _metered(sink, run))
-                except LinkClosedError:
+                except (LinkClosedError, ForwardRefusedError):
                     run.tried.add(peer.host.name)
+                    run.tried.add(peer.host.zone)
                     continue
         refusal = await _wait_for_room(host, job, run)
         if refusal is not None:
@@ -204,39 +206,85 @@
 
 def _spill_peer(host, job, run):
     """Return a host of another zone to forward to, if that is worth its cost."""
+    peers = _peers_with_endpoints(host, job, run)
+    if not peers:
+        return None
+    # Of two at random the one with the shorter wait: hosts that heard the same
+    # waits do not all choose the same zone.
+    pair = host.rng.sample(peers, min(2, len(peers)))
+    best = min(pair, key=lambda p: p.waits.get(job.service, 0.0))
     own = [
         c
         for c in _candidates(host, job, host.cfg.zone)
         if c.usable and c.endpoint.name not in run.tried
     ]
     if own:
-        wait_s = _expected_wait(host, job, own)
-        if wait_s <= host.book.policy().wide_area_cost_s:
+        saved_s = _expected_wait(host, job, own) - best.waits.get(job.service, 0.0)
+        if saved_s <= host.book.policy().wide_area_cost_s:
             return None
+    return best
+
+
+def _peers_with_endpoints(host, job, run):
     zones = {
         e.zone
         for e in host.endpoints_for(job.service)
         if e.live and is_permitted(e.region, job.team, job.route)
     }
-    peers = [
+    zones -= run.tried | {host.cfg.zone}
+    return [
         p
         for p in host.peers.values()
-        if p.host.zone in zones - {host.cfg.zone}
+        if p.host.zone in zones
         and p.is_reachable
         and not p.leaving
         and p.host.name not in run.tried
         and is_permitted(p.host.region, job.team, job.route)
     ]
-    return host.rng.choice(peers) if peers else None
 
 
 def _expected_wait(host, job, candidates):
     # The zone's hosts share its endpoints, so that this host's queue moves at
     # its share of their pace.
     capacity = sum(c.endpoint.capacity * c.ramp for c in candidates)
-    capacity /= host.count_zone_hosts()
     queue = host.queue_for(job.service)
-    return queue.expected_wait_s(job.team_name, capacity, host.weight_of)
+    return queue.expected_wait_s(
+        job.team_name, capacity / host.count_zone_hosts(), host.weight_of
+    )
+
+
+def zone_wait_s(host, service):
+    """Return the wait of a new request in this host's zone, in seconds.
+
+    Parameters
+    ----------
+    host : HostProcess
+        This process.
+    service : str
+        Model or service.
+
+    Returns
+    -------
+    float
+        0 while an endpoint has room; endless if there is none.
+    """
+    now = host.now()
+    usable = [
+        c
+        for e in host.endpoints_for(service)
+        if e.zone == host.cfg.zone
+        and (c := candidate(e, host.pool.state(e.name), now)).usable
+    ]
+    if any(c.has_room for c in usable):
+        return 0.0
+    capacity = sum(c.endpoint.capacity * c.ramp for c in usable)
+    queue = host.queue_for(service)
+    wait_s = queue.expected_wait_s("", capacity / host.count_zone_hosts(), _equal)
+    return min(wait_s, MAX_WAIT_S)
+
+
+def _equal(team):
+    return 1.0
 
 
 async def _wait_for_room(host, job, run):
--- a/src/cactusmill/internal/wire/ttypes.py
+++ b/src/cactusmill/internal/wire/ttypes.py
@@ -198,6 +198,90 @@
         return not (self == other)
 
 
+class ServiceWait(object):
+    """
+    Attributes:
+     - serves
+     - wait_ms
+
+    """
+
+    __slots__ = (
+        'serves',
+        'wait_ms',
+    )
+
+
+    def __init__(self, serves=None, wait_ms=None,):
+        self.serves = serves
+        self.wait_ms = wait_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.serves = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.wait_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceWait')
+        if self.serves is not None:
+            oprot.writeFieldBegin('serves', TType.STRING, 1)
+            oprot.writeString(self.serves.encode('utf-8') if sys.version_info[0] == 2 else self.serves)
+            oprot.writeFieldEnd()
+        if self.wait_ms is not None:
+            oprot.writeFieldBegin('wait_ms', TType.I32, 2)
+            oprot.writeI32(self.wait_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.serves is None:
+            raise TProtocolException(message='Required field serves is unset!')
+        if self.wait_ms is None:
+            raise TProtocolException(message='Required field wait_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -206,6 +290,7 @@
      - hosts_version
      - leaving
      - leaving_endpoints
+     - waits
 
     """
 
@@ -215,15 +300,17 @@
         'hosts_version',
         'leaving',
         'leaving_endpoints',
+        'waits',
     )
 
 
-    def __init__(self, sequence=None, records_version=None, hosts_version=None, leaving=None, leaving_endpoints=None,):
+    def __init__(self, sequence=None, records_version=None, hosts_version=None, leaving=None, leaving_endpoints=None, waits=None,):
         self.sequence = sequence
         self.records_version = records_version
         self.hosts_version = hosts_version
         self.leaving = leaving
         self.leaving_endpoints = leaving_endpoints
+        self.waits = waits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -264,6 +351,17 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.waits = []
+                    (_etype9, _size6) = iprot.readListBegin()
+                    for _i10 in range(_size6):
+                        _elem11 = ServiceWait()
+                        _elem11.read(iprot)
+                        self.waits.append(_elem11)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -293,8 +391,15 @@
         if self.leaving_endpoints is not None:
             oprot.writeFieldBegin('leaving_endpoints', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.leaving_endpoints))
-            for iter6 in self.leaving_endpoints:
-                oprot.writeString(iter6.encode('utf-8') if sys.version_info[0] == 2 else iter6)
+            for iter12 in self.leaving_endpoints:
+                oprot.writeString(iter12.encode('utf-8') if sys.version_info[0] == 2 else iter12)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.waits is not None:
+            oprot.writeFieldBegin('waits', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.waits))
+            for iter13 in self.waits:
+                iter13.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -338,6 +443,7 @@
      - hosts_version
      - leaving
      - leaving_endpoints
+     - waits
 
     """
 
@@ -347,15 +453,17 @@
         'hosts_version',
         'leaving',
         'leaving_endpoints',
+        'waits',
     )
 
 
-    def __init__(self, sequence=None, records_version=None, hosts_version=None, leaving=None, leaving_endpoints=None,):
+    def __init__(self, sequence=None, records_version=None, hosts_version=None, leaving=None, leaving_endpoints=None, waits=None,):
         self.sequence = sequence
         self.records_version = records_version
         self.hosts_version = hosts_version
         self.leaving = leaving
         self.leaving_endpoints = leaving_endpoints
+        self.waits = waits
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -389,10 +497,21 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.leaving_endpoints = []
-                    (_etype10, _size7) = iprot.readListBegin()
-                    for _i11 in range(_size7):
-                        _elem12 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.leaving_endpoints.append(_elem12)
+                    (_etype17, _size14) = iprot.readListBegin()
+                    for _i18 in range(_size14):
+                        _elem19 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.leaving_endpoints.append(_elem19)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.waits = []
+                    (_etype23, _size20) = iprot.readListBegin()
+                    for _i24 in range(_size20):
+                        _elem25 = ServiceWait()
+                        _elem25.read(iprot)
+                        self.waits.append(_elem25)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -425,8 +544,15 @@
         if self.leaving_endpoints is not None:
             oprot.writeFieldBegin('leaving_endpoints', TType.LIST, 5)
             oprot.writeListBegin(TType.STRING, len(self.leaving_endpoints))
-            for iter13 in self.leaving_endpoints:
-                oprot.writeString(iter13.encode('utf-8') if sys.version_info[0] == 2 else iter13)
+            for iter26 in self.leaving_endpoints:
+                oprot.writeString(iter26.encode('utf-8') if sys.version_info[0] == 2 else iter26)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.waits is not None:
+            oprot.writeFieldBegin('waits', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.waits))
+            for iter27 in self.waits:
+                iter27.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -823,11 +949,11 @@
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype17, _size14) = iprot.readListBegin()
-                    for _i18 in range(_size14):
-                        _elem19 = Header()
-                        _elem19.read(iprot)
-                        self.headers.append(_elem19)
+                    (_etype31, _size28) = iprot.readListBegin()
+                    for _i32 in range(_size28):
+                        _elem33 = Header()
+                        _elem33.read(iprot)
+                        self.headers.append(_elem33)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -892,8 +1018,8 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter20 in self.headers:
-                iter20.write(oprot)
+            for iter34 in self.headers:
+                iter34.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.body is not None:
@@ -966,6 +1092,7 @@
      - request_id
      - status
      - headers
+     - refusal
 
     """
 
@@ -974,14 +1101,16 @@
         'request_id',
         'status',
         'headers',
+        'refusal',
     )
 
 
-    def __init__(self, call=None, request_id=None, status=None, headers=None,):
+    def __init__(self, call=None, request_id=None, status=None, headers=None, refusal=None,):
         self.call = call
         self.request_id = request_id
         self.status = status
         self.headers = headers
+        self.refusal = refusal
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1010,14 +1139,19 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.headers = []
-                    (_etype24, _size21) = iprot.readListBegin()
-                    for _i25 in range(_size21):
-                        _elem26 = Header()
-                        _elem26.read(iprot)
-                        self.headers.append(_elem26)
+                    (_etype38, _size35) = iprot.readListBegin()
+                    for _i39 in range(_size35):
+                        _elem40 = Header()
+                        _elem40.read(iprot)
+                        self.headers.append(_elem40)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.refusal = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1043,10 +1177,14 @@
         if self.headers is not None:
             oprot.writeFieldBegin('headers', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.headers))
-            for iter27 in self.headers:
-                iter27.write(oprot)
+            for iter41 in self.headers:
+                iter41.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.refusal is not None:
+            oprot.writeFieldBegin('refusal', TType.STRING, 5)
+            oprot.writeString(self.refusal.encode('utf-8') if sys.version_info[0] == 2 else self.refusal)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1875,6 +2013,12 @@
     None,  # 0
     (1, TType.STRING, 'mac', 'BINARY', None, ),  # 1
 )
+all_structs.append(ServiceWait)
+ServiceWait.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'serves', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'wait_ms', None, None, ),  # 2
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -1883,6 +2027,7 @@
     (3, TType.I64, 'hosts_version', None, None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
     (5, TType.LIST, 'leaving_endpoints', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.LIST, 'waits', (TType.STRUCT, [ServiceWait, None], False), None, ),  # 6
 )
 all_structs.append(HeartbeatAck)
 HeartbeatAck.thrift_spec = (
@@ -1892,6 +2037,7 @@
     (3, TType.I64, 'hosts_version', None, None, ),  # 3
     (4, TType.BOOL, 'leaving', None, None, ),  # 4
     (5, TType.LIST, 'leaving_endpoints', (TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.LIST, 'waits', (TType.STRUCT, [ServiceWait, None], False), None, ),  # 6
 )
 all_structs.append(ChangesPull)
 ChangesPull.thrift_spec = (
@@ -1935,6 +2081,7 @@
     (2, TType.STRING, 'request_id', 'UTF8', None, ),  # 2
     (3, TType.I32, 'status', None, None, ),  # 3
     (4, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 4
+    (5, TType.STRING, 'refusal', 'UTF8', None, ),  # 5
 )
 all_structs.append(AnswerData)
 AnswerData.thrift_spec = (
