Share requests in flight between the hosts of a zone

Cause: hosts of one zone filled the same endpoints, each seeing only its own requests and the engines' late reports; requests then waited in the engines, where no fair queue orders them (estimated wait 0.3 s, real up to 1.5 s).

Ruled out: shorter queues at the gateway; the wait was not there.

Change: hosts of a zone tell each other their requests in flight, what changed only, as often as 1 KB/s allows; engine reports count only where no host reports. While requests wait, one may wait at the endpoint itself.

Arrivals have their own generators since.

--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -12,6 +12,7 @@
 import json
 import math
 import pathlib
+import random
 import statistics
 import sys
 
@@ -136,7 +137,7 @@
     """Take local endpoints in turn, however loaded they are."""
     turns = itertools.count()
 
-    def choose(candidates, affinity, rng):
+    def choose(candidates, affinity, rng, extra=0):
         usable = [c for c in candidates if c.usable]
         return usable[next(turns) % len(usable)].endpoint if usable else None
 
@@ -147,7 +148,7 @@
 def least_reported():
     """Take the local endpoint that last reported the least load."""
 
-    def choose(candidates, affinity, rng):
+    def choose(candidates, affinity, rng, extra=0):
         usable = [c for c in candidates if c.usable]
         if not usable:
             return None
@@ -176,6 +177,8 @@
     ----------
     deployment : dict
         The settings file.
+    seed : int
+        Repeats the arrivals.
     factors : dict of str to float
         Present multiple of each team's demand.
     asks : list of Ask
@@ -185,6 +188,7 @@
     """
 
     deployment: dict
+    seed: int
     start: float = 0.0
     factors: dict = attrs.field(factory=dict)
     asks: list = attrs.field(factory=list)
@@ -225,22 +229,24 @@
 async def send_demand(world, plan, name):
     """Send one team's requests until the end of the run."""
     team, deployment = plan.deployment["teams"][name], plan.deployment
+    # Of its own, so that arrivals are the same under every policy.
+    rng = random.Random(f"{plan.seed} {name}")
     hosts = [h for h in sorted(world.settings) if h.startswith(team["home"])]
     while (elapsed := trio.current_time() - plan.start) < deployment["duration_s"]:
         phase = elapsed / deployment["duration_s"] + team["peak_shift"]
         swing = 1 + deployment["peak_share"] * math.sin(2 * math.pi * phase)
         rate = team["requests_per_s"] * swing * plan.factors.get(name, 1.0)
-        await trio.sleep(world.rng.expovariate(rate))
-        conversation = world.rng.randrange(team["conversations"])
+        await trio.sleep(rng.expovariate(rate))
+        conversation = rng.randrange(team["conversations"])
         text = f"{name} conversation {conversation} ".ljust(
             deployment["prompt_chars"] - 200, "."
         )
         text += f" turn {len(plan.asks)}".ljust(150, ".")
-        tokens = world.rng.randint(*team["max_tokens"])
+        tokens = rng.randint(*team["max_tokens"])
         cost = deployment["prompt_chars"] / CHARS_PER_TOKEN_AT_GATEWAY + 20 + tokens
         ask = Ask(trio.current_time(), name, cost)
         plan.asks.append(ask)
-        host = world.rng.choice(hosts)
+        host = rng.choice(hosts)
         world.nursery.start_soon(_send, world, plan, host, ask, text, tokens)
 
 
@@ -301,7 +307,7 @@
     """Run one situation under one policy and return a row of measures."""
     deployment = yaml.safe_load(pathlib.Path(deployment_path).read_text())
     POLICIES[policy]()
-    plan = Plan(deployment)
+    plan = Plan(deployment, seed)
     forward = repeatable.forward
 
     async def counted_forward(host, peer, job, sink):
--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -114,6 +114,18 @@
   4: required i64 valid_ms
 }
 
+// How many requests of the sender an endpoint works on. The key is a hash of
+// the endpoint's name.
+struct EndpointLoad {
+  1: required i32 key
+  2: required i32 in_flight
+}
+
+// Sent within a zone only, as often as the traffic budget allows.
+struct LoadReport {
+  1: required list<EndpointLoad> loads
+}
+
 // A keyed digest of a request that was running when its endpoint died.
 struct Suspect {
   1: required string digest
@@ -135,4 +147,5 @@
   12: LoanAsk loan_ask
   13: LoanGrant loan_grant
   14: Suspect suspect
+  15: LoadReport load_report
 }
--- a/src/cactusmill/internal/answering.py
+++ b/src/cactusmill/internal/answering.py
@@ -59,6 +59,9 @@
         await _send_changes(host, link, frame.changes_pull)
     elif frame.loan_ask is not None:
         await _answer_loan(host, link, frame.loan_ask)
+    elif frame.load_report is not None:
+        loads = {e.key: e.in_flight for e in frame.load_report.loads}
+        host.pool.note_peer_loads(link.peer.host, loads, host.now())
     elif frame.suspect is not None:
         host.suspects.learn(frame.suspect.digest, frame.suspect.deaths, host.now())
     elif frame.forward is not None:
--- a/src/cactusmill/internal/endpoints.py
+++ b/src/cactusmill/internal/endpoints.py
@@ -5,6 +5,7 @@
 import attrs
 import h11
 import trio
+import xxhash
 
 from ..errors import (
     CrossedAnswerError,
@@ -42,6 +43,8 @@
         Requests that it last said to hold, from all hosts.
     reported_at : float
         When it said so, in seconds.
+    peer_loads : dict of str to (int, float)
+        By host of the zone, its requests there and when it said so.
     leaving : bool
         True once it refused work because it is leaving.
     head_time_s : float
@@ -56,6 +59,7 @@
     failures: int = 0
     reported_load: int | None = None
     reported_at: float = 0.0
+    peer_loads: dict = attrs.field(factory=dict)
     leaving: bool = False
     head_time_s: float = 0.0
     recovered_at: float = float("-inf")
@@ -111,6 +115,7 @@
 
     net: Network
     _states: dict = attrs.field(factory=dict)
+    _names_by_key: dict = attrs.field(factory=dict)
 
     def state(self, name):
         """Return the state of an endpoint, made on first use."""
@@ -127,12 +132,34 @@
         for name in names:
             self.state(name).leaving = True
 
-    def forget_absent(self, names):
-        """Drop the states of endpoints that are no longer listed."""
-        for name in set(self._states) - set(names):
+    def set_listed(self, names):
+        """Take over which endpoints are listed, and drop all others."""
+        self._names_by_key = {load_key(name): name for name in names}
+        for name in set(self._states) - set(self._names_by_key.values()):
             if self._states[name].in_flight == 0:
                 del self._states[name]
 
+    def own_loads(self):
+        """Return this host's requests in flight, by the endpoints' keys."""
+        return {load_key(s.name): s.in_flight for s in self._states.values()}
+
+    def note_peer_loads(self, host_name, loads, now):
+        """Take over what a host of the zone has in flight.
+
+        Parameters
+        ----------
+        host_name : str
+            Who reports.
+        loads : dict of int to int
+            Requests in flight by the endpoints' keys.
+        now : float
+            Present time, in seconds.
+        """
+        for key, in_flight in loads.items():
+            name = self._names_by_key.get(key)
+            if name is not None:
+                self.state(name).peer_loads[host_name] = (in_flight, now)
+
     async def open(self, endpoint, now, fresh):
         """Return an exchange on an idle or a new connection.
 
@@ -187,6 +214,11 @@
         await conn.close()
 
 
+def load_key(name):
+    """Return the key by which load reports name an endpoint."""
+    return xxhash.xxh32_intdigest(name.encode()) - 2**31
+
+
 async def send_request(exchange, endpoint, job, extra_headers):
     """Send a request's head and body.
 
--- a/src/cactusmill/internal/host.py
+++ b/src/cactusmill/internal/host.py
@@ -44,6 +44,10 @@
 PEERS_PER_OTHER_ZONE = 2
 PULL_TIMEOUT_S = 2.0
 FIRST_CONTACT_S = 1.5
+LOAD_REPORT_S = 0.1
+LOAD_BUDGET_BYTES_PER_S = 1000.0
+LOAD_REPORT_BYTES = 12
+ENDPOINT_LOAD_BYTES = 9
 HOUSEKEEPING_S = 0.1
 EXPIRY_S = 1.0
 _PLATFORM_RETRY_S = 0.5
@@ -164,6 +168,18 @@
         waits = {s: zone_wait_s(self, s) for s in self._queues}
         return {s: wait_s for s, wait_s in waits.items() if wait_s > 0}
 
+    def load_report_interval_s(self, endpoints):
+        """Return how often to report loads, so that all reports fit the budget.
+
+        Parameters
+        ----------
+        endpoints : int
+            How many endpoints a report names at most.
+        """
+        size = LOAD_REPORT_BYTES + endpoints * ENDPOINT_LOAD_BYTES
+        peers = self.count_zone_hosts() - 1
+        return max(LOAD_REPORT_S, peers * size / LOAD_BUDGET_BYTES_PER_S)
+
     def count_zone_hosts(self):
         """Return how many hosts of the own zone serve callers, this one too."""
         return 1 + sum(
@@ -240,7 +256,7 @@
             for service in endpoint.serves:
                 serving.setdefault(service, []).append(endpoint)
         self._serving = serving
-        self.pool.forget_absent(e.name for e in endpoints)
+        self.pool.set_listed(e.name for e in endpoints)
         self._take_slot()
         if self.nursery is not None:
             self._reconcile_peers()
--- a/src/cactusmill/internal/peers.py
+++ b/src/cactusmill/internal/peers.py
@@ -14,9 +14,10 @@
 
 from ..errors import ConnectError, LinkClosedError
 from .link import open_link
-from .wire.ttypes import Heartbeat, ServiceWait
+from .wire.ttypes import EndpointLoad, Heartbeat, LoadReport, ServiceWait
 
 CALL_BUFFER_FRAMES = 1024
+LOAD_REFRESH_S = 1.0
 _DIAL_TIMEOUT_S = 1.0
 _REDIAL_S = 0.3
 
@@ -145,6 +146,8 @@
         peer.link = link
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_send_heartbeats, host, peer, link, nursery.cancel_scope)
+            if peer.host.zone == host.cfg.zone:
+                nursery.start_soon(_send_loads, host, link, nursery.cancel_scope)
             nursery.start_soon(_read_answers, host, peer, link, nursery.cancel_scope)
     finally:
         peer.drop_link()
@@ -162,6 +165,25 @@
         scope.cancel()
 
 
+async def _send_loads(host, link, scope):
+    """Tell a host of the zone what this one has in flight, where it changed."""
+    told, told_at = {}, host.now()
+    try:
+        while True:
+            await trio.sleep(host.load_report_interval_s(len(told)))
+            loads = host.pool.own_loads()
+            is_due = host.now() - told_at >= LOAD_REFRESH_S
+            changed = {k: n for k, n in loads.items() if is_due or told.get(k) != n}
+            if not changed:
+                continue
+            report = LoadReport([EndpointLoad(k, n) for k, n in changed.items()])
+            await link.send(load_report=report)
+            told = loads
+            told_at = host.now() if is_due else told_at
+    except LinkClosedError:
+        scope.cancel()
+
+
 def heartbeat(host, sequence, kind=Heartbeat):
     """Return a heartbeat, or its acknowledgement, with what this host knows."""
     waits = [
--- a/src/cactusmill/internal/routing.py
+++ b/src/cactusmill/internal/routing.py
@@ -8,6 +8,10 @@
 
 LOAD_FACTOR = 1.25
 RAMP_S = 10.0
+# While requests wait, one of them waits at the endpoint itself, so that it
+# does not stand idle while word of a free place travels.
+QUEUED_AT_ENDPOINT = 1
+PEER_LOAD_VALID_S = 3.0
 
 
 @attrs.frozen
@@ -21,7 +25,7 @@
     in_flight : int
         This host's requests there.
     outside_load : float
-        Requests of other hosts there, by its last report, aged.
+        Requests of other hosts there, as they say, or by its last report.
     usable : bool
         False while it is backed off or leaving.
     ramp : float
@@ -43,7 +47,11 @@
     @property
     def has_room(self):
         """Whether one more request fits its capacity."""
-        room = self.endpoint.capacity * self.ramp
+        return self.has_room_beyond(0)
+
+    def has_room_beyond(self, extra):
+        """Tell whether one more request fits its capacity and some more."""
+        room = self.endpoint.capacity * self.ramp + extra
         return self.in_flight + self.outside_load < room
 
 
@@ -76,10 +84,18 @@
 
 
 def _outside_load(state, now):
+    """Return the requests of other hosts at an endpoint, as far as known."""
+    counts = [
+        count
+        for count, said_at in state.peer_loads.values()
+        if now - said_at < PEER_LOAD_VALID_S
+    ]
+    if counts:
+        return float(sum(counts))
     if state.reported_load is None:
         return 0.0
-    # The report fades: an old one says little, and every host would go on
-    # avoiding an endpoint that nobody uses and that so never reports again.
+    # The endpoint's own report fades: an old one says little, and every host
+    # would go on avoiding an endpoint that so never reports again.
     fresh = max(0.0, 1.0 - (now - state.reported_at) / _REPORT_FADE_S)
     return max(0, state.reported_load - state.in_flight) * fresh
 
@@ -93,7 +109,7 @@
     return xxhash.xxh3_64_intdigest(f"{affinity}/{name}".encode())
 
 
-def choose_endpoint(candidates, affinity, rng):
+def choose_endpoint(candidates, affinity, rng, extra=0):
     """Choose the endpoint for a request.
 
     The first choice is the endpoint whose cache likely holds the prompt's
@@ -109,13 +125,15 @@
         Digest of the prompt's beginning, or an empty text.
     rng : random.Random
         Source of the random choices.
+    extra : int
+        Requests that an endpoint may hold beyond its capacity.
 
     Returns
     -------
     Endpoint or None
         None if none is usable and has room.
     """
-    usable = [c for c in candidates if c.usable and c.has_room]
+    usable = [c for c in candidates if c.usable and c.has_room_beyond(extra)]
     if not usable:
         return None
     if affinity:
--- a/src/cactusmill/internal/wire/ttypes.py
+++ b/src/cactusmill/internal/wire/ttypes.py
@@ -1680,6 +1680,169 @@
         return not (self == other)
 
 
+class EndpointLoad(object):
+    """
+    Attributes:
+     - key
+     - in_flight
+
+    """
+
+    __slots__ = (
+        'key',
+        'in_flight',
+    )
+
+
+    def __init__(self, key=None, in_flight=None,):
+        self.key = key
+        self.in_flight = in_flight
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.key = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.in_flight = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointLoad')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.I32, 1)
+            oprot.writeI32(self.key)
+            oprot.writeFieldEnd()
+        if self.in_flight is not None:
+            oprot.writeFieldBegin('in_flight', TType.I32, 2)
+            oprot.writeI32(self.in_flight)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.in_flight is None:
+            raise TProtocolException(message='Required field in_flight is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class LoadReport(object):
+    """
+    Attributes:
+     - loads
+
+    """
+
+    __slots__ = (
+        'loads',
+    )
+
+
+    def __init__(self, loads=None,):
+        self.loads = loads
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.loads = []
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = EndpointLoad()
+                        _elem47.read(iprot)
+                        self.loads.append(_elem47)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LoadReport')
+        if self.loads is not None:
+            oprot.writeFieldBegin('loads', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.loads))
+            for iter48 in self.loads:
+                iter48.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.loads is None:
+            raise TProtocolException(message='Required field loads is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Suspect(object):
     """
     Attributes:
@@ -1781,6 +1944,7 @@
      - loan_ask
      - loan_grant
      - suspect
+     - load_report
 
     """
 
@@ -1799,10 +1963,11 @@
         'loan_ask',
         'loan_grant',
         'suspect',
+        'load_report',
     )
 
 
-    def __init__(self, hello=None, proof=None, heartbeat=None, heartbeat_ack=None, changes_pull=None, changes_reply=None, forward=None, answer_head=None, answer_data=None, answer_end=None, cancel=None, loan_ask=None, loan_grant=None, suspect=None,):
+    def __init__(self, hello=None, proof=None, heartbeat=None, heartbeat_ack=None, changes_pull=None, changes_reply=None, forward=None, answer_head=None, answer_data=None, answer_end=None, cancel=None, loan_ask=None, loan_grant=None, suspect=None, load_report=None,):
         self.hello = hello
         self.proof = proof
         self.heartbeat = heartbeat
@@ -1817,6 +1982,7 @@
         self.loan_ask = loan_ask
         self.loan_grant = loan_grant
         self.suspect = suspect
+        self.load_report = load_report
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1911,6 +2077,12 @@
                     self.suspect.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.STRUCT:
+                    self.load_report = LoadReport()
+                    self.load_report.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1977,6 +2149,10 @@
             oprot.writeFieldBegin('suspect', TType.STRUCT, 14)
             self.suspect.write(oprot)
             oprot.writeFieldEnd()
+        if self.load_report is not None:
+            oprot.writeFieldBegin('load_report', TType.STRUCT, 15)
+            self.load_report.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2116,6 +2292,17 @@
     (3, TType.I64, 'tokens', None, None, ),  # 3
     (4, TType.I64, 'valid_ms', None, None, ),  # 4
 )
+all_structs.append(EndpointLoad)
+EndpointLoad.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'key', None, None, ),  # 1
+    (2, TType.I32, 'in_flight', None, None, ),  # 2
+)
+all_structs.append(LoadReport)
+LoadReport.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 1
+)
 all_structs.append(Suspect)
 Suspect.thrift_spec = (
     None,  # 0
@@ -2139,6 +2326,7 @@
     (12, TType.STRUCT, 'loan_ask', [LoanAsk, None], None, ),  # 12
     (13, TType.STRUCT, 'loan_grant', [LoanGrant, None], None, ),  # 13
     (14, TType.STRUCT, 'suspect', [Suspect, None], None, ),  # 14
+    (15, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 15
 )
 fix_spec(all_structs)
 del all_structs
