Reach the owner of an identifier wherever it is; fit heartbeats to a budget

Cause: a host links to all hosts of its zone and two of each other zone. An identifier bound to any other host was answered 'unknown' although its owner lived.

Ruled out: links to all hosts (399 of them); asking a linked host of the owner's zone to pass it on, a second hop.

Change: a link to the owner is opened when needed and closed after a minute without use. Heartbeats out of the zone share 600 B/s; a link with an open call is never slowed. A version heard of is pulled after 0.2 s, from one peer, unless the platform brought it. A fault of the program fails a world history.

--- a/src/cactusmill/internal/host.py
+++ b/src/cactusmill/internal/host.py
@@ -43,6 +43,10 @@
 
 PEERS_PER_OTHER_ZONE = 2
 PULL_TIMEOUT_S = 2.0
+PULL_DELAY_S = 0.2
+REACH_TIMEOUT_S = 1.0
+REACH_POLL_S = 0.01
+UNUSED_LINK_S = 60.0
 FIRST_CONTACT_S = 1.5
 LOAD_REPORT_S = 0.1
 LOAD_BUDGET_BYTES_PER_S = 1000.0
@@ -55,22 +59,6 @@
 _BOOKS = ("records", "hosts")
 
 
-@attrs.define(eq=False)
-class News:
-    """Wakes everyone who waits for something to tell the peers."""
-
-    _event: trio.Event = attrs.field(factory=trio.Event)
-
-    async def wait(self):
-        """Wait for the next announcement."""
-        await self._event.wait()
-
-    def announce(self):
-        """Wake all who wait now."""
-        self._event.set()
-        self._event = trio.Event()
-
-
 @attrs.define(eq=False)
 class HostProcess:
     """One incarnation of a host.
@@ -85,6 +73,8 @@
         Source of random choices.
     now, wall_time : callable
         Monotonic and wall-clock time, in seconds.
+    faults : int
+        Connections that ended by a fault of this program.
     incarnation : str
         Random name of this process; a restarted one has another.
     """
@@ -98,7 +88,6 @@
     book: RecordBook = attrs.field(factory=RecordBook)
     roster: RecordBook = attrs.field(factory=RecordBook)
     peers: dict = attrs.field(factory=dict)
-    news: News = attrs.field(factory=News)
     key_uses: KeyUses = attrs.field(factory=KeyUses)
     suspects: Suspects = attrs.field(factory=Suspects)
     retries: RetryBudgets = attrs.field(factory=RetryBudgets)
@@ -107,6 +96,7 @@
     burn: BurnLog = attrs.field(factory=BurnLog)
     ready: trio.Event = attrs.field(factory=trio.Event)
     leaving: bool = False
+    faults: int = 0
     caller_connections: int = 0
     running_once: int = 0
     nursery: trio.Nursery | None = None
@@ -201,6 +191,29 @@
         is_lost = peer is not None and not peer.is_reachable and peer.was_reached
         return host.live and not is_lost and not (peer and peer.leaving)
 
+    def announce(self):
+        """Tell all peers now what heartbeats tell at intervals."""
+        for peer in self.peers.values():
+            peer.nudge()
+
+    async def reach(self, name):
+        """Return the peer of a name with an open link, or None.
+
+        A link to a host that is not among the usual peers is opened for the
+        purpose, and closed when it has not been used for some time.
+        """
+        peer = self.peers.get(name)
+        if peer is None:
+            listed = self.roster.get("host", name)
+            if listed is None or name == self.cfg.host:
+                return None
+            peer = self._add_peer(listed)
+        peer.used_at = self.now()
+        with trio.move_on_after(REACH_TIMEOUT_S):
+            while not peer.is_reachable and not peer.was_reached:
+                await trio.sleep(REACH_POLL_S)
+        return peer if peer.is_reachable else None
+
     def cancel_forward(self, link, cancel):
         """Tell a peer, from no task in particular, to give up a request."""
 
@@ -253,7 +266,7 @@
         self.key_uses.stop_withdrawn(self.book)
         if name == "hosts":
             self._apply_roster()
-        self.news.announce()
+        self.announce()
 
     def _apply_roster(self):
         serving = {}
@@ -283,13 +296,19 @@
     def _reconcile_peers(self):
         wanted = {h.name: h for h in self._wanted_peers()}
         for name, peer in list(self.peers.items()):
-            if wanted.get(name) != peer.host:
+            is_used = peer.has_calls or self.now() < peer.used_at + UNUSED_LINK_S
+            is_listed = self.roster.get("host", name) == peer.host
+            if not is_listed or not (name in wanted or is_used):
                 peer.scope.cancel()
                 del self.peers[name]
         for name, host in wanted.items():
             if name not in self.peers:
-                self.peers[name] = Peer(host)
-                self.nursery.start_soon(keep_link, self, self.peers[name])
+                self._add_peer(host)
+
+    def _add_peer(self, host):
+        peer = self.peers[host.name] = Peer(host)
+        self.nursery.start_soon(keep_link, self, peer)
+        return peer
 
     def _wanted_peers(self):
         """All hosts of the own zone, and a few of each other zone.
@@ -311,24 +330,29 @@
         return xxhash.xxh3_64_intdigest(f"{self.cfg.host}/{host.name}".encode())
 
     def pull_from(self, peer, name):
-        """Fetch what a peer has and this host lacks, unless one is at it."""
-        if (peer.host.name, name) in self._pulling:
-            return
-        self._pulling.add((peer.host.name, name))
-        self.nursery.start_soon(self._pull, peer, name)
+        """Fetch what a peer has and this host lacks, unless that is under way."""
+        if name not in self._pulling:
+            self._pulling.add(name)
+            self.nursery.start_soon(self._pull, peer, name)
 
     async def _pull(self, peer, name):
+        book = self.book_named(name)
         try:
+            if self.ready.is_set():
+                # The platform's own answer is most likely on its way.
+                await trio.sleep(PULL_DELAY_S)
+            if book.version >= peer.version_of(name):
+                return
             with trio.move_on_after(PULL_TIMEOUT_S):
                 async with peer.call() as (number, link, answers):
-                    since = self.book_named(name).version
-                    await link.send(changes_pull=ChangesPull(number, name, since))
+                    pull = ChangesPull(number, name, book.version)
+                    await link.send(changes_pull=pull)
                     reply = (await next_answer(answers)).changes_reply
                     self.apply(name, parse_update(reply.update))
         except (LinkClosedError, PlatformError):
             pass
         finally:
-            self._pulling.discard((peer.host.name, name))
+            self._pulling.discard(name)
 
     # The life of the process.
 
@@ -357,6 +381,7 @@
                 await handler(self, stream)
             except Exception:
                 # One connection's fault must not end the others.
+                self.faults += 1
                 logging.exception("fault on a connection to %s", address)
                 await trio.aclose_forcefully(stream)
 
@@ -435,11 +460,12 @@
                 next_expiry = self.now() + EXPIRY_S
                 self.ledger.expire(self.now())
                 self._take_slot()
+                self._reconcile_peers()
 
     async def shut_down(self):
         """Leave the fleet without cutting off any request, then end."""
         self.leaving = True
-        self.news.announce()
+        self.announce()
         logging.info("leaving: host %s", self.cfg.host)
         await trio.sleep(self.cfg.drain_s)
         self._accepting.cancel()
--- a/src/cactusmill/internal/once.py
+++ b/src/cactusmill/internal/once.py
@@ -259,8 +259,8 @@
 
 async def _run_at_owner(host, job, sink):
     """Forward to the incarnation that the identifier names."""
-    peer = host.peers.get(job.identifier.host)
-    if peer is None or not peer.is_reachable:
+    peer = await host.reach(job.identifier.host)
+    if peer is None:
         return Failure(_owner_lost(host, job, "cannot be reached"))
     if peer.incarnation != job.identifier.incarnation:
         return Failure(_owner_lost(host, job, "was replaced"))
--- a/src/cactusmill/internal/operators.py
+++ b/src/cactusmill/internal/operators.py
@@ -90,6 +90,7 @@
         "hosts_version": host.roster.version,
         "records_rejected": len(host.book.faults()) + len(host.roster.faults()),
         "peers_reachable": sum(p.is_reachable for p in host.peers.values()),
+        "faults": host.faults,
         "caller_connections": host.caller_connections,
         "ledger_entries": len(host.ledger),
         "ledger_held_bytes": host.ledger.held_bytes,
--- a/src/cactusmill/internal/peers.py
+++ b/src/cactusmill/internal/peers.py
@@ -18,6 +18,9 @@
 
 CALL_BUFFER_FRAMES = 1024
 LOAD_REFRESH_S = 1.0
+# A heartbeat and its acknowledgement, without what they name in bad times.
+HEARTBEAT_EXCHANGE_BYTES = 2 * 24
+HEARTBEAT_BUDGET_BYTES_PER_S = 600.0
 _DIAL_TIMEOUT_S = 1.0
 _REDIAL_S = 0.3
 
@@ -38,6 +41,10 @@
         True once it said that it is leaving.
     records_version, hosts_version : int
         Newest versions that it said to have.
+    nudged_at : float
+        When a heartbeat was last asked for before its time, in seconds.
+    used_at : float
+        When the host was last looked up for a request, in seconds.
     waits : dict of str to float
         Wait that a request for a service would have in its zone, in seconds,
         where it is not 0.
@@ -51,6 +58,9 @@
     hosts_version: int = 0
     waits: dict = attrs.field(factory=dict)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    nudged_at: float = 0.0
+    used_at: float = 0.0
+    _nudged: trio.Event = attrs.field(factory=trio.Event)
     _calls: dict = attrs.field(factory=dict)
     _numbers: itertools.count = attrs.field(factory=lambda: itertools.count(1))
 
@@ -64,6 +74,25 @@
         """Incarnation at the far side of the open link, or an empty text."""
         return self.link.peer.incarnation if self.link else ""
 
+    def version_of(self, book_name):
+        """Return the newest version of a book that it said to have."""
+        return self.hosts_version if book_name == "hosts" else self.records_version
+
+    def nudge(self):
+        """Have a heartbeat sent now."""
+        self.nudged_at = trio.current_time()
+        self._nudged.set()
+        self._nudged = trio.Event()
+
+    async def wait_for_nudge(self):
+        """Wait until a heartbeat is to be sent before its time."""
+        await self._nudged.wait()
+
+    @property
+    def has_calls(self):
+        """Whether calls wait for answers on the link."""
+        return bool(self._calls)
+
     @contextlib.asynccontextmanager
     async def call(self):
         """Open a call on the present link.
@@ -87,6 +116,9 @@
         number = next(self._numbers)
         send, receive = trio.open_memory_channel(CALL_BUFFER_FRAMES)
         self._calls[number] = send
+        if len(self._calls) == 1:
+            # The link may have been quiet; from now on its loss must show soon.
+            self.nudge()
         try:
             yield number, self.link, receive
         finally:
@@ -159,12 +191,30 @@
         for sequence in itertools.count(1):
             await link.send(heartbeat=heartbeat(host, sequence))
             # A risen version is told at once, the rest at intervals.
-            with trio.move_on_after(host.cfg.heartbeat_s):
-                await host.news.wait()
+            with trio.move_on_after(heartbeat_interval_s(host, peer)):
+                await peer.wait_for_nudge()
     except LinkClosedError:
         scope.cancel()
 
 
+def heartbeat_interval_s(host, peer):
+    """Return the time between two heartbeats to a peer, in seconds.
+
+    Links out of the zone share a traffic budget, so that a host with many of
+    them sends on each less often; a link with an open call is never slowed.
+    """
+    if peer.has_calls or peer.host.zone == host.cfg.zone:
+        return host.cfg.heartbeat_s
+    links = sum(p.host.zone != host.cfg.zone for p in host.peers.values())
+    budgeted = links * HEARTBEAT_EXCHANGE_BYTES / HEARTBEAT_BUDGET_BYTES_PER_S
+    return max(host.cfg.heartbeat_s, budgeted)
+
+
+def _silence_limit_s(host, peer):
+    beats = host.cfg.peer_timeout_s / host.cfg.heartbeat_s
+    return beats * heartbeat_interval_s(host, peer)
+
+
 async def _send_loads(host, link, scope):
     """Tell a host of the zone what this one has in flight, where it changed."""
     told, told_at = {}, host.now()
@@ -201,14 +251,21 @@
 
 
 async def _read_answers(host, peer, link, scope):
+    heard_at = host.now()
     try:
         while True:
-            with trio.move_on_after(host.cfg.peer_timeout_s) as silence:
+            frame = None
+            with trio.move_on_after(host.cfg.peer_timeout_s):
                 frame = await link.receive()
-            if silence.cancelled_caught:
-                # Heartbeats are acknowledged, so silence means that the link
-                # or the peer is lost, even if the connection looks open.
-                break
+            if frame is None:
+                quiet_since = max(heard_at, peer.nudged_at)
+                if host.now() - quiet_since >= _silence_limit_s(host, peer):
+                    # Heartbeats are acknowledged, so silence means that the
+                    # link or the peer is lost, even if the connection looks
+                    # open.
+                    break
+                continue
+            heard_at = host.now()
             _take_frame(host, peer, frame)
     except LinkClosedError:
         pass
--- a/src/cactusmill/internal/repeatable.py
+++ b/src/cactusmill/internal/repeatable.py
@@ -394,7 +394,7 @@
         state.reported_load, state.reported_at = int(load), host.now()
     if exchange.status == 503 and header(exchange.headers, LEAVING_HEADER):
         state.leaving = True
-        host.news.announce()
+        host.announce()
         run.tried.add(endpoint.name)
         await exchange.conn.close()
         return NoEndpoint(detail="the endpoint is leaving")
--- a/standins/world.py
+++ b/standins/world.py
@@ -81,6 +81,7 @@
     on_host_start: list = attrs.field(factory=list)
     _scopes: dict = attrs.field(factory=dict)
     _parsed: dict = attrs.field(factory=dict)
+    _started: list = attrs.field(factory=list)
 
     # Starting and ending machines.
 
@@ -136,6 +137,7 @@
             wall_time=trio.current_time,
         )
         self.hosts[name] = host
+        self._started.append(host)
         for watch in self.on_host_start:
             watch(host)
         scope = self._scopes[name] = trio.CancelScope()
@@ -170,6 +172,10 @@
         for host in list(self.hosts.values()):
             await host.ready.wait()
 
+    def faults(self):
+        """Return how many connections ended by a fault of the hosts' program."""
+        return sum(host.faults for host in self._started)
+
     # Calling.
 
     async def call(
@@ -271,6 +277,7 @@
             simulated = SimulatedNetwork(nursery, **network)
             world = World(nursery, simulated, random.Random(seed))
             result = await scenario(world)
+            assert world.faults() == 0, "a host logged a fault of its program"
             nursery.cancel_scope.cancel()
         return result
 
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -10,7 +10,7 @@
 from cactusmill.internal.identifiers import Minter
 from cactusmill.internal.ledger import Ledger
 from standins.orders import commit_orders
-from standins.world import run_world
+from standins.world import EXAMPLE, run_world
 
 pytestmark = pytest.mark.histories
 
@@ -123,3 +123,22 @@
     real = once._owner_lost
     monkeypatch.setattr(once, "_owner_lost", say_not_run)
     assert any_violation()
+
+
+def test_owner_is_reached_from_hosts_that_are_not_its_usual_peers():
+    async def scenario(world):
+        await world.start(EXAMPLE.parent / "west-bengal")
+        await trio.sleep(5)
+        statuses, runs = set(), set()
+        for owner in world.settings:
+            for other in world.settings:
+                identifier = (await world.mint(owner, "wards"))[0]
+                headers = [(b"idempotency-key", identifier.encode())]
+                reply = await world.call(
+                    other, "POST", "/orders", team="wards", headers=headers
+                )
+                statuses.add(reply.status)
+                runs.add(world.runs(identifier))
+        return statuses, runs
+
+    assert run_world(scenario, 1) == ({200}, {1})
