Wait for the own link to an owner, not for word from it

A heartbeat over the owner's own link to this host marked the owner as reached, so the wait for the dialled link ended before it was open.

Change: whether a link was open and whether the peer was heard are two fields.

--- a/src/cactusmill/internal/host.py
+++ b/src/cactusmill/internal/host.py
@@ -188,7 +188,7 @@
         if host.name == self.cfg.host:
             return not self.leaving
         peer = self.peers.get(host.name)
-        is_lost = peer is not None and not peer.is_reachable and peer.was_reached
+        is_lost = peer is not None and not peer.is_reachable and peer.was_linked
         return host.live and not is_lost and not (peer and peer.leaving)
 
     def announce(self):
@@ -210,7 +210,7 @@
             peer = self._add_peer(listed)
         peer.used_at = self.now()
         with trio.move_on_after(REACH_TIMEOUT_S):
-            while not peer.is_reachable and not peer.was_reached:
+            while not peer.was_linked:
                 await trio.sleep(REACH_POLL_S)
         return peer if peer.is_reachable else None
 
@@ -400,7 +400,7 @@
         # The platform's answer may be old. Whatever a reachable peer has
         # beyond it is pulled before the first caller is served.
         with trio.move_on_after(FIRST_CONTACT_S):
-            while not all(p.was_reached for p in self.peers.values()):
+            while not all(p.was_heard for p in self.peers.values()):
                 await trio.sleep(0.05)
         with trio.move_on_after(PULL_TIMEOUT_S):
             while self._is_behind():
--- a/src/cactusmill/internal/peers.py
+++ b/src/cactusmill/internal/peers.py
@@ -35,8 +35,10 @@
         As listed.
     link : Link or None
         The open link, if any.
-    was_reached : bool
-        True once a link was open.
+    was_linked : bool
+        True once a link to it was open.
+    was_heard : bool
+        True once it said what versions it has, on either side's link.
     leaving : bool
         True once it said that it is leaving.
     records_version, hosts_version : int
@@ -52,7 +54,8 @@
 
     host: object
     link: object = None
-    was_reached: bool = False
+    was_linked: bool = False
+    was_heard: bool = False
     leaving: bool = False
     records_version: int = 0
     hosts_version: int = 0
@@ -175,7 +178,7 @@
         link = await open_link(stream, host.hello, host.cfg.link_secret, dialled=True)
         if link.peer.host != peer.host.name:
             raise LinkClosedError(f"{peer.host.peers} is {link.peer.host}")
-        peer.link = link
+        peer.link, peer.was_linked = link, True
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_send_heartbeats, host, peer, link, nursery.cancel_scope)
             if peer.host.zone == host.cfg.zone:
@@ -287,7 +290,7 @@
 
 def note_versions(host, peer, beat):
     """Take note of what a peer's heartbeat or acknowledgement says."""
-    peer.was_reached = True
+    peer.was_heard = True
     peer.leaving = beat.leaving
     peer.records_version = beat.records_version
     peer.hosts_version = beat.hosts_version
