Measure control at up to 400 hosts; keep it from growing with teams

Cause: at 3,200 teams a host used a whole core for nothing: once a second it walked every record for every team. Links that other hosts dial were closed after 4 s, less than the 5 s between heartbeats of a large fleet. Lost peers were dialled three times a second for ever.

Ruled out: checking fewer teams a second; nothing changes but by a change of records or of the slot, and both are known.

Change: records are kept by kind; shares are shaped when records or the slot change; the accepting side waits 60 s; redials back off to 2 s; the number of zone peers stretches load reports.

--- a/src/cactusmill/internal/answering.py
+++ b/src/cactusmill/internal/answering.py
@@ -34,16 +34,22 @@
     LoanGrant,
 )
 
+# The dialling side sets the pace of heartbeats and gives a silent link up; this
+# only frees what a vanished host has left.
+INBOUND_SILENCE_S = 60.0
+
 
 async def serve_link(host, stream):
     """Serve one link that a peer dialled, until it ends."""
     with contextlib.suppress(LinkClosedError):
-        link = await open_link(stream, host.hello, host.cfg.link_secret, dialled=False)
+        link = await open_link(
+            stream, host.hello, host.cfg.link_secret, False, host.traffic
+        )
         scopes = {}
         async with trio.open_nursery() as nursery:
             try:
                 while True:
-                    with trio.fail_after(2 * host.cfg.peer_timeout_s):
+                    with trio.fail_after(INBOUND_SILENCE_S):
                         frame = await link.receive()
                     await _take_frame(host, link, frame, nursery, scopes)
             except (LinkClosedError, trio.TooSlowError):
--- a/src/cactusmill/internal/configuration.py
+++ b/src/cactusmill/internal/configuration.py
@@ -152,9 +152,10 @@
     def _select(self, kind, name):
         for schema in known_schemas(kind):
             if (kind, name, schema) in self._accepted:
-                self._in_force[kind, name] = self._accepted[kind, name, schema]
+                accepted = self._accepted[kind, name, schema]
+                self._in_force.setdefault(kind, {})[name] = accepted
                 return
-        self._in_force.pop((kind, name), None)
+        self._in_force.get(kind, {}).pop(name, None)
 
     def _index(self):
         self._keys_by_digest = {k.digest: k for k in self.all("key")}
@@ -184,11 +185,11 @@
 
     def get(self, kind, name):
         """Return the record in force, or None."""
-        return self._in_force.get((kind, name))
+        return self._in_force.get(kind, {}).get(name)
 
     def all(self, kind):
         """Return all records of a kind that are in force."""
-        return [r for (k, _), r in self._in_force.items() if k == kind]
+        return list(self._in_force.get(kind, {}).values())
 
     def policy(self):
         """Return the policy in force."""
--- a/src/cactusmill/internal/host.py
+++ b/src/cactusmill/internal/host.py
@@ -28,7 +28,7 @@
 from .key_uses import KeyUses
 from .ledger import Ledger
 from .limits import Limiter
-from .link import open_link
+from .link import Traffic, open_link
 from .metrics import Metrics
 from .net import TCP, Network
 from .operators import serve_operator
@@ -92,6 +92,7 @@
     suspects: Suspects = attrs.field(factory=Suspects)
     retries: RetryBudgets = attrs.field(factory=RetryBudgets)
     metrics: Metrics = attrs.field(factory=Metrics)
+    traffic: Traffic = attrs.field(factory=Traffic)
     relay_hub: RelayHub = attrs.field(factory=RelayHub)
     burn: BurnLog = attrs.field(factory=BurnLog)
     ready: trio.Event = attrs.field(factory=trio.Event)
@@ -174,7 +175,8 @@
         """
         size = LOAD_REPORT_BYTES + endpoints * ENDPOINT_LOAD_BYTES
         peers = self.count_zone_hosts() - 1
-        return max(LOAD_REPORT_S, peers * size / LOAD_BUDGET_BYTES_PER_S)
+        by_time = LOAD_REPORT_S * max(1.0, peers / 2)
+        return max(by_time, peers * size / LOAD_BUDGET_BYTES_PER_S)
 
     def count_zone_hosts(self):
         """Return how many hosts of the own zone serve callers, this one too."""
@@ -266,6 +268,8 @@
         self.key_uses.stop_withdrawn(self.book)
         if name == "hosts":
             self._apply_roster()
+        else:
+            self._shape_accounts()
         self.announce()
 
     def _apply_roster(self):
@@ -286,7 +290,13 @@
         # replaces the other. Only the process that holds the listed address
         # may use the slot: it could bind it, so the earlier one has ended.
         is_me = listed is not None and listed.peers == str(self.cfg.peers)
-        self.limiter.slot = listed.slot if is_me and self._may_hold_slot() else None
+        slot = listed.slot if is_me and self._may_hold_slot() else None
+        if slot != self.limiter.slot:
+            self.limiter.slot = slot
+            self._shape_accounts()
+
+    def _shape_accounts(self):
+        """Let every team's share fill up from now on, not from its first use."""
         for team in self.book.all("team"):
             self.limiter.account(self.book, team, self.now())
 
@@ -423,7 +433,7 @@
         stream = await self.net.connect(address, PULL_TIMEOUT_S)
         try:
             link = await open_link(
-                stream, self.hello, self.cfg.link_secret, dialled=True
+                stream, self.hello, self.cfg.link_secret, True, self.traffic
             )
             for number, name in enumerate(_BOOKS):
                 await link.send(changes_pull=ChangesPull(number, name, 0))
--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -49,6 +49,19 @@
     return frame
 
 
+@attrs.define
+class Traffic:
+    """Bytes of frames that a host has sent.
+
+    Attributes
+    ----------
+    bytes_sent : int
+        Lengths of the frames included, without the transport's headers.
+    """
+
+    bytes_sent: int = 0
+
+
 @attrs.define(eq=False)
 class Link:
     """One connection to another host.
@@ -59,14 +72,13 @@
         The transport.
     peer : Hello or None
         Who is at the far side, once proved.
-    bytes_sent, frames_sent : int
-        What went out, to account for control traffic.
+    traffic : Traffic
+        What went out, added up over all links of a host.
     """
 
     stream: trio.abc.Stream
     peer: Hello | None = None
-    bytes_sent: int = 0
-    frames_sent: int = 0
+    traffic: object = attrs.field(factory=Traffic)
     _received: bytearray = attrs.field(factory=bytearray)
     _send_lock: trio.Lock = attrs.field(factory=trio.Lock)
 
@@ -89,8 +101,7 @@
                 with trio.CancelScope(shield=True):
                     await self.close()
                 raise
-        self.bytes_sent += len(data)
-        self.frames_sent += 1
+        self.traffic.bytes_sent += len(data)
 
     async def receive(self):
         """Return the next frame.
@@ -123,7 +134,7 @@
         await trio.aclose_forcefully(self.stream)
 
 
-async def open_link(stream, me, secret, dialled):
+async def open_link(stream, me, secret, dialled, traffic=None):
     """Prove both sides of a new connection.
 
     Parameters
@@ -136,6 +147,8 @@
         The fleet's link secret.
     dialled : bool
         True on the side that opened the connection.
+    traffic : Traffic or None
+        What to add sent bytes to.
 
     Returns
     -------
@@ -146,7 +159,7 @@
     LinkClosedError
         If the far side does not prove itself in time.
     """
-    link = Link(stream)
+    link = Link(stream, traffic=traffic or Traffic())
     nonce = secrets.token_bytes(_NONCE_BYTES)
     mine = Hello(me.host, me.zone, me.incarnation, nonce)
     try:
--- a/src/cactusmill/internal/operators.py
+++ b/src/cactusmill/internal/operators.py
@@ -95,9 +95,7 @@
         "ledger_entries": len(host.ledger),
         "ledger_held_bytes": host.ledger.held_bytes,
         "platform_calls": sum(s.calls for s in host.services.values()),
-        "link_bytes_sent": sum(
-            p.link.bytes_sent for p in host.peers.values() if p.link
-        ),
+        "frame_bytes_sent": host.traffic.bytes_sent,
     }
 
 
--- a/src/cactusmill/internal/peers.py
+++ b/src/cactusmill/internal/peers.py
@@ -22,7 +22,8 @@
 HEARTBEAT_EXCHANGE_BYTES = 2 * 24
 HEARTBEAT_BUDGET_BYTES_PER_S = 600.0
 _DIAL_TIMEOUT_S = 1.0
-_REDIAL_S = 0.3
+_FIRST_REDIAL_S = 0.2
+_LAST_REDIAL_S = 2.0
 
 
 @attrs.define(eq=False)
@@ -166,16 +167,23 @@
 async def keep_link(host, peer):
     """Keep a link to a peer open for as long as the peer is listed."""
     with peer.scope:
+        wait_s = _FIRST_REDIAL_S
         while True:
+            opened_at = host.now()
             with contextlib.suppress(ConnectError, LinkClosedError):
                 await _run_link(host, peer)
-            await trio.sleep(_REDIAL_S * (0.5 + host.rng.random()))
+            if host.now() - opened_at > _LAST_REDIAL_S:
+                wait_s = _FIRST_REDIAL_S
+            await trio.sleep(wait_s * (0.5 + host.rng.random()))
+            wait_s = min(_LAST_REDIAL_S, 2 * wait_s)
 
 
 async def _run_link(host, peer):
     stream = await host.net.connect(peer.host.peers, _DIAL_TIMEOUT_S)
     try:
-        link = await open_link(stream, host.hello, host.cfg.link_secret, dialled=True)
+        link = await open_link(
+            stream, host.hello, host.cfg.link_secret, True, host.traffic
+        )
         if link.peer.host != peer.host.name:
             raise LinkClosedError(f"{peer.host.peers} is {link.peer.host}")
         peer.link, peer.was_linked = link, True
