Let running requests outlive the end of accepting callers

Cause: a leaving host cancelled its accept loop after drain_s, and with it every request still running on a connection of that loop. Found by a test with idle connections that heed the announced time, then by real processes with answers longer than drain_s: 2 connection errors of 3 callers.

Ruled out: a longer drain; any answer can be longer.

Change: connections run in the host's own nursery, apart from accepting.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -111,7 +111,7 @@
         except LinkClosedError:
             pass
 
-    await TCP.serve(address, handle, task_status)
+    await TCP.serve(address, handle, task_status=task_status)
 
 
 async def _dial_host(me, gap_s):
--- a/src/cactusmill/internal/host.py
+++ b/src/cactusmill/internal/host.py
@@ -397,7 +397,7 @@
 
         async def accept(task_status):
             with scope or trio.CancelScope():
-                await self.net.serve(str(address), handle, task_status=task_status)
+                await self.net.serve(str(address), handle, self.nursery, task_status)
 
         await self.nursery.start(accept)
 
--- a/src/cactusmill/internal/net.py
+++ b/src/cactusmill/internal/net.py
@@ -23,8 +23,9 @@
         ``"IP:PORT"`` or raises :class:`ConnectError`; the far side has
         received nothing then.
     serve : callable
-        ``await serve(address, handler, task_status)`` accepts connections for
-        ever and runs ``handler(stream)`` in a task for each.
+        ``await serve(address, handler, handler_nursery, task_status)`` accepts
+        connections for ever and runs ``handler(stream)`` in a task of the
+        nursery for each, so that the end of accepting does not end them.
     """
 
     connect: object
@@ -46,10 +47,17 @@
         raise ConnectError(f"no connection to {address}: {exc}") from exc
 
 
-async def _serve_tcp(address, handler, task_status=trio.TASK_STATUS_IGNORED):
+async def _serve_tcp(
+    address, handler, handler_nursery=None, task_status=trio.TASK_STATUS_IGNORED
+):
     ip, port = split_address(address)
     await trio.serve_tcp(
-        handler, port, host=ip, backlog=_BACKLOG, task_status=task_status
+        handler,
+        port,
+        host=ip,
+        backlog=_BACKLOG,
+        handler_nursery=handler_nursery,
+        task_status=task_status,
     )
 
 
--- a/standins/network.py
+++ b/standins/network.py
@@ -238,8 +238,11 @@
         async def connect(address, timeout_s):
             return await self._connect(machine, address, timeout_s)
 
-        async def serve(address, handler, task_status=trio.TASK_STATUS_IGNORED):
-            await self._serve(machine, address, handler, task_status)
+        async def serve(
+            address, handler, handler_nursery=None, task_status=trio.TASK_STATUS_IGNORED
+        ):
+            entry = (handler_nursery or self.nursery, handler)
+            await self._serve(machine, address, entry, task_status)
 
         return Network(connect, serve)
 
@@ -263,17 +266,17 @@
         server[1](far)
         return near
 
-    async def _serve(self, machine, address, handler, task_status):
-        async with trio.open_nursery() as nursery:
+    async def _serve(self, machine, address, entry, task_status):
+        handler_nursery, handler = entry
 
-            def accept(stream):
-                nursery.start_soon(handler, stream)
+        def accept(stream):
+            handler_nursery.start_soon(handler, stream)
 
-            entry = (machine, accept)
-            self._servers[address] = entry
-            task_status.started()
-            try:
-                await trio.sleep_forever()
-            finally:
-                if self._servers.get(address) is entry:
-                    del self._servers[address]
+        server = (machine, accept)
+        self._servers[address] = server
+        task_status.started()
+        try:
+            await trio.sleep_forever()
+        finally:
+            if self._servers.get(address) is server:
+                del self._servers[address]
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,9 +3,10 @@
 import pytest
 import trio
 
+from cactusmill.internal.http import client_connection, exchange
 from cactusmill.internal.suspects import Suspects
 from standins.engine import CRASH_MARK
-from standins.world import CallFailedError, run_world
+from standins.world import CallFailedError, key_of, run_world
 
 pytestmark = pytest.mark.histories
 TEAM = "ljubljana"
@@ -139,3 +140,46 @@
     monkeypatch.setattr(Suspects, "is_condemned", lambda self, digest, now: False)
     kills, _, _ = crash_storm(1, ALL_HOSTS)
     assert len(kills) > 2
+
+
+def test_shutdown_serves_what_arrives_on_idle_connections():
+    """A caller that heeds the announced idle time is never cut off."""
+
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(6)
+        host = world.hosts["osrednja-1"]
+        results = []
+        async with trio.open_nursery() as nursery:
+            for idle_s in (0.1, 0.9, 1.5, 2.5, 2.9):
+                nursery.start_soon(use_idle_connection, world, idle_s, results)
+            await trio.sleep(0.2)
+            nursery.start_soon(host.shut_down)
+        ended_at = trio.current_time()
+        with trio.fail_after(10):
+            while host.caller_connections:
+                await trio.sleep(0.1)
+        return results, ended_at < 30
+
+    results, has_ended = run_world(scenario, 1)
+    assert results == [(200, 200)] * 5
+    assert has_ended
+
+
+async def use_idle_connection(world, idle_s, results):
+    """Ask, stay idle for less than the announced time, and ask again."""
+    statuses = []
+    machine = world.machine("idle caller", "osrednja-a")
+    network = world.network.network_of(machine)
+    stream = await network.connect(world.settings["osrednja-1"]["callers"], 5.0)
+    conn = client_connection(stream)
+    headers = [(b"host", b"x"), (b"authorization", b"Bearer " + key_of(TEAM).encode())]
+    for wait_s in (0.0, idle_s):
+        await trio.sleep(wait_s)
+        status, got, _ = await exchange(conn, "GET", "/v1/hosts", headers)
+        statuses.append(status)
+        if dict(got).get(b"connection") != b"close":
+            assert idle_s < float(dict(got)[b"keep-alive"].partition(b"=")[2])
+            conn.h11.start_next_cycle()
+    results.append(tuple(statuses))
+    await trio.aclose_forcefully(stream)
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -16,6 +16,8 @@
 
 EXAMPLE = pathlib.Path(__file__).parent.parent / "examples" / "slovenia"
 MODEL = "povzetek-7b"
+# Such an answer takes longer than a leaving host goes on accepting callers.
+LONG_ANSWER = 260
 pytestmark = pytest.mark.processes
 
 
@@ -135,9 +137,10 @@
             names = [h["name"] for h in json.loads(body)["hosts"]]
             target = host if host in names else "stajerska-1"
             answer = client(fleet, target).chat.completions.create(
-                model=MODEL, max_tokens=20, messages=messages(text)
+                model=MODEL, max_tokens=LONG_ANSWER, messages=messages(text)
             )
-            results.append(answer.choices[0].message.content == expected(text, 20))
+            content = answer.choices[0].message.content
+            results.append(content == expected(text, LONG_ANSWER))
 
     failures = []
 
@@ -147,14 +150,14 @@
         except Exception as exc:
             failures.append(exc)
 
-    workers = [threading.Thread(target=guarded, args=(n,)) for n in range(4)]
+    workers = [threading.Thread(target=guarded, args=(n,)) for n in range(3)]
     for worker in workers:
         worker.start()
-    time.sleep(1)
+    time.sleep(2)
     fleet.signal(host, signal.SIGTERM)
     code = fleet.processes.pop(host).wait(30)
     stop.set()
     for worker in workers:
         worker.join()
     assert (code, failures) == (0, [])
-    assert all(results) and len(results) > 4
+    assert all(results) and len(results) >= 3
