Order engines from one host a zone, by numbers that need no counter

Cause: nothing ordered engines to load models or change role.

Ruled out: a counter or lock in the platform; it can only be read. A number from the clock; a paused process would come back with a higher one.

Change: placement records; the issuer for an endpoint is ranked from the host list of its zone; the fencing number is the list's version and, below it, the record's. Orders are given again until the reported state fits.

The weight store's rate is not budgeted yet. A zone whose list names one host only has nobody to deny it its right.

--- a/src/cactusmill/internal/configuration.py
+++ b/src/cactusmill/internal/configuration.py
@@ -177,6 +177,15 @@
         newer = [c for c in self._changes.values() if c.version > version]
         return sorted(newer, key=lambda c: c.version)
 
+    def version_of(self, kind, name):
+        """Return the platform's version of a record, or 0."""
+        versions = [
+            self._changes[kind, name, schema].version
+            for schema in known_schemas(kind)
+            if (kind, name, schema) in self._accepted
+        ]
+        return max(versions, default=0)
+
     def faults(self):
         """Return the rejected records' errors, each with its platform version."""
         return [
--- a/src/cactusmill/internal/host.py
+++ b/src/cactusmill/internal/host.py
@@ -32,6 +32,7 @@
 from .metrics import Metrics
 from .net import TCP, Network
 from .operators import serve_operator
+from .orders import keep_orders
 from .peers import Peer, keep_link, next_answer
 from .platform import PlatformService, parse_update
 from .queues import FairQueue
@@ -73,6 +74,8 @@
         Source of random choices.
     now, wall_time : callable
         Monotonic and wall-clock time, in seconds.
+    roster_since : float
+        When the host list's present version was learned, in seconds.
     faults : int
         Connections that ended by a fault of this program.
     incarnation : str
@@ -97,6 +100,7 @@
     burn: BurnLog = attrs.field(factory=BurnLog)
     ready: trio.Event = attrs.field(factory=trio.Event)
     leaving: bool = False
+    roster_since: float = 0.0
     faults: int = 0
     caller_connections: int = 0
     running_once: int = 0
@@ -261,8 +265,11 @@
         update : Update
             Changes with the version that they lead to.
         """
+        before = self.roster.version
         if not self.book_named(name).apply(update.changes, update.version):
             return
+        if self.roster.version != before:
+            self.roster_since = self.now()
         for version, fault in self.book_named(name).faults():
             logging.warning("record rejected at version %d: %s", version, fault)
         self.key_uses.stop_withdrawn(self.book)
@@ -377,6 +384,7 @@
                 nursery.start_soon(self._watch, name)
             nursery.start_soon(self._keep_house)
             nursery.start_soon(self.relay_hub.run)
+            nursery.start_soon(keep_orders, self)
             await self._learn_first()
             await self._listen(self.cfg.callers, serve_caller, self._accepting)
             self.ready.set()
--- a/src/cactusmill/internal/peers.py
+++ b/src/cactusmill/internal/peers.py
@@ -40,6 +40,8 @@
         True once a link to it was open.
     was_heard : bool
         True once it said what versions it has, on either side's link.
+    heard_at : float
+        When it last said so, in seconds.
     leaving : bool
         True once it said that it is leaving.
     records_version, hosts_version : int
@@ -57,6 +59,7 @@
     link: object = None
     was_linked: bool = False
     was_heard: bool = False
+    heard_at: float = 0.0
     leaving: bool = False
     records_version: int = 0
     hosts_version: int = 0
@@ -298,7 +301,7 @@
 
 def note_versions(host, peer, beat):
     """Take note of what a peer's heartbeat or acknowledgement says."""
-    peer.was_heard = True
+    peer.was_heard, peer.heard_at = True, host.now()
     peer.leaving = beat.leaving
     peer.records_version = beat.records_version
     peer.hosts_version = beat.hosts_version
--- a/src/cactusmill/records.py
+++ b/src/cactusmill/records.py
@@ -217,6 +217,25 @@
     checks_fencing: bool = False
 
 
+@attrs.frozen(kw_only=True)
+class Placement:
+    """What operators want an endpoint to hold.
+
+    Attributes
+    ----------
+    name : str
+        The endpoint.
+    models : tuple of str
+        Models, adapters and versions to load, by name.
+    role : str
+        Part of the work that it takes, such as ``"prefill"``.
+    """
+
+    name: str
+    models: tuple
+    role: str = "both"
+
+
 @attrs.define
 class _Fields:
     """Reads the body of one record field by field, so that no field is missed."""
@@ -395,7 +414,16 @@
     )
 
 
+def _placement_v1(name, fields):
+    return Placement(
+        name=name,
+        models=fields.names("models"),
+        role=fields.text("role", "both", one_of=("both", "prefill", "decode")),
+    )
+
+
 _PARSERS = {
+    ("placement", 1): _placement_v1,
     ("host", 1): _host_v1,
     ("endpoint", 1): _endpoint_v1,
     ("zone", 1): _zone_v1,
@@ -426,7 +454,7 @@
 
     Returns
     -------
-    Zone, Team, Key, Route, Policy, Host or Endpoint
+    Zone, Team, Key, Route, Policy, Placement, Host or Endpoint
 
     Raises
     ------
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -50,6 +50,10 @@
         Age of the load that it reports, in seconds.
     work_s : float
         Time that requests have occupied the batch, in seconds.
+    checks_fencing : bool
+        Whether it refuses orders with an old fencing number.
+    orders : list of (float, dict)
+        Orders that it followed, with their times.
     misbehave : callable
         Called for each request; returns None or one of "truncate", "silent",
         "cross" and "late".
@@ -63,6 +67,11 @@
     prefix_chars: int = 256
     crash: object = lambda: os._exit(1)
     is_leaving: bool = False
+    checks_fencing: bool = False
+    fence: int = -1
+    models: list = attrs.field(factory=list)
+    role: str = "both"
+    orders: list = attrs.field(factory=list)
     max_events: int = 1_000_000
     report_lag_s: float = 0.0
     work_s: float = 0.0
@@ -103,6 +112,10 @@
                     "cache_hits": self.cache_hits,
                 }
             )
+        if head.target == b"/v1/state":
+            return json_page({"models": self.models, "role": self.role})
+        if head.target == b"/v1/orders":
+            return self._take_order(json.loads(body))
         if head.target == b"/control":
             self.is_leaving = json.loads(body)["is_leaving"]
             return json_page({})
@@ -121,6 +134,14 @@
             self._note_load(-1)
         return None
 
+    def _take_order(self, order):
+        if self.checks_fencing and order["fence"] < self.fence:
+            return json_page({"fence": self.fence}, status=409)
+        self.fence = max(self.fence, order["fence"])
+        self.models, self.role = order["models"], order["role"]
+        self.orders.append((trio.current_time(), order))
+        return json_page({})
+
     def _note_load(self, change):
         self.in_system += change
         self._loads.append((trio.current_time(), self.in_system))
--- /dev/null
+++ b/tests/test_orders.py
@@ -0,0 +1,98 @@
+"""Orders to engines under two issuers never go back to what was replaced."""
+
+import pytest
+import trio
+
+from cactusmill.internal import orders
+from cactusmill.internal.configuration import change_from_json
+from standins.world import run_world
+
+pytestmark = pytest.mark.histories
+ENGINE = "engine-osrednja-1"
+
+
+def place(world, generation):
+    body = {"models": [f"povzetek-7b@{generation}"]}
+    world.configuration.put("placement", ENGINE, body)
+
+
+def entry_of(world, name):
+    return next(c["body"] for c in world.host_list._changes(0) if c["name"] == name)
+
+
+def generations(engine):
+    return [int(order["models"][0].partition("@")[2]) for _, order in engine.orders]
+
+
+def run_two_issuers(checks_fencing, seed=1):
+    """Part an issuer, name another, and let the first wake up and go on."""
+
+    async def scenario(world):
+        await world.start()
+        engine = world.engines[ENGINE]
+        engine.checks_fencing = checks_fencing
+        body = {**entry_of(world, ENGINE), "checks_fencing": checks_fencing}
+        world.host_list.put("endpoint", ENGINE, body)
+        await trio.sleep(3)
+        host = next(iter(world.hosts.values()))
+        endpoint = host.roster.get("endpoint", ENGINE)
+        old = orders.issuer_of(endpoint, host.roster).name
+        place(world, 1)
+        await trio.sleep(12)
+        # The old issuer knows of generation 2 only, and of the old list; it
+        # reaches the engine, but nobody else.
+        world.network.cut(old, "platform")
+        for other in world.settings:
+            world.network.cut(old, other)
+        world.hosts[old].book.apply(*as_changes(world, 2))
+        world.host_list.put("host", old, None)
+        place(world, 3)
+        await trio.sleep(30)
+        # Its engine restarts with what it had; both issuers see a difference.
+        engine.models = []
+        await trio.sleep(30)
+        return generations(engine), engine.models
+
+    return run_world(scenario, seed)
+
+
+def as_changes(world, generation):
+    place(world, generation)
+    update = world.configuration._changes(0)
+    changes = [change_from_json(c) for c in update if c["kind"] == "placement"]
+    return changes, world.configuration.version
+
+
+@pytest.mark.parametrize("checks_fencing", [True, False], ids=["checks", "ignores"])
+def test_engine_never_goes_back(checks_fencing):
+    seen, models = run_two_issuers(checks_fencing)
+    after_change = seen[seen.index(3) :]
+    assert set(after_change) == {3}
+    assert models == ["povzetek-7b@3"]
+
+
+def test_check_sees_an_issuer_whose_right_never_lapses(monkeypatch):
+    monkeypatch.setattr(orders, "may_order_unchecked", lambda host, now: True)
+    seen, _ = run_two_issuers(checks_fencing=False)
+    assert set(seen[seen.index(3) :]) != {3}
+
+
+def test_check_sees_numbers_that_ignore_the_host_list(monkeypatch):
+    monkeypatch.setattr(
+        orders, "fencing_number", lambda hosts_version, record_version: 1
+    )
+    seen, _ = run_two_issuers(checks_fencing=True)
+    assert set(seen[seen.index(3) :]) != {3}
+
+
+def test_lost_orders_are_given_again():
+    async def scenario(world):
+        await world.start()
+        place(world, 1)
+        world.kill(ENGINE)
+        await trio.sleep(15)
+        world.revive(ENGINE)
+        await trio.sleep(5)
+        return generations(world.engines[ENGINE])
+
+    assert run_world(scenario, 1) == [1]
