--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -27,12 +27,18 @@
 from cactusmill.errors import LinkClosedError  # noqa: E402
 from cactusmill.internal.link import open_link  # noqa: E402
 from cactusmill.internal.net import TCP  # noqa: E402
+from cactusmill.internal.peers import (  # noqa: E402
+    HEARTBEAT_BUDGET_BYTES_PER_S,
+    HEARTBEAT_EXCHANGE_BYTES,
+)
 from cactusmill.internal.wire.ttypes import (  # noqa: E402
     Heartbeat,
     HeartbeatAck,
     Hello,
 )
 
+BEAT_BYTES = HEARTBEAT_EXCHANGE_BYTES
+BUDGET_BYTES_PER_S = HEARTBEAT_BUDGET_BYTES_PER_S
 SECRET = "a-secret-of-the-benchmark"
 BASE_PORT = 21_000
 HOST_PORTS = {"callers": 20_001, "peers": 20_002, "operators": 20_003}
@@ -84,8 +90,10 @@
     return rows
 
 
-async def keep_fake_peers(hosts, numbers, zones, interval_s):
+async def keep_fake_peers(hosts, numbers, zones, heartbeat_s):
     """Answer the host's links and keep one to it, for each peer."""
+    others = sum(n % zones != 0 for n in numbers)
+    interval_s = max(heartbeat_s, others * BEAT_BYTES / BUDGET_BYTES_PER_S)
     async with trio.open_nursery() as nursery:
         for number in range(1, hosts):
             me = Hello(f"host-{number}", zone_of(number, zones), "0", b"")
@@ -93,7 +101,7 @@
             if number not in numbers:
                 continue
             in_zone = zone_of(number, zones) == zone_of(0, zones)
-            gap_s = 0.5 if in_zone else interval_s
+            gap_s = heartbeat_s if in_zone else interval_s
             nursery.start_soon(_dial_host, me, gap_s)
 
 
@@ -142,7 +150,7 @@
     return values
 
 
-def measure(hosts, teams, seconds):
+def measure(hosts, teams, seconds, heartbeat_s=0.5):
     """Run one host in a fleet and return its figures."""
     zones = min(ZONES, max(3, hosts // 2))
     with tempfile.TemporaryDirectory() as name:
@@ -159,6 +167,8 @@
             "configuration": "127.0.0.1:20004",
             "host_list": "127.0.0.1:20005",
             "link_secret": SECRET,
+            "heartbeat_s": heartbeat_s,
+            "peer_timeout_s": 4 * heartbeat_s,
             **{k: f"127.0.0.1:{p}" for k, p in HOST_PORTS.items()},
         }
         (folder / "host.yaml").write_text(yaml.safe_dump(cfg))
@@ -167,7 +177,8 @@
             + ["--records", str(folder / "records.yaml")],
             ["-m", "standins.changes", "--listen", cfg["host_list"]]
             + ["--records", str(folder / "hosts.yaml")],
-            [__file__, "--peers", str(hosts), "--zones", str(zones)],
+            [__file__, "--peers", str(hosts), "--zones", str(zones)]
+            + ["--heartbeat-s", str(heartbeat_s)],
             ["-m", "cactusmill.daemon", "--config", str(folder / "host.yaml")]
             + ["--verbosity", "error"],
         ]
@@ -210,18 +221,17 @@
     """Print a row for each size."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--seconds", type=float, default=15.0)
+    parser.add_argument("--heartbeat-s", type=float, default=0.5)
     parser.add_argument("--peers", type=int, help=argparse.SUPPRESS)
     parser.add_argument("--zones", type=int, help=argparse.SUPPRESS)
     args = parser.parse_args()
     if args.peers:
         numbers = peers_of_host(args.peers, args.zones)
-        others = sum(n % args.zones != 0 for n in numbers)
-        interval_s = max(0.5, others * 48 / 600)
-        trio.run(keep_fake_peers, args.peers, numbers, args.zones, interval_s)
+        trio.run(keep_fake_peers, args.peers, numbers, args.zones, args.heartbeat_s)
         return
     rows = []
     for hosts, teams in ((6, 5), (24, 200), (96, 800), (400, 5), (400, 3200)):
-        rows.append(measure(hosts, teams, args.seconds))
+        rows.append(measure(hosts, teams, args.seconds, args.heartbeat_s))
         if len(rows) == 1:
             print("  ".join(f"{name:>9}" for name in rows[0]))
         print("  ".join(f"{value:9.2f}" for value in rows[-1].values()), flush=True)
--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -8,6 +8,7 @@
 
 import argparse
 import concurrent.futures
+import hashlib
 import itertools
 import json
 import math
@@ -158,6 +159,30 @@
     _spill_only_without_endpoints()
 
 
+def team_endpoint():
+    """Give each team one endpoint of the zone, and a backup chosen in advance.
+
+    The idea of the RoNS paper: few teams share an endpoint, so that its end
+    strikes few, and each knows where to go next.
+    """
+    choose_endpoint = repeatable.choose_endpoint
+
+    def choose(host, job, run):
+        ranked = sorted(
+            repeatable._candidates(host, job, host.cfg.zone),
+            key=lambda c: hashlib.sha256(
+                f"{job.team_name}/{c.endpoint.name}".encode()
+            ).digest(),
+        )
+        own = [c for c in ranked[:2] if c.endpoint.name not in run.tried]
+        for one in own:
+            if choose_endpoint([one], "", host.rng) is not None:
+                return one.endpoint
+        return None
+
+    repeatable._choose = choose
+
+
 def _spill_only_without_endpoints():
     repeatable._expected_wait = lambda host, job, candidates: 0.0
 
@@ -166,6 +191,7 @@
     "current": current,
     "round robin": round_robin,
     "least reported": least_reported,
+    "team endpoint": team_endpoint,
 }
 
 
--- a/src/cactusmill/internal/once.py
+++ b/src/cactusmill/internal/once.py
@@ -67,13 +67,17 @@
         return await _run_at_owner(host, job, sink)
     match result:
         case Success(answer):
-            await sink.head(answer.status, answer.headers)
-            await sink.data(answer.body)
-            await sink.end()
-            return Success(None)
+            return await _deliver(answer, sink)
     return result
 
 
+async def _deliver(answer, sink):
+    await sink.head(answer.status, answer.headers)
+    await sink.data(answer.body)
+    await sink.end()
+    return Success(None)
+
+
 def is_bound_here(host, identifier):
     """Tell whether this very process is the one that an identifier names."""
     return (identifier.host, identifier.incarnation) == (
@@ -261,15 +265,28 @@
     """Forward to the incarnation that the identifier names."""
     peer = await host.reach(job.identifier.host)
     if peer is None:
-        return Failure(_owner_lost(host, job, "cannot be reached"))
+        return await _without_owner(host, job, sink, "cannot be reached")
     if peer.incarnation != job.identifier.incarnation:
-        return Failure(_owner_lost(host, job, "was replaced"))
+        return await _without_owner(host, job, sink, "was replaced")
     if not is_permitted(peer.host.region, job.team, job.route):
         return Failure(_owner_lost(host, job, "is outside the permitted regions"))
     try:
         return await forward(host, peer, job, sink)
     except LinkClosedError:
-        return Failure(_owner_lost(host, job, "was lost"))
+        return await _without_owner(host, job, sink, "was lost")
+
+
+async def _without_owner(host, job, sink, what):
+    """Answer for an owner that cannot: run it here, if endpoints check."""
+    if not job.route.checks_identifier:
+        return Failure(_owner_lost(host, job, what))
+    # The endpoints run an identifier at most once by themselves, so sending
+    # it again is safe. Whether the owner had run it stays unknown here.
+    match await _admit_and_send(host, job):
+        case Success(answer):
+            return await _deliver(answer, sink)
+        case Failure(refusal):
+            return Failure(attrs.evolve(refusal, outcome=Outcome.UNKNOWN))
 
 
 def _owner_lost(host, job, what):
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -1,5 +1,7 @@
 """At most once, and true refusals: histories of concurrent callers under faults."""
 
+import collections
+
 import attrs
 import pytest
 import trio
@@ -9,7 +11,7 @@
 from cactusmill.internal import answering, once
 from cactusmill.internal.identifiers import Minter
 from cactusmill.internal.ledger import Ledger
-from standins.orders import commit_orders
+from standins.orders import ENROL_ROUTE, commit_orders
 from standins.world import EXAMPLE, run_world
 
 pytestmark = pytest.mark.histories
@@ -142,3 +144,33 @@
         return statuses, runs
 
     assert run_world(scenario, 1) == ({200}, {1})
+
+
+@pytest.mark.parametrize(("checks", "expected"), [(True, 200), (False, 504)])
+def test_lost_owner_is_replaced_only_where_endpoints_check(checks, expected):
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(2)
+        shared = collections.Counter()
+        for desk in world.desks.values():
+            desk.checks, desk.work_s, desk.runs = checks, 0.3, shared
+        route = {**ENROL_ROUTE, "checks_identifier": checks}
+        world.configuration.put("route", "enrol", route)
+        await trio.sleep(3)
+        identifier = (await world.mint("osrednja-1", "ljubljana"))[0]
+        headers = [(b"idempotency-key", identifier.encode())]
+        statuses = []
+
+        async def send(host):
+            reply = await world.call(
+                host, "POST", "/enrolments", team="ljubljana", headers=headers
+            )
+            statuses.append(reply.status)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(send, "stajerska-1")
+            await trio.sleep(0.35)
+            world.kill("osrednja-1")
+        return statuses, shared[identifier]
+
+    assert run_world(scenario, 1) == ([expected], 1)
