--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -26,7 +26,7 @@
 sys.path.insert(0, str(ROOT))
 
 from cactusmill.errors import ConnectError, ExchangeError  # noqa: E402
-from cactusmill.internal import repeatable  # noqa: E402
+from cactusmill.internal import repeatable, targets  # noqa: E402
 from cactusmill.internal.http import client_connection  # noqa: E402
 from standins.engine import CRASH_MARK  # noqa: E402
 from standins.world import key_of, run_world  # noqa: E402
@@ -142,7 +142,7 @@
         usable = [c for c in candidates if c.usable]
         return usable[next(turns) % len(usable)].endpoint if usable else None
 
-    repeatable.choose_endpoint = choose
+    targets.choose_endpoint = choose
     _spill_only_without_endpoints()
 
 
@@ -155,7 +155,7 @@
             return None
         return min(usable, key=lambda c: c.in_flight * 0 + c.outside_load).endpoint
 
-    repeatable.choose_endpoint = choose
+    targets.choose_endpoint = choose
     _spill_only_without_endpoints()
 
 
@@ -165,11 +165,11 @@
     The idea of the RoNS paper: few teams share an endpoint, so that its end
     strikes few, and each knows where to go next.
     """
-    choose_endpoint = repeatable.choose_endpoint
+    choose_endpoint = targets.choose_endpoint
 
     def choose(host, job, run):
         ranked = sorted(
-            repeatable._candidates(host, job, host.cfg.zone),
+            targets.zone_candidates(host, job, host.cfg.zone),
             key=lambda c: hashlib.sha256(
                 f"{job.team_name}/{c.endpoint.name}".encode()
             ).digest(),
@@ -180,11 +180,12 @@
                 return one.endpoint
         return None
 
-    repeatable._choose = choose
+    repeatable.choose = choose
 
 
 def _spill_only_without_endpoints():
-    repeatable._expected_wait = lambda host, job, candidates: 0.0
+    for module in (repeatable, targets):
+        module.expected_wait_s = lambda host, job, candidates: 0.0
 
 
 POLICIES = {
--- /dev/null
+++ b/src/cactusmill/internal/callers.py
@@ -0,0 +1,142 @@
+"""A caller's request as it stands on its connection, and answers to it."""
+
+import attrs
+import h11
+import trio
+
+from ..errors import CallerGoneError, ExchangeError, Outcome
+from .http import header
+from .identifiers import read_identifier
+from .job import Sink
+from .once import IDENTIFIER_HEADER
+from .problems import problem_answer
+
+_BEARER = "bearer "
+
+
+@attrs.define(eq=False)
+class CallerRequest:
+    """One request on a caller's connection.
+
+    Attributes
+    ----------
+    conn : Connection
+        The caller's connection.
+    head : h11.Request
+        Head of the request.
+    request_id : str
+        Identifier for logs.
+    began_at : float
+        When the head was complete, in seconds.
+    has_begun : bool
+        True once the answer's head was sent.
+    first_byte_s : float or None
+        Time until then, in seconds.
+    said_close : bool
+        True once an answer's head said that the connection closes.
+    """
+
+    conn: object
+    head: h11.Request
+    request_id: str
+    began_at: float
+    has_begun: bool = False
+    first_byte_s: float | None = None
+    said_close: bool = False
+
+    @property
+    def path(self):
+        """Path of the target, without the query."""
+        return self.head.target.decode("latin-1").partition("?")[0]
+
+    @property
+    def identifier(self):
+        """Minted identifier that came with the request, or None."""
+        text = header(self.head.headers, IDENTIFIER_HEADER)
+        return read_identifier(text) if text else None
+
+    @property
+    def secret(self):
+        """The caller's key, or empty bytes."""
+        text = header(self.head.headers, b"authorization", "")
+        if text[: len(_BEARER)].lower() != _BEARER:
+            return b""
+        return text[len(_BEARER) :].strip().encode("latin-1")
+
+    @property
+    def outcome_before_owner(self):
+        """What is known of the request before its owner was asked.
+
+        An earlier attempt with the same identifier may have run through
+        another host, so "not run" would be a guess.
+        """
+        return Outcome.UNKNOWN if self.identifier else Outcome.NOT_RUN
+
+
+def caller_sink(host, caller):
+    """Return the sink that answers a caller."""
+    conn = caller.conn
+
+    async def head(status, headers):
+        caller.has_begun = True
+        caller.first_byte_s = host.now() - caller.began_at
+        await _send(
+            conn,
+            h11.Response(
+                status_code=status,
+                headers=[*headers, *_connection_headers(host, caller)],
+            ),
+        )
+
+    async def data(chunk):
+        await _send(conn, h11.Data(data=chunk))
+
+    async def end():
+        await _send(conn, h11.EndOfMessage())
+
+    def chunked_stream():
+        is_chunked = (
+            isinstance(conn.stream, trio.SocketStream)
+            and caller.head.http_version == b"1.1"
+            and caller.head.method != b"HEAD"
+        )
+        return conn.stream if is_chunked else None
+
+    def end_chunked():
+        # What the caller sent meanwhile belongs to its next request.
+        conn.restart(host.cfg.max_head_bytes)
+
+    return Sink(head, data, end, chunked_stream, end_chunked)
+
+
+async def _send(conn, event):
+    try:
+        await conn.send(event)
+    except ExchangeError as exc:
+        raise CallerGoneError("the caller left") from exc
+
+
+def _connection_headers(host, caller):
+    headers = [(b"x-request-id", caller.request_id.encode())]
+    if host.leaving or caller.conn.h11.their_state is not h11.DONE:
+        caller.said_close = True
+        headers.append((b"connection", b"close"))
+    else:
+        # A caller that heeds this never sends on a connection about to close.
+        idle_s = max(1, int(host.cfg.idle_timeout_s) - 2)
+        headers.append((b"keep-alive", f"timeout={idle_s}".encode()))
+    return headers
+
+
+async def send_refusal(host, caller, refusal):
+    """Answer a caller with problem details."""
+    status, headers, body = problem_answer(refusal, caller.request_id)
+    await send_whole(host, caller, status, headers, body)
+
+
+async def send_whole(host, caller, status, headers, body):
+    """Answer a caller with a body that is known as a whole."""
+    response = h11.Response(
+        status_code=status, headers=[*headers, *_connection_headers(host, caller)]
+    )
+    await caller.conn.send(response, h11.Data(data=body), h11.EndOfMessage())
--- /dev/null
+++ b/src/cactusmill/internal/directory.py
@@ -0,0 +1,78 @@
+"""The directory: which hosts a caller should use, and identifiers for there."""
+
+import contextlib
+import json
+
+import attrs
+
+from ..errors import BadRequestError, UnknownKey
+from .callers import send_refusal, send_whole
+from .http import read_body
+from .job import is_permitted
+from .routing import rank_hosts
+
+DIRECTORY_PATH = "/v1/hosts"
+MAX_IDENTIFIERS = 64
+
+
+def hosts_for(host, team, route=None):
+    """Return the hosts that a caller may use, best first."""
+    listed = [
+        h
+        for h in host.roster.all("host")
+        if host.takes_callers(h)
+        and (not team or not team.regions or h.region in team.regions)
+        and (not route or not route.regions or h.region in route.regions)
+    ]
+    return rank_hosts(listed, team.name if team else "", host.cfg.zone)
+
+
+async def answer_directory(host, caller):
+    """Tell a caller which hosts to use, with identifiers to use there."""
+    key = host.book.key_for(caller.secret) if caller.secret else None
+    team = host.book.get("team", key.team) if key else None
+    if team is None:
+        refusal = UnknownKey(detail="send an active key as 'Authorization: Bearer KEY'")
+        await send_refusal(host, caller, refusal)
+        return
+    with contextlib.suppress(BadRequestError):
+        await read_body(caller.conn, 0)
+    may_mint = is_permitted(host.cfg.region, team, _ANY_ROUTE) and not host.leaving
+    wanted = _wanted_identifiers(caller.head.target) if may_mint else 0
+    minted = [host.mint(team.name) for _ in range(wanted)]
+    answer = {
+        "hosts": [
+            {
+                "url": f"http://{h.callers}",
+                "name": h.name,
+                "zone": h.zone,
+                "region": h.region,
+            }
+            for h in hosts_for(host, team)
+        ],
+        "identifiers": [text for text in minted if text],
+        "identifier_ttl_s": host.cfg.identifier_ttl_s,
+    }
+    body = json.dumps(answer).encode()
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    await send_whole(host, caller, 200, headers, body)
+
+
+@attrs.frozen
+class _AnyRoute:
+    regions: tuple = ()
+
+
+_ANY_ROUTE = _AnyRoute()
+
+
+def _wanted_identifiers(target):
+    query = target.decode("latin-1").partition("?")[2]
+    for part in query.split("&"):
+        name, _, value = part.partition("=")
+        if name == "identifiers" and value.isdigit():
+            return min(int(value), MAX_IDENTIFIERS)
+    return 0
--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -1,9 +1,7 @@
 """The callers' edge: connections, keys, regions and final answers."""
 
 import contextlib
-import json
 
-import attrs
 import h11
 import trio
 from returns.result import Failure, Success
@@ -21,78 +19,19 @@
     UnknownRoute,
     WrongRegion,
 )
+from .callers import CallerRequest, caller_sink, send_refusal
 from .chat import error_event
+from .directory import DIRECTORY_PATH, answer_directory, hosts_for
 from .http import header, read_body, server_connection
-from .identifiers import read_identifier
 from .intake import build_job, new_request_id, passed_headers
-from .job import Sink, is_permitted
-from .once import IDENTIFIER_HEADER, run_once
+from .job import is_permitted
+from .once import run_once
 from .problems import problem_answer
 from .repeatable import run_repeatable
-from .routing import rank_hosts
 
 BODY_TIMEOUT_S = 30.0
 LINGER_S = 1.0
-DIRECTORY_PATH = "/v1/hosts"
-MAX_IDENTIFIERS = 64
 _LINGER_BYTES = 1024 * 1024
-_BEARER = "bearer "
-
-
-@attrs.define(eq=False)
-class CallerRequest:
-    """One request on a caller's connection.
-
-    Attributes
-    ----------
-    conn : Connection
-        The caller's connection.
-    head : h11.Request
-        Head of the request.
-    request_id : str
-        Identifier for logs.
-    began_at : float
-        When the head was complete, in seconds.
-    has_begun : bool
-        True once the answer's head was sent.
-    first_byte_s : float or None
-        Time until then, in seconds.
-    """
-
-    conn: object
-    head: h11.Request
-    request_id: str
-    began_at: float
-    has_begun: bool = False
-    first_byte_s: float | None = None
-
-    @property
-    def path(self):
-        """Path of the target, without the query."""
-        return self.head.target.decode("latin-1").partition("?")[0]
-
-    @property
-    def identifier(self):
-        """Minted identifier that came with the request, or None."""
-        text = header(self.head.headers, IDENTIFIER_HEADER)
-        return read_identifier(text) if text else None
-
-    @property
-    def secret(self):
-        """The caller's key, or empty bytes."""
-        text = header(self.head.headers, b"authorization", "")
-        if text[: len(_BEARER)].lower() != _BEARER:
-            return b""
-        return text[len(_BEARER) :].strip().encode("latin-1")
-
-    @property
-    def outcome_before_owner(self):
-        """What is known of the request before its owner was asked.
-
-        An earlier attempt with the same identifier may have run through
-        another host, so "not run" would be a guess.
-        """
-        return Outcome.UNKNOWN if self.identifier else Outcome.NOT_RUN
 
 
 async def serve_caller(host, stream):
@@ -128,7 +67,8 @@
     caller = CallerRequest(conn, head, new_request_id(), host.now())
     await _answer(host, caller)
     if conn.is_restarted():
-        return not host.leaving and not _wants_close(head)
+        # Unless the answer's head said so, the caller counts on going on.
+        return not (caller.said_close or _wants_close(head))
     if conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE:
         return True
     await _linger(conn)
@@ -167,7 +107,7 @@
 
 async def _answer(host, caller):
     if caller.path == DIRECTORY_PATH:
-        await _answer_directory(host, caller)
+        await answer_directory(host, caller)
         return
     route = host.book.route_for(caller.path)
     result = await _serve_on_route(host, caller, route)
@@ -176,7 +116,7 @@
         case Failure(refusal):
             name = refusal.type_name
             if not caller.has_begun:
-                await _send_refusal(host, caller, refusal)
+                await send_refusal(host, caller, refusal)
     host.note_request(caller, route, result, name)
 
 
@@ -275,7 +215,7 @@
                 "use one of the hosts given here",
                 outcome=outcome,
                 hosts=tuple(
-                    f"http://{h.callers}" for h in _hosts_for(host, team, route)
+                    f"http://{h.callers}" for h in hosts_for(host, team, route)
                 ),
             )
         )
@@ -295,21 +235,9 @@
     return Success(key)
 
 
-def _hosts_for(host, team, route=None):
-    """Return the hosts that a caller may use, best first."""
-    listed = [
-        h
-        for h in host.roster.all("host")
-        if host.takes_callers(h)
-        and (not team or not team.regions or h.region in team.regions)
-        and (not route or not route.regions or h.region in route.regions)
-    ]
-    return rank_hosts(listed, team.name if team else "", host.cfg.zone)
-
-
 async def _run(host, caller, job, key):
     """Run a job while watching for the caller's leaving and the key's end."""
-    sink = _caller_sink(host, caller)
+    sink = caller_sink(host, caller)
     run = run_repeatable if job.route.repeatable else run_once
     result, failure = None, None
     with host.key_uses.scope(key) as key_scope:
@@ -345,119 +273,3 @@
     conn.h11.receive_data(data)
     if not data:
         scope.cancel()
-
-
-def _caller_sink(host, caller):
-    conn = caller.conn
-
-    async def head(status, headers):
-        caller.has_begun = True
-        caller.first_byte_s = host.now() - caller.began_at
-        await _send(
-            conn,
-            h11.Response(
-                status_code=status,
-                headers=[*headers, *_connection_headers(host, caller)],
-            ),
-        )
-
-    async def data(chunk):
-        await _send(conn, h11.Data(data=chunk))
-
-    async def end():
-        await _send(conn, h11.EndOfMessage())
-
-    def chunked_stream():
-        is_chunked = (
-            isinstance(conn.stream, trio.SocketStream)
-            and caller.head.http_version == b"1.1"
-            and caller.head.method != b"HEAD"
-        )
-        return conn.stream if is_chunked else None
-
-    def end_chunked():
-        # What the caller sent meanwhile belongs to its next request.
-        conn.restart(host.cfg.max_head_bytes)
-
-    return Sink(head, data, end, chunked_stream, end_chunked)
-
-
-async def _send(conn, event):
-    try:
-        await conn.send(event)
-    except ExchangeError as exc:
-        raise CallerGoneError("the caller left") from exc
-
-
-def _connection_headers(host, caller):
-    headers = [(b"x-request-id", caller.request_id.encode())]
-    if host.leaving or caller.conn.h11.their_state is not h11.DONE:
-        headers.append((b"connection", b"close"))
-    else:
-        # A caller that heeds this never sends on a connection about to close.
-        idle_s = max(1, int(host.cfg.idle_timeout_s) - 2)
-        headers.append((b"keep-alive", f"timeout={idle_s}".encode()))
-    return headers
-
-
-async def _send_refusal(host, caller, refusal):
-    status, headers, body = problem_answer(refusal, caller.request_id)
-    await _send_whole(host, caller, status, headers, body)
-
-
-async def _send_whole(host, caller, status, headers, body):
-    response = h11.Response(
-        status_code=status, headers=[*headers, *_connection_headers(host, caller)]
-    )
-    await caller.conn.send(response, h11.Data(data=body), h11.EndOfMessage())
-
-
-async def _answer_directory(host, caller):
-    """Tell a caller which hosts to use, with identifiers to use there."""
-    key = host.book.key_for(caller.secret) if caller.secret else None
-    team = host.book.get("team", key.team) if key else None
-    if team is None:
-        refusal = UnknownKey(detail="send an active key as 'Authorization: Bearer KEY'")
-        await _send_refusal(host, caller, refusal)
-        return
-    with contextlib.suppress(BadRequestError):
-        await read_body(caller.conn, 0)
-    may_mint = is_permitted(host.cfg.region, team, _ANY_ROUTE) and not host.leaving
-    wanted = _wanted_identifiers(caller.head.target) if may_mint else 0
-    minted = [host.mint(team.name) for _ in range(wanted)]
-    answer = {
-        "hosts": [
-            {
-                "url": f"http://{h.callers}",
-                "name": h.name,
-                "zone": h.zone,
-                "region": h.region,
-            }
-            for h in _hosts_for(host, team)
-        ],
-        "identifiers": [text for text in minted if text],
-        "identifier_ttl_s": host.cfg.identifier_ttl_s,
-    }
-    body = json.dumps(answer).encode()
-    headers = [
-        (b"content-type", b"application/json"),
-        (b"content-length", str(len(body)).encode()),
-    ]
-    await _send_whole(host, caller, 200, headers, body)
-
-
-@attrs.frozen
-class _AnyRoute:
-    regions: tuple = ()
-
-
-_ANY_ROUTE = _AnyRoute()
-
-
-def _wanted_identifiers(target):
-    query = target.decode("latin-1").partition("?")[2]
-    for part in query.split("&"):
-        name, _, value = part.partition("=")
-        if name == "identifiers" and value.isdigit():
-            return min(int(value), MAX_IDENTIFIERS)
-    return 0
--- a/src/cactusmill/internal/host.py
+++ b/src/cactusmill/internal/host.py
@@ -37,9 +37,9 @@
 from .platform import PlatformService, parse_update
 from .queues import FairQueue
 from .relay import RelayHub
-from .repeatable import zone_wait_s
 from .retries import RetryBudgets
 from .suspects import Suspects
+from .targets import zone_wait_s
 from .wire.ttypes import ChangesPull, Hello, Suspect
 
 PEERS_PER_OTHER_ZONE = 2
--- /dev/null
+++ b/src/cactusmill/internal/targets.py
@@ -0,0 +1,111 @@
+"""Where a request that may be repeated goes: own zone, another, or a queue."""
+
+from .job import is_permitted
+from .queues import MAX_WAIT_S
+from .routing import candidate, choose_endpoint
+
+
+def zone_candidates(host, job, zone):
+    """Return the endpoints of a zone that may serve a job."""
+    now = host.now()
+    return [
+        candidate(e, host.pool.state(e.name), now)
+        for e in host.endpoints_for(job.service)
+        if e.zone == zone and is_permitted(e.region, job.team, job.route)
+    ]
+
+
+def choose(host, job, run):
+    """Return the endpoint of the own zone to try next, or None."""
+    is_suspect = host.suspects.deaths(run.digest, host.now()) > 0
+    candidates = [
+        c
+        for c in zone_candidates(host, job, host.cfg.zone)
+        if c.endpoint.name not in run.tried
+        and (not is_suspect or host.suspects.may_run_on(run.digest, c.endpoint.name))
+    ]
+    return choose_endpoint(candidates, job.affinity, host.rng)
+
+
+def spill_peer(host, job, run):
+    """Return a host of another zone to forward to, if that is worth its cost."""
+    peers = _peers_with_endpoints(host, job, run)
+    if not peers:
+        return None
+    # Of two at random the one with the shorter wait: hosts that heard the same
+    # waits do not all choose the same zone.
+    pair = host.rng.sample(peers, min(2, len(peers)))
+    best = min(pair, key=lambda p: p.waits.get(job.service, 0.0))
+    own = [
+        c
+        for c in zone_candidates(host, job, host.cfg.zone)
+        if c.usable and c.endpoint.name not in run.tried
+    ]
+    if own:
+        saved_s = expected_wait_s(host, job, own) - best.waits.get(job.service, 0.0)
+        if saved_s <= host.book.policy().wide_area_cost_s:
+            return None
+    return best
+
+
+def _peers_with_endpoints(host, job, run):
+    zones = {
+        e.zone
+        for e in host.endpoints_for(job.service)
+        if e.live and is_permitted(e.region, job.team, job.route)
+    }
+    zones -= run.tried | {host.cfg.zone}
+    return [
+        p
+        for p in host.peers.values()
+        if p.host.zone in zones
+        and p.is_reachable
+        and not p.leaving
+        and p.host.name not in run.tried
+        and is_permitted(p.host.region, job.team, job.route)
+    ]
+
+
+def expected_wait_s(host, job, candidates):
+    """Return how long a job would wait for one of some endpoints, in seconds."""
+    # The zone's hosts share its endpoints, so that this host's queue moves at
+    # its share of their pace.
+    capacity = sum(c.endpoint.capacity * c.ramp for c in candidates)
+    queue = host.queue_for(job.service)
+    return queue.expected_wait_s(
+        job.team_name, capacity / host.count_zone_hosts(), host.weight_of
+    )
+
+
+def zone_wait_s(host, service):
+    """Return the wait of a new request in this host's zone, in seconds.
+
+    Parameters
+    ----------
+    host : HostProcess
+        This process.
+    service : str
+        Model or service.
+
+    Returns
+    -------
+    float
+        0 while an endpoint has room; endless if there is none.
+    """
+    now = host.now()
+    usable = [
+        c
+        for e in host.endpoints_for(service)
+        if e.zone == host.cfg.zone
+        and (c := candidate(e, host.pool.state(e.name), now)).usable
+    ]
+    if any(c.has_room for c in usable):
+        return 0.0
+    capacity = sum(c.endpoint.capacity * c.ramp for c in usable)
+    queue = host.queue_for(service)
+    wait_s = queue.expected_wait_s("", capacity / host.count_zone_hosts(), _equal)
+    return min(wait_s, MAX_WAIT_S)
+
+
+def _equal(team):
+    return 1.0
--- a/tests/internal/test_limits.py
+++ b/tests/internal/test_limits.py
@@ -13,7 +13,8 @@
 )
 
 from cactusmill.internal.configuration import RecordBook
-from cactusmill.internal.limits import LOAN_VALID_S, Debit, Limiter, Share
+from cactusmill.internal.limits import LOAN_VALID_S, Limiter
+from cactusmill.internal.shares import Debit, Share
 from tests.helpers import change
 
 RATE, BURST = 100.0, 400.0
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -6,7 +6,7 @@
 import trio
 
 from cactusmill.errors import CrossedAnswerError
-from cactusmill.internal import repeatable
+from cactusmill.internal import attempts
 from standins.engine import answer_words
 from standins.world import CallFailedError, run_world
 
@@ -64,7 +64,7 @@
 
 
 def test_check_sees_crossed_answers(monkeypatch):
-    real = repeatable.receive_head
+    real = attempts.receive_head
 
     async def ignore_crossed(exchange, job, timeout_s):
         try:
@@ -72,7 +72,7 @@
         except CrossedAnswerError:
             pass
 
-    monkeypatch.setattr(repeatable, "receive_head", ignore_crossed)
+    monkeypatch.setattr(attempts, "receive_head", ignore_crossed)
     assert run_unruly(1, ("cross",))["wrong"] > 0
 
 
--- a/tests/test_residency.py
+++ b/tests/test_residency.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from cactusmill.internal import job, once, repeatable
+from cactusmill.internal import job, once, repeatable, targets
 from standins.faults import FaultInjector
 from standins.world import CallFailedError, run_world
 
@@ -87,7 +87,7 @@
 
 
 def test_check_sees_a_gateway_that_permits_all(monkeypatch):
-    for module in (job, once, repeatable):
+    for module in (job, once, targets):
         monkeypatch.setattr(module, "is_permitted", lambda region, team, route: True)
     _, watcher = run_residency(1, faults=False, kill_permitted=True)
     assert watcher.escapes
