--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -10,7 +10,9 @@
 
 import openai
 import pytest
+import yaml
 
+from cactusmill import SettingsError, cli, load_settings
 from standins.engine import answer_words
 from standins.fleet import Fleet, copy_example
 
@@ -161,3 +163,63 @@
         worker.join()
     assert (code, failures) == (0, [])
     assert all(results) and len(results) >= 3
+
+
+def run_tool(capsys, *args):
+    code = cli.main(list(args))
+    captured = capsys.readouterr()
+    return code, captured.out, captured.err
+
+
+def test_operators_tool_reports_and_exits_by_what_it_finds(fleet, capsys):
+    operators = fleet.settings("osrednja-1")["operators"]
+    code, out, _ = run_tool(capsys, "status", "--host", operators, "--json")
+    status = json.loads(out)
+    assert {h["records_version"] for h in status["hosts"]} == {
+        status["hosts"][0]["records_version"]
+    }
+    assert code == (1 if status["lost"] else 0)
+    code, out, _ = run_tool(capsys, "burn", "--host", operators, "--json")
+    rows = json.loads(out)["rows"]
+    burning = any(min(r["short_rate"], r["long_rate"]) > 14.4 for r in rows)
+    assert {"ljubljana"} <= {r["team"] for r in rows}
+    assert code == (1 if burning else 0)
+    assert run_tool(capsys, "burn", "--host", operators, "--max-rate", "1e9")[0] == 0
+    where = ("--team", "koper", "--path", "/v1/chat/completions", "--model", MODEL)
+    code, out, _ = run_tool(capsys, "explain", "--host", operators, *where)
+    assert code == 0
+    assert "region not permitted" in out
+    assert run_tool(capsys, "status", "--host", "127.0.0.1:9")[0] == 3
+
+
+def test_check_names_place_and_mend(tmp_path, capsys):
+    records = tmp_path / "records.yaml"
+    records.write_text("- {kind: zone, name: a, body: {region: r, slots: many}}\n")
+    settings = tmp_path / "host.yaml"
+    text = (EXAMPLE / "hosts" / "osrednja-1.yaml").read_text()
+    settings.write_text(text + "heartbeat_ms: 5\n")
+    code, _, err = run_tool(
+        capsys, "check", "--settings", str(settings), "--records", str(records)
+    )
+    assert code == 1
+    assert "heartbeat_ms: unknown field; use one of:" in err
+    assert "record 0: zone/a: slots: 'many' must be a number" in err
+
+
+@pytest.mark.parametrize(
+    ("line", "complaint"),
+    [
+        ("drain_s: 3s", "'3s' must be a plain number of seconds, without a unit"),
+        ("operators: 127.0.0.1:7101", "is also used by callers"),
+        ("callers: localhost:7101", "'localhost' is no IP number"),
+        ("link_secret: short", "must have at least 16 characters"),
+        ("peer_timeout_s: 0.5", "is less than two heartbeats"),
+    ],
+)
+def test_settings_faults_name_the_value(tmp_path, line, complaint):
+    settings = yaml.safe_load((EXAMPLE / "hosts" / "osrednja-1.yaml").read_text())
+    settings.update(yaml.safe_load(line))
+    path = tmp_path / "host.yaml"
+    path.write_text(yaml.safe_dump(settings))
+    with pytest.raises(SettingsError, match=complaint):
+        load_settings(path)
