Make 'cactusmill explain' work

Cause: the tool passed the query argument 'path' beside the parameter of the same name and ended with a TypeError.

Change: the query is a mapping of its own; the test sends its own request.

--- a/src/cactusmill/internal/commands/asking.py
+++ b/src/cactusmill/internal/commands/asking.py
@@ -16,9 +16,18 @@
     """A host's operators' port gave no usable answer."""
 
 
-def ask(address, path, **query):
+def ask(address, path, query=None):
     """Return the JSON answer of one host.
 
+    Parameters
+    ----------
+    address : str
+        The host's operators' address.
+    path : str
+        Path of the page.
+    query : dict of str to str or None
+        Arguments of the page.
+
     Raises
     ------
     HostUnreachableError
--- a/src/cactusmill/internal/commands/explain.py
+++ b/src/cactusmill/internal/commands/explain.py
@@ -15,13 +15,8 @@
 def run(args):
     """Explain a request as one host sees it; return the exit code."""
     try:
-        answer = ask(
-            args.host,
-            "/v1/explain",
-            team=args.team,
-            path=args.path,
-            model=args.model,
-        )
+        query = {"team": args.team, "path": args.path, "model": args.model}
+        answer = ask(args.host, "/v1/explain", query)
     except HostUnreachableError as exc:
         complain(exc)
         return EXIT_UNREACHABLE
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -173,6 +173,8 @@
 
 def test_operators_tool_reports_and_exits_by_what_it_finds(fleet, capsys):
     operators = fleet.settings("osrednja-1")["operators"]
+    chat = client(fleet, "osrednja-1").chat.completions
+    chat.create(model=MODEL, max_tokens=2, messages=messages("counted"))
     code, out, _ = run_tool(capsys, "status", "--host", operators, "--json")
     status = json.loads(out)
     assert {h["records_version"] for h in status["hosts"]} == {
