Take learning and membership out of the host; ask few hosts for loans

A loan asked every linked host, 68 at the aim's size.

Ruled out: remembering who granted last, per team and peer; state that grows with both.

--- a/src/cactusmill/internal/admission.py
+++ b/src/cactusmill/internal/admission.py
@@ -12,6 +12,8 @@
 from .wire.ttypes import LoanAsk
 
 LOAN_TIMEOUT_S = 0.5
+# Asked at a time; more would let the messages of one loan grow with the fleet.
+MAX_LENDERS = 6
 # A loan is asked for with this much ahead of the request that lacks tokens,
 # so that the requests behind it do not each wait for one.
 _LOAN_AHEAD_S = 0.5
@@ -87,10 +89,10 @@
     if not lenders:
         return
     ahead = account.demand_at(host.now()) * _LOAN_AHEAD_S
-    host.rng.shuffle(lenders)
+    asked = host.rng.sample(lenders, min(MAX_LENDERS, len(lenders)))
     with trio.move_on_after(LOAN_TIMEOUT_S):
         async with trio.open_nursery() as nursery:
-            for peer in lenders:
+            for peer in asked:
                 # Each is asked for the whole: how much each can spare is
                 # unknown, and what is borrowed in excess serves the requests
                 # that come within the loan's validity.
--- a/src/cactusmill/internal/host.py
+++ b/src/cactusmill/internal/host.py
@@ -7,14 +7,11 @@
 
 import attrs
 import trio
-import xxhash
 from absl import logging
 
 from ..errors import (
-    ConnectError,
     LinkClosedError,
     Outcome,
-    PlatformError,
     RateExceeded,
 )
 from ..settings import Settings
@@ -26,38 +23,30 @@
 from .identifiers import Minter
 from .job import is_permitted
 from .key_uses import KeyUses
+from .learning import BOOKS, learn_first, pull, watch
 from .ledger import Ledger
 from .limits import Limiter
-from .link import Traffic, open_link
+from .link import Traffic
+from .membership import reconcile_peers
 from .metrics import Metrics
 from .net import TCP, Network
 from .operators import serve_operator
 from .orders import keep_orders
-from .peers import Peer, keep_link, next_answer
-from .platform import PlatformService, parse_update
+from .platform import PlatformService
 from .queues import FairQueue
 from .relay import RelayHub
 from .retries import RetryBudgets
 from .suspects import Suspects
 from .targets import zone_wait_s
-from .wire.ttypes import ChangesPull, Hello, Suspect
-
-PEERS_PER_OTHER_ZONE = 2
-PULL_TIMEOUT_S = 2.0
-PULL_DELAY_S = 0.2
-REACH_TIMEOUT_S = 1.0
-REACH_POLL_S = 0.01
-UNUSED_LINK_S = 60.0
-FIRST_CONTACT_S = 1.5
+from .wire.ttypes import Hello, Suspect
+
 LOAD_REPORT_S = 0.1
 LOAD_BUDGET_BYTES_PER_S = 1000.0
 LOAD_REPORT_BYTES = 12
 ENDPOINT_LOAD_BYTES = 9
 HOUSEKEEPING_S = 0.1
 EXPIRY_S = 1.0
-_PLATFORM_RETRY_S = 0.5
 _SECRET_BYTES = 32
-_BOOKS = ("records", "hosts")
 
 
 @attrs.define(eq=False)
@@ -202,24 +191,6 @@
         for peer in self.peers.values():
             peer.nudge()
 
-    async def reach(self, name):
-        """Return the peer of a name with an open link, or None.
-
-        A link to a host that is not among the usual peers is opened for the
-        purpose, and closed when it has not been used for some time.
-        """
-        peer = self.peers.get(name)
-        if peer is None:
-            listed = self.roster.get("host", name)
-            if listed is None or name == self.cfg.host:
-                return None
-            peer = self._add_peer(listed)
-        peer.used_at = self.now()
-        with trio.move_on_after(REACH_TIMEOUT_S):
-            while not peer.was_linked:
-                await trio.sleep(REACH_POLL_S)
-        return peer if peer.is_reachable else None
-
     def cancel_forward(self, link, cancel):
         """Tell a peer, from no task in particular, to give up a request."""
 
@@ -289,7 +260,7 @@
         self.pool.set_listed(e.name for e in endpoints)
         self._take_slot()
         if self.nursery is not None:
-            self._reconcile_peers()
+            reconcile_peers(self)
 
     def _take_slot(self):
         listed = self.roster.get("host", self.cfg.host)
@@ -310,42 +281,6 @@
     def _may_hold_slot(self):
         return self.now() >= self._started_at + self.cfg.slot_quarantine_s
 
-    def _reconcile_peers(self):
-        wanted = {h.name: h for h in self._wanted_peers()}
-        for name, peer in list(self.peers.items()):
-            is_used = peer.has_calls or self.now() < peer.used_at + UNUSED_LINK_S
-            is_listed = self.roster.get("host", name) == peer.host
-            if not is_listed or not (name in wanted or is_used):
-                peer.scope.cancel()
-                del self.peers[name]
-        for name, host in wanted.items():
-            if name not in self.peers:
-                self._add_peer(host)
-
-    def _add_peer(self, host):
-        peer = self.peers[host.name] = Peer(host)
-        self.nursery.start_soon(keep_link, self, peer)
-        return peer
-
-    def _wanted_peers(self):
-        """All hosts of the own zone, and a few of each other zone.
-
-        Which few differs from host to host, so that every host is somebody's
-        peer and knowledge spreads through the whole fleet.
-        """
-        others = {}
-        for host in self.roster.all("host"):
-            if host.name != self.cfg.host:
-                others.setdefault(host.zone, []).append(host)
-        for zone, hosts in others.items():
-            if zone == self.cfg.zone:
-                yield from hosts
-                continue
-            yield from sorted(hosts, key=self._nearness)[:PEERS_PER_OTHER_ZONE]
-
-    def _nearness(self, host):
-        return xxhash.xxh3_64_intdigest(f"{self.cfg.host}/{host.name}".encode())
-
     def pull_from(self, peer, name):
         """Fetch what a peer has and this host lacks, unless that is under way."""
         if name not in self._pulling:
@@ -353,21 +288,8 @@
             self.nursery.start_soon(self._pull, peer, name)
 
     async def _pull(self, peer, name):
-        book = self.book_named(name)
         try:
-            if self.ready.is_set():
-                # The platform's own answer is most likely on its way.
-                await trio.sleep(PULL_DELAY_S)
-            if book.version >= peer.version_of(name):
-                return
-            with trio.move_on_after(PULL_TIMEOUT_S):
-                async with peer.call() as (number, link, answers):
-                    pull = ChangesPull(number, name, book.version)
-                    await link.send(changes_pull=pull)
-                    reply = (await next_answer(answers)).changes_reply
-                    self.apply(name, parse_update(reply.update))
-        except (LinkClosedError, PlatformError):
-            pass
+            await pull(self, peer, name)
         finally:
             self._pulling.discard(name)
 
@@ -380,12 +302,12 @@
             self.nursery = nursery
             await self._listen(self.cfg.peers, serve_link)
             await self._listen(self.cfg.operators, serve_operator)
-            for name in _BOOKS:
-                nursery.start_soon(self._watch, name)
+            for name in BOOKS:
+                nursery.start_soon(watch, self, name)
             nursery.start_soon(self._keep_house)
             nursery.start_soon(self.relay_hub.run)
             nursery.start_soon(keep_orders, self)
-            await self._learn_first()
+            await learn_first(self)
             await self._listen(self.cfg.callers, serve_caller, self._accepting)
             self.ready.set()
             logging.info(
@@ -409,65 +331,6 @@
 
         await self.nursery.start(accept)
 
-    async def _learn_first(self):
-        """Wait until the newest reachable records and host list are known."""
-        for seed in self.cfg.seed_peers:
-            self.nursery.start_soon(self._learn_from_seed, str(seed))
-        while not (self.book.version and self.roster.version):
-            await trio.sleep(0.05)
-        # The platform's answer may be old. Whatever a reachable peer has
-        # beyond it is pulled before the first caller is served.
-        with trio.move_on_after(FIRST_CONTACT_S):
-            while not all(p.was_heard for p in self.peers.values()):
-                await trio.sleep(0.05)
-        with trio.move_on_after(PULL_TIMEOUT_S):
-            while self._is_behind():
-                await trio.sleep(0.02)
-
-    def _is_behind(self):
-        return any(
-            p.records_version > self.book.version
-            or p.hosts_version > self.roster.version
-            for p in self.peers.values()
-        )
-
-    async def _learn_from_seed(self, address):
-        while not (self.book.version and self.roster.version):
-            with contextlib.suppress(ConnectError, LinkClosedError, PlatformError):
-                await self._pull_from_address(address)
-            await trio.sleep(_PLATFORM_RETRY_S)
-
-    async def _pull_from_address(self, address):
-        stream = await self.net.connect(address, PULL_TIMEOUT_S)
-        try:
-            link = await open_link(
-                stream, self.hello, self.cfg.link_secret, True, self.traffic
-            )
-            for number, name in enumerate(_BOOKS):
-                await link.send(changes_pull=ChangesPull(number, name, 0))
-                with trio.move_on_after(PULL_TIMEOUT_S):
-                    reply = (await link.receive()).changes_reply
-                    if reply is not None:
-                        self.apply(name, parse_update(reply.update))
-        finally:
-            await trio.aclose_forcefully(stream)
-
-    async def _watch(self, name):
-        """Keep asking a platform service for changes, for ever."""
-        service, book = self.services[name], self.book_named(name)
-        while True:
-            since = book.version
-            try:
-                update = await service.fetch(since, self.cfg.watch_s)
-            except PlatformError as exc:
-                logging.debug("platform: %s", exc)
-                await trio.sleep(_PLATFORM_RETRY_S * (0.5 + self.rng.random()))
-                continue
-            self.apply(name, update)
-            if update.version < since:
-                # A stale replica. Asking it again at once would gain nothing.
-                await trio.sleep(_PLATFORM_RETRY_S)
-
     async def _keep_house(self):
         next_expiry = self.now()
         while True:
@@ -478,7 +341,7 @@
                 next_expiry = self.now() + EXPIRY_S
                 self.ledger.expire(self.now())
                 self._take_slot()
-                self._reconcile_peers()
+                reconcile_peers(self)
 
     async def shut_down(self):
         """Leave the fleet without cutting off any request, then end."""
--- /dev/null
+++ b/src/cactusmill/internal/learning.py
@@ -0,0 +1,110 @@
+"""How a host learns of records and hosts: platform, peers, and at its start."""
+
+import contextlib
+
+import trio
+from absl import logging
+
+from ..errors import ConnectError, LinkClosedError, PlatformError
+from .link import open_link
+from .peers import next_answer
+from .platform import parse_update
+from .wire.ttypes import ChangesPull
+
+BOOKS = ("records", "hosts")
+PULL_TIMEOUT_S = 2.0
+PULL_DELAY_S = 0.2
+FIRST_CONTACT_S = 1.5
+_PLATFORM_RETRY_S = 0.5
+
+
+async def learn_first(host):
+    """Wait until the newest reachable records and host list are known."""
+    for seed in host.cfg.seed_peers:
+        host.nursery.start_soon(_learn_from_seed, host, str(seed))
+    while not (host.book.version and host.roster.version):
+        await trio.sleep(0.05)
+    # The platform's answer may be old. Whatever a reachable peer has
+    # beyond it is pulled before the first caller is served.
+    with trio.move_on_after(FIRST_CONTACT_S):
+        while not all(p.was_heard for p in host.peers.values()):
+            await trio.sleep(0.05)
+    with trio.move_on_after(PULL_TIMEOUT_S):
+        while _is_behind(host):
+            await trio.sleep(0.02)
+
+
+def _is_behind(host):
+    return any(
+        p.records_version > host.book.version or p.hosts_version > host.roster.version
+        for p in host.peers.values()
+    )
+
+
+async def _learn_from_seed(host, address):
+    while not (host.book.version and host.roster.version):
+        with contextlib.suppress(ConnectError, LinkClosedError, PlatformError):
+            await _pull_from_address(host, address)
+        await trio.sleep(_PLATFORM_RETRY_S)
+
+
+async def _pull_from_address(host, address):
+    stream = await host.net.connect(address, PULL_TIMEOUT_S)
+    try:
+        link = await open_link(
+            stream, host.hello, host.cfg.link_secret, True, host.traffic
+        )
+        for number, name in enumerate(BOOKS):
+            await link.send(changes_pull=ChangesPull(number, name, 0))
+            with trio.move_on_after(PULL_TIMEOUT_S):
+                reply = (await link.receive()).changes_reply
+                if reply is not None:
+                    host.apply(name, parse_update(reply.update))
+    finally:
+        await trio.aclose_forcefully(stream)
+
+
+async def watch(host, name):
+    """Keep asking a platform service for changes, for ever."""
+    service, book = host.services[name], host.book_named(name)
+    while True:
+        since = book.version
+        try:
+            update = await service.fetch(since, host.cfg.watch_s)
+        except PlatformError as exc:
+            logging.debug("platform: %s", exc)
+            await trio.sleep(_PLATFORM_RETRY_S * (0.5 + host.rng.random()))
+            continue
+        host.apply(name, update)
+        if update.version < since:
+            # A stale replica. Asking it again at once would gain nothing.
+            await trio.sleep(_PLATFORM_RETRY_S)
+
+
+async def pull(host, peer, name):
+    """Fetch what a peer has of a book and this host lacks.
+
+    Parameters
+    ----------
+    host : HostProcess
+        This process.
+    peer : Peer
+        Who has a newer version.
+    name : {"records", "hosts"}
+        Which book.
+    """
+    book = host.book_named(name)
+    try:
+        if host.ready.is_set():
+            # The platform's own answer is most likely on its way.
+            await trio.sleep(PULL_DELAY_S)
+        if book.version >= peer.version_of(name):
+            return
+        with trio.move_on_after(PULL_TIMEOUT_S):
+            async with peer.call() as (number, link, answers):
+                message = ChangesPull(number, name, book.version)
+                await link.send(changes_pull=message)
+                reply = (await next_answer(answers)).changes_reply
+                host.apply(name, parse_update(reply.update))
+    except (LinkClosedError, PlatformError):
+        pass
--- a/src/cactusmill/internal/once.py
+++ b/src/cactusmill/internal/once.py
@@ -26,6 +26,7 @@
 from .http import end_to_end
 from .job import is_permitted
 from .ledger import Answer, spent
+from .membership import reach
 from .peers import retry_after_outage_s
 from .routing import candidate, choose_endpoint
 
@@ -263,7 +264,7 @@
 
 async def _run_at_owner(host, job, sink):
     """Forward to the incarnation that the identifier names."""
-    peer = await host.reach(job.identifier.host)
+    peer = await reach(host, job.identifier.host)
     if peer is None:
         return await _without_owner(host, job, sink, "cannot be reached")
     if peer.incarnation != job.identifier.incarnation:
--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -3,8 +3,8 @@
 import pytest
 import trio
 
+from cactusmill.internal import host as host_module
 from cactusmill.internal.configuration import RecordBook
-from cactusmill.internal.host import HostProcess
 from cactusmill.internal.platform import PlatformService
 from standins.world import run_world
 
@@ -101,11 +101,11 @@
 
 
 def test_check_sees_a_host_that_does_not_ask_its_peers_first(monkeypatch):
-    async def learn_from_platform_only(self):
-        while not (self.book.version and self.roster.version):
+    async def learn_from_platform_only(host):
+        while not (host.book.version and host.roster.version):
             await trio.sleep(0.0001)
 
-    monkeypatch.setattr(HostProcess, "_learn_first", learn_from_platform_only)
+    monkeypatch.setattr(host_module, "learn_first", learn_from_platform_only)
     assert rates_after_restart(is_platform_stale=True) != {77}
 
 
