--- a/standins/faults.py
+++ b/standins/faults.py
@@ -5,6 +5,16 @@
 
 ZONES = ("osrednja-a", "stajerska-a", "primorska-a")
 PLATFORM = "platform"
+KINDS = (
+    "cut platform",
+    "cut zones",
+    "freeze endpoint",
+    "freeze host",
+    "kill endpoint",
+    "kill host",
+    "platform down",
+    "platform stale",
+)
 
 
 @attrs.define(eq=False)
@@ -31,9 +41,9 @@
         """Number of faults so far."""
         return sum(self.counts.values())
 
-    async def strike_until(self, end):
-        """Strike until a time, and return once every fault is healed."""
-        kinds = {
+    @property
+    def _kinds(self):
+        return {
             "kill host": self._kill_host,
             "freeze host": self._freeze_host,
             "cut zones": self._cut_zones,
@@ -43,15 +53,32 @@
             "platform down": self._platform_down,
             "platform stale": self._platform_stale,
         }
+
+    async def strike_until(self, end):
+        """Strike at random until a time; return once every fault is healed."""
         rng = self.world.rng
         async with trio.open_nursery() as nursery:
             while trio.current_time() < end:
                 await trio.sleep(rng.expovariate(1 / self.mean_gap_s))
-                kind = rng.choice(sorted(kinds))
-                nursery.start_soon(self._strike, kind, kinds[kind])
+                kind = rng.choice(KINDS)
+                nursery.start_soon(self._strike, kind, rng.uniform(0.1, 8.0))
+
+    async def strike_plan(self, plan):
+        """Strike as planned; return once every fault is healed.
+
+        Parameters
+        ----------
+        plan : list of (float, str, float)
+            For each fault the time since the one before, its kind and its
+            duration, times in seconds.
+        """
+        async with trio.open_nursery() as nursery:
+            for gap_s, kind, duration_s in plan:
+                await trio.sleep(gap_s)
+                nursery.start_soon(self._strike, kind, duration_s)
 
-    async def _strike(self, kind, strike):
-        if await strike(self.world.rng.uniform(0.1, 8.0)):
+    async def _strike(self, kind, duration_s):
+        if await self._kinds[kind](duration_s):
             self.counts[kind] = self.counts.get(kind, 0) + 1
 
     def _claim(self, names):
--- a/standins/orders.py
+++ b/standins/orders.py
@@ -80,7 +80,14 @@
 
 
 async def commit_orders(
-    world, *, orders, duration_s, mean_fault_gap_s, team="ljubljana", work_s=0.05
+    world,
+    *,
+    orders,
+    duration_s,
+    mean_fault_gap_s=None,
+    plan=(),
+    team="ljubljana",
+    work_s=0.05,
 ):
     """Commit orders under faults and check the history.
 
@@ -93,7 +100,9 @@
     duration_s : float
         Length of the run, in seconds.
     mean_fault_gap_s : float or None
-        Mean time between faults, in seconds; None for no faults.
+        Mean time between random faults, in seconds; None for none.
+    plan : list of (float, str, float)
+        Planned faults, see :meth:`FaultInjector.strike_plan`.
     team : str
         Whose orders.
     work_s : float
@@ -112,6 +121,7 @@
         if mean_fault_gap_s is not None:
             end = trio.current_time() + duration_s
             nursery.start_soon(injector.strike_until, end)
+        nursery.start_soon(injector.strike_plan, plan)
         for number in range(orders):
             order = Order(number)
             history.orders.append(order)
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -5,12 +5,15 @@
 import attrs
 import pytest
 import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 from returns.result import Failure
 
 from cactusmill.errors import Outcome
 from cactusmill.internal import answering, once
 from cactusmill.internal.identifiers import Minter
 from cactusmill.internal.ledger import Ledger
+from standins.faults import KINDS
 from standins.orders import ENROL_ROUTE, commit_orders
 from standins.world import EXAMPLE, run_world
 
@@ -41,6 +44,28 @@
     assert history.count_final("ran") > 40
 
 
+plans = st.lists(
+    st.tuples(
+        st.sampled_from([0.0, 0.2, 1.0, 3.0]),
+        st.sampled_from(KINDS),
+        st.sampled_from([0.3, 2.5, 7.0]),
+    ),
+    min_size=3,
+    max_size=12,
+)
+
+
+@settings(max_examples=8, derandomize=True, deadline=None)
+@given(plan=plans, seed=st.integers(0, 1000))
+def test_orders_under_any_plan_of_faults(plan, seed):
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(2)
+        return await commit_orders(world, orders=40, duration_s=10.0, plan=plan)
+
+    assert run_world(scenario, seed).violations == []
+
+
 def test_without_faults_every_order_runs():
     history = run_history(4, orders=60, mean_fault_gap_s=None)
     assert history.violations == []
