Let newcomers spill when their zone has lost its endpoints

Cause: a request that found others waiting joined them without looking further. With the zone's endpoints dead nobody's turn comes, so it was refused with 503 while other zones had room.

Change: the queue goes first only while the zone has a usable endpoint.

Figures: 20 newcomers after the loss: all 200 (before: all 503).

--- a/src/cactusmill/internal/repeatable.py
+++ b/src/cactusmill/internal/repeatable.py
@@ -77,8 +77,7 @@
 
 
 async def _attempts(host, job, sink, run, is_forwarded):
-    if len(host.queue_for(job.service)) > 0:
-        # Whoever waits already goes first, even if there is room by now.
+    if _must_queue(host, job):
         refusal = await _wait_for_room(host, job, run)
         if refusal is not None:
             return Failure(refusal)
@@ -111,6 +110,16 @@
             return Failure(refusal)
 
 
+def _must_queue(host, job):
+    """Tell whether others wait already, who go first even if there is room.
+
+    Where the zone has lost its endpoints nobody's turn will come.
+    """
+    if len(host.queue_for(job.service)) == 0:
+        return False
+    return any(c.usable for c in zone_candidates(host, job, host.cfg.zone))
+
+
 def _metered(sink, run):
     """Count the tokens of an answer that another host relays."""
     if run.meter is None:
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -183,3 +183,25 @@
             conn.h11.start_next_cycle()
     results.append(tuple(statuses))
     await trio.aclose_forcefully(stream)
+
+
+def test_newcomers_spill_when_the_zone_loses_its_endpoints_under_a_queue():
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(9)
+        flood, newcomers = [], []
+        async with trio.open_nursery() as nursery:
+            for number in range(60):
+                text = f"flood {number}"
+                nursery.start_soon(ask, world, "osrednja-1", text, flood, 40)
+            await trio.sleep(0.1)
+            assert len(world.hosts["osrednja-1"].queue_for("povzetek-7b")) > 0
+            for engine in ("engine-osrednja-1", "engine-osrednja-2"):
+                world.kill(engine)
+            for number in range(20):
+                await trio.sleep(0.01)
+                text = f"newcomer {number}"
+                nursery.start_soon(ask, world, "osrednja-1", text, newcomers)
+        return newcomers
+
+    assert set(run_world(scenario, 1)) == {200}
