Tell an endpoint out of reach from a dead one; guard the once task

Cause: reading the code. A reset together with a cut counted as an endpoint's death, so a partition could condemn innocent requests. A fault of the program while a request ran once would have ended the host.

Ruled out: counting no death without a second witness; the crash storms need the first one.

Change: only a refused connection counts as a death. The task notes a fault and the caller gets 'unknown'.

--- a/src/cactusmill/errors.py
+++ b/src/cactusmill/errors.py
@@ -64,6 +64,10 @@
     """No connection was made, so the far side has received no byte."""
 
 
+class ConnectRefusedError(ConnectError):
+    """The far side's machine answered that no process listens there."""
+
+
 class ExchangeError(CactusmillError):
     """A connection failed after bytes may have reached the far side."""
 
--- a/src/cactusmill/internal/attempts.py
+++ b/src/cactusmill/internal/attempts.py
@@ -6,6 +6,7 @@
 from ..errors import (
     AnswerCutError,
     ConnectError,
+    ConnectRefusedError,
     EndpointFailed,
     ExchangeError,
     NoEndpoint,
@@ -197,8 +198,11 @@
         return False
     try:
         stream = await host.net.connect(endpoint.address, _RETRY_S)
-    except ConnectError:
+    except ConnectRefusedError:
         pass
+    except ConnectError:
+        # Out of reach is not dead: a cut must not make suspects.
+        return False
     else:
         await trio.aclose_forcefully(stream)
         return False
--- a/src/cactusmill/internal/host.py
+++ b/src/cactusmill/internal/host.py
@@ -191,6 +191,11 @@
         for peer in self.peers.values():
             peer.nudge()
 
+    def note_fault(self, where, *args):
+        """Count and log the exception being handled as a fault of the program."""
+        self.faults += 1
+        logging.exception("fault: " + where, *args)
+
     def cancel_forward(self, link, cancel):
         """Tell a peer, from no task in particular, to give up a request."""
 
@@ -321,8 +326,7 @@
                 await handler(self, stream)
             except Exception:
                 # One connection's fault must not end the others.
-                self.faults += 1
-                logging.exception("fault on a connection to %s", address)
+                self.note_fault("a connection to %s", address)
                 await trio.aclose_forcefully(stream)
 
         async def accept(task_status):
--- a/src/cactusmill/internal/net.py
+++ b/src/cactusmill/internal/net.py
@@ -7,7 +7,7 @@
 import attrs
 import trio
 
-from ..errors import ConnectError
+from ..errors import ConnectError, ConnectRefusedError
 
 _BACKLOG = 1024
 
@@ -44,6 +44,8 @@
         with trio.fail_after(timeout_s):
             return await trio.open_tcp_stream(ip, port)
     except (OSError, trio.TooSlowError) as exc:
+        if isinstance(exc.__cause__, ConnectionRefusedError):
+            raise ConnectRefusedError(f"{address} refuses connections") from exc
         raise ConnectError(f"no connection to {address}: {exc}") from exc
 
 
--- a/src/cactusmill/internal/once.py
+++ b/src/cactusmill/internal/once.py
@@ -140,6 +140,9 @@
     host.running_once += 1
     try:
         result = await _admit_and_send(host, job)
+    except Exception:
+        # This task is the host's own; its fault must not end the host.
+        host.note_fault("running %s once", job.request_id)
     finally:
         host.running_once -= 1
         match result:
--- a/standins/network.py
+++ b/standins/network.py
@@ -9,7 +9,7 @@
 import attrs
 import trio
 
-from cactusmill.errors import ConnectError
+from cactusmill.errors import ConnectError, ConnectRefusedError
 from cactusmill.internal.net import Network
 
 BUFFER_BYTES = 256 * 1024
@@ -254,10 +254,10 @@
             raise ConnectError(f"no connection to {address} in time")
         if server is None or not server[0].is_up:
             await trio.sleep(2 * self.zone_delay_s)
-            raise ConnectError(f"{address} refuses connections")
+            raise ConnectRefusedError(f"{address} refuses connections")
         await trio.sleep(2 * self.delay_s(machine, server[0]))
         if not server[0].is_up:
-            raise ConnectError(f"{address} refuses connections")
+            raise ConnectRefusedError(f"{address} refuses connections")
         near = SimulatedStream(self, machine, server[0], tap=self.tap)
         far = SimulatedStream(self, server[0], machine, tap=self.tap)
         near.far, far.far = far, near
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,6 +3,7 @@
 import pytest
 import trio
 
+from cactusmill.internal import once
 from cactusmill.internal.http import client_connection, exchange
 from cactusmill.internal.suspects import Suspects
 from standins.engine import CRASH_MARK
@@ -205,3 +206,44 @@
         return newcomers
 
     assert set(run_world(scenario, 1)) == {200}
+
+
+def test_an_endpoint_out_of_reach_makes_no_suspects():
+    async def scenario(world):
+        await world.start()
+        await trio.sleep(6)
+        host, engines = (
+            world.hosts["osrednja-1"],
+            ("engine-osrednja-1", "engine-osrednja-2"),
+        )
+        statuses = []
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(ask, world, "osrednja-1", "long", statuses, 300)
+            await trio.sleep(0.05)
+            for engine in engines:
+                world.network.cut("osrednja-1", engine)
+                for stream in list(world.machines[engine].streams):
+                    stream.reset()
+        return host.suspects._by_digest
+
+    assert run_world(scenario, 1) == {}
+
+
+def test_a_fault_while_running_once_ends_the_request_only(monkeypatch):
+    async def fail(host, job):
+        raise KeyError("a fault of the program")
+
+    monkeypatch.setattr(once, "_admit_and_send", fail)
+
+    async def scenario(world):
+        await world.start()
+        identifier = (await world.mint("osrednja-1", TEAM))[0]
+        headers = [(b"idempotency-key", identifier.encode())]
+        reply = await world.call(
+            "osrednja-1", "POST", "/enrolments", team=TEAM, headers=headers
+        )
+        host = world.hosts["osrednja-1"]
+        noted, host.faults = host.faults, 0
+        return reply.problem["outcome"], noted
+
+    assert run_world(scenario, 1) == ("unknown", 1)
