Switch off two more mechanisms and see the checks fail

Cause: the proofs of an isolated region's start and of leaving endpoints had only been seen to pass.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from cactusmill.internal import once
+from cactusmill.internal import attempts, learning, once
 from cactusmill.internal.http import client_connection, exchange
 from cactusmill.internal.suspects import Suspects
 from standins.engine import CRASH_MARK
@@ -49,8 +49,28 @@
     assert set(run_world(scenario, 1)) == {200}
 
 
-@pytest.mark.parametrize("is_list_stale", [False, True], ids=["listed", "list lags"])
-def test_leaving_endpoint_gets_nothing_new_within_the_limit(is_list_stale):
+def test_check_sees_a_start_that_asks_no_seeds(monkeypatch):
+    async def ask_nobody(host, address):
+        pass
+
+    monkeypatch.setattr(learning, "_learn_from_seed", ask_nobody)
+
+    async def scenario(world):
+        await world.start()
+        for other in ("osrednja-a", "primorska-a", "platform"):
+            world.network.cut("stajerska-a", other)
+        world.kill("stajerska-2")
+        with trio.move_on_after(30):
+            await world.start_host("stajerska-2").ready.wait()
+            return True
+        return False
+
+    assert run_world(scenario, 1) is False
+
+
+def offered_after_leaving(is_list_stale):
+    """Return the statuses, and what a leaving endpoint is offered too late."""
+
     async def scenario(world):
         await world.start()
         await trio.sleep(6)
@@ -64,7 +84,18 @@
             offered_by_then = leaving.offered
         return set(statuses), leaving.offered - offered_by_then
 
-    assert run_world(scenario, 1) == ({200}, 0)
+    return run_world(scenario, 1)
+
+
+@pytest.mark.parametrize("is_list_stale", [False, True], ids=["listed", "list lags"])
+def test_leaving_endpoint_gets_nothing_new_within_the_limit(is_list_stale):
+    assert offered_after_leaving(is_list_stale) == ({200}, 0)
+
+
+def test_check_sees_a_refusal_that_is_not_heeded(monkeypatch):
+    monkeypatch.setattr(attempts, "LEAVING_HEADER", b"x-never-sent")
+    _, offered = offered_after_leaving(is_list_stale=True)
+    assert offered > 0
 
 
 async def ask_steadily(world, statuses, duration_s):
