--- a/standins/world.py
+++ b/standins/world.py
@@ -99,11 +99,12 @@
         self.configuration.load(yaml.safe_load((folder / "records.yaml").read_text()))
         listed = yaml.safe_load((folder / "platform-hosts.yaml").read_text())
         self.host_list.load(listed)
+        any_host = next(iter(self.settings.values()))
         for name, service in (
             ("configuration", self.configuration),
             ("host_list", self.host_list),
         ):
-            address = data[name]
+            address = any_host[name]
             await self._serve(self.machine(name, PLATFORM_ZONE), address, service.serve)
         for entry in listed:
             if entry["kind"] == "endpoint":
