Kill hosts and endpoints by one function in the fault injector

Cause: two functions differed only in how they started what they had killed, and World.revive serves both.

--- a/standins/faults.py
+++ b/standins/faults.py
@@ -91,12 +91,18 @@
         return name
 
     async def _kill_host(self, duration_s):
-        name = self._claim(self.world.settings)
+        return await self._kill(self.world.settings, duration_s)
+
+    async def _kill_endpoint(self, duration_s):
+        return await self._kill(self.world.addresses, duration_s)
+
+    async def _kill(self, names, duration_s):
+        name = self._claim(names)
         if name is None:
             return False
         self.world.kill(name)
         await trio.sleep(duration_s)
-        self.world.start_host(name)
+        self.world.revive(name)
         self._struck.discard(name)
         return True
 
@@ -117,16 +123,6 @@
         self._struck.discard(name)
         return True
 
-    async def _kill_endpoint(self, duration_s):
-        name = self._claim(self.world.addresses)
-        if name is None:
-            return False
-        self.world.kill(name)
-        await trio.sleep(duration_s)
-        self.world.revive(name)
-        self._struck.discard(name)
-        return True
-
     async def _cut_zones(self, duration_s):
         one, other = self.world.rng.sample(ZONES, 2)
         return await self._cut(one, other, duration_s)
