--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -76,6 +76,10 @@
   10: optional string identifier
   11: required i64 remaining_ms
   12: required string incarnation
+  // How many endpoints the receiver may still send the request to.
+  13: optional i32 attempts
+  // What is left of the latency objective; negative if it has passed.
+  14: optional i64 objective_ms
 }
 
 struct AnswerHead {
@@ -84,6 +88,10 @@
   3: required i32 status
   4: required list<Header> headers
   5: optional string refusal
+  // When the caller may come back after a refusal.
+  6: optional i64 retry_after_ms
+  // True if the request has not run and never will.
+  7: optional bool not_run
 }
 
 struct AnswerData {
@@ -132,6 +140,45 @@
   2: required i32 deaths
 }
 
+// A host as another host knows it.
+struct MemberNote {
+  1: required string host
+  2: required string ip
+  3: required string zone
+  4: required string region
+  5: required string incarnation
+  6: required i32 age_ms
+  7: required bool leaving
+}
+
+// A team's recent demand at the sender. The key is a hash of the team's name.
+struct TeamDemand {
+  1: required i32 key
+  2: required i32 tokens_per_s
+}
+
+// What the sender has at an endpoint. The key is a hash of the endpoint's name.
+struct EndpointWork {
+  1: required i32 key
+  2: required i32 in_flight
+  3: required i32 prompt_tokens
+}
+
+// Sent as one datagram, several times a second in a region and less often to
+// others: who the sender is, whom it knows and what it shares with them.
+struct Beat {
+  1: required MemberNote sender
+  2: required i64 sequence
+  3: required bool ready
+  4: required i64 configuration_version
+  5: required i64 revision
+  6: required list<MemberNote> members
+  7: optional list<TeamDemand> demands
+  8: optional list<EndpointWork> work
+  9: optional list<ServiceWait> waits
+  10: optional list<Suspect> suspects
+}
+
 union Frame {
   1: Hello hello
   2: Proof proof
@@ -148,4 +195,5 @@
   13: LoanGrant loan_grant
   14: Suspect suspect
   15: LoadReport load_report
+  16: Beat beat
 }
--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -22,7 +22,7 @@
 from .callers import CallerRequest, caller_sink, send_refusal
 from .chat import error_event
 from .directory import DIRECTORY_PATH, answer_directory, hosts_for
-from .http import header, read_body, server_connection
+from .http import header, linger, read_body, server_connection
 from .intake import build_job, new_request_id, passed_headers
 from .job import is_permitted
 from .once import run_once
@@ -30,8 +30,6 @@
 from .repeatable import run_repeatable
 
 BODY_TIMEOUT_S = 30.0
-LINGER_S = 1.0
-_LINGER_BYTES = 1024 * 1024
 
 
 async def serve_caller(host, stream):
@@ -71,7 +69,7 @@
         return not (caller.said_close or _wants_close(head))
     if conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE:
         return True
-    await _linger(conn)
+    await linger(conn)
     return False
 
 
@@ -86,23 +84,7 @@
         headers.append((b"connection", b"close"))
         response = h11.Response(status_code=status, headers=headers)
         await conn.send(response, h11.Data(data=body), h11.EndOfMessage())
-    await _linger(conn)
-
-
-async def _linger(conn):
-    """Let the caller read the answer before the connection is reset.
-
-    Closing a socket with unread bytes resets it, and the reset may overtake
-    the answer.
-    """
-    with trio.move_on_after(LINGER_S), contextlib.suppress(trio.BrokenResourceError):
-        await conn.stream.send_eof()
-        received = 0
-        while received < _LINGER_BYTES:
-            data = await conn.stream.receive_some()
-            if not data:
-                return
-            received += len(data)
+    await linger(conn)
 
 
 async def _answer(host, caller):
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -4,6 +4,8 @@
 about routes, teams or endpoints.
 """
 
+import contextlib
+
 import attrs
 import h11
 import trio
@@ -15,6 +17,8 @@
 )
 
 RECEIVE_BYTES = 64 * 1024
+LINGER_S = 1.0
+_LINGER_BYTES = 1024 * 1024
 _HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -29,7 +33,7 @@
 )
 
 
-@attrs.define
+@attrs.define(eq=False)
 class Connection:
     """One HTTP connection.
 
@@ -39,10 +43,13 @@
         The transport.
     h11 : h11.Connection
         State of the protocol.
+    is_partly_sent : bool
+        True while a message has left this side only in part.
     """
 
     stream: trio.abc.Stream
     h11: h11.Connection
+    is_partly_sent: bool = False
 
     def restart(self, max_head_bytes):
         """Begin the next message cycle of a server after a body passed by.
@@ -150,6 +157,22 @@
         chunks.append(bytes(event.data))
 
 
+async def linger(conn):
+    """Let the caller read the answer before the connection is reset.
+
+    Closing a socket with unread bytes resets it, and the reset may overtake
+    the answer.
+    """
+    with trio.move_on_after(LINGER_S), contextlib.suppress(trio.BrokenResourceError):
+        await conn.stream.send_eof()
+        received = 0
+        while received < _LINGER_BYTES:
+            data = await conn.stream.receive_some()
+            if not data:
+                return
+            received += len(data)
+
+
 def header(headers, name, default=None):
     """Return the first header of a lower-case name, as text."""
     for key, value in headers:
--- a/src/cactusmill/internal/job.py
+++ b/src/cactusmill/internal/job.py
@@ -39,6 +39,11 @@
         True if the answer is a stream of events.
     identifier : Identifier or None
         Minted identifier of a request that runs at most once.
+    objective_at : float
+        Time by which the answer should begin, in seconds.
+    parts : tuple of (str, int)
+        The prompt's parts in order with their tokens; equal beginnings share
+        parts.
     """
 
     request_id: str
@@ -56,6 +61,8 @@
     affinity: str = ""
     is_stream: bool = False
     identifier: object = None
+    objective_at: float = 0.0
+    parts: tuple = ()
 
     @property
     def team_name(self):
--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -24,11 +24,16 @@
 _PROTOCOL = TCompactProtocolAcceleratedFactory()
 
 
-def encode(frame):
-    """Return a frame's bytes, length included."""
+def encode_frame(frame):
+    """Return a frame's bytes without a length, such as for one datagram."""
     buffer = TMemoryBuffer()
     frame.write(_PROTOCOL.getProtocol(buffer))
-    data = buffer.getvalue()
+    return buffer.getvalue()
+
+
+def encode(frame):
+    """Return a frame's bytes, length included."""
+    data = encode_frame(frame)
     return _LENGTH.pack(len(data)) + data
 
 
@@ -129,6 +134,17 @@
         del self._received[:size]
         return data
 
+    async def wait_closed(self):
+        """Return once the far side has closed; keep what it sends meanwhile."""
+        while len(self._received) <= MAX_FRAME_BYTES:
+            try:
+                data = await self.stream.receive_some(_RECEIVE_BYTES)
+            except (trio.BrokenResourceError, trio.ClosedResourceError):
+                return
+            if not data:
+                return
+            self._received += data
+
     async def close(self):
         """Close the connection at once."""
         await trio.aclose_forcefully(self.stream)
--- a/src/cactusmill/internal/logs.py
+++ b/src/cactusmill/internal/logs.py
@@ -13,6 +13,7 @@
             "level": record.levelname.lower(),
             "module": record.module,
             "message": record.getMessage(),
+            **getattr(record, "fields", {}),
         }
         if record.exc_info:
             line["exception"] = self.formatException(record.exc_info)
--- a/src/cactusmill/internal/wire/ttypes.py
+++ b/src/cactusmill/internal/wire/ttypes.py
@@ -869,6 +869,8 @@
      - identifier
      - remaining_ms
      - incarnation
+     - attempts
+     - objective_ms
 
     """
 
@@ -885,10 +887,12 @@
         'identifier',
         'remaining_ms',
         'incarnation',
+        'attempts',
+        'objective_ms',
     )
 
 
-    def __init__(self, call=None, request_id=None, route=None, team=None, records_version=None, method=None, target=None, headers=None, body=None, identifier=None, remaining_ms=None, incarnation=None,):
+    def __init__(self, call=None, request_id=None, route=None, team=None, records_version=None, method=None, target=None, headers=None, body=None, identifier=None, remaining_ms=None, incarnation=None, attempts=None, objective_ms=None,):
         self.call = call
         self.request_id = request_id
         self.route = route
@@ -901,6 +905,8 @@
         self.identifier = identifier
         self.remaining_ms = remaining_ms
         self.incarnation = incarnation
+        self.attempts = attempts
+        self.objective_ms = objective_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -977,6 +983,16 @@
                     self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 13:
+                if ftype == TType.I32:
+                    self.attempts = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.I64:
+                    self.objective_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1038,6 +1054,14 @@
             oprot.writeFieldBegin('incarnation', TType.STRING, 12)
             oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
             oprot.writeFieldEnd()
+        if self.attempts is not None:
+            oprot.writeFieldBegin('attempts', TType.I32, 13)
+            oprot.writeI32(self.attempts)
+            oprot.writeFieldEnd()
+        if self.objective_ms is not None:
+            oprot.writeFieldBegin('objective_ms', TType.I64, 14)
+            oprot.writeI64(self.objective_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1093,6 +1117,8 @@
      - status
      - headers
      - refusal
+     - retry_after_ms
+     - not_run
 
     """
 
@@ -1102,15 +1128,19 @@
         'status',
         'headers',
         'refusal',
+        'retry_after_ms',
+        'not_run',
     )
 
 
-    def __init__(self, call=None, request_id=None, status=None, headers=None, refusal=None,):
+    def __init__(self, call=None, request_id=None, status=None, headers=None, refusal=None, retry_after_ms=None, not_run=None,):
         self.call = call
         self.request_id = request_id
         self.status = status
         self.headers = headers
         self.refusal = refusal
+        self.retry_after_ms = retry_after_ms
+        self.not_run = not_run
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1152,6 +1182,16 @@
                     self.refusal = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I64:
+                    self.retry_after_ms = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.not_run = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1185,6 +1225,14 @@
             oprot.writeFieldBegin('refusal', TType.STRING, 5)
             oprot.writeString(self.refusal.encode('utf-8') if sys.version_info[0] == 2 else self.refusal)
             oprot.writeFieldEnd()
+        if self.retry_after_ms is not None:
+            oprot.writeFieldBegin('retry_after_ms', TType.I64, 6)
+            oprot.writeI64(self.retry_after_ms)
+            oprot.writeFieldEnd()
+        if self.not_run is not None:
+            oprot.writeFieldBegin('not_run', TType.BOOL, 7)
+            oprot.writeBool(self.not_run)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1927,6 +1975,576 @@
         return not (self == other)
 
 
+class MemberNote(object):
+    """
+    Attributes:
+     - host
+     - ip
+     - zone
+     - region
+     - incarnation
+     - age_ms
+     - leaving
+
+    """
+
+    __slots__ = (
+        'host',
+        'ip',
+        'zone',
+        'region',
+        'incarnation',
+        'age_ms',
+        'leaving',
+    )
+
+
+    def __init__(self, host=None, ip=None, zone=None, region=None, incarnation=None, age_ms=None, leaving=None,):
+        self.host = host
+        self.ip = ip
+        self.zone = zone
+        self.region = region
+        self.incarnation = incarnation
+        self.age_ms = age_ms
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.host = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.ip = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.region = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('MemberNote')
+        if self.host is not None:
+            oprot.writeFieldBegin('host', TType.STRING, 1)
+            oprot.writeString(self.host.encode('utf-8') if sys.version_info[0] == 2 else self.host)
+            oprot.writeFieldEnd()
+        if self.ip is not None:
+            oprot.writeFieldBegin('ip', TType.STRING, 2)
+            oprot.writeString(self.ip.encode('utf-8') if sys.version_info[0] == 2 else self.ip)
+            oprot.writeFieldEnd()
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 3)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.region is not None:
+            oprot.writeFieldBegin('region', TType.STRING, 4)
+            oprot.writeString(self.region.encode('utf-8') if sys.version_info[0] == 2 else self.region)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 5)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 6)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 7)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.host is None:
+            raise TProtocolException(message='Required field host is unset!')
+        if self.ip is None:
+            raise TProtocolException(message='Required field ip is unset!')
+        if self.zone is None:
+            raise TProtocolException(message='Required field zone is unset!')
+        if self.region is None:
+            raise TProtocolException(message='Required field region is unset!')
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.leaving is None:
+            raise TProtocolException(message='Required field leaving is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class TeamDemand(object):
+    """
+    Attributes:
+     - key
+     - tokens_per_s
+
+    """
+
+    __slots__ = (
+        'key',
+        'tokens_per_s',
+    )
+
+
+    def __init__(self, key=None, tokens_per_s=None,):
+        self.key = key
+        self.tokens_per_s = tokens_per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.key = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens_per_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('TeamDemand')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.I32, 1)
+            oprot.writeI32(self.key)
+            oprot.writeFieldEnd()
+        if self.tokens_per_s is not None:
+            oprot.writeFieldBegin('tokens_per_s', TType.I32, 2)
+            oprot.writeI32(self.tokens_per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.tokens_per_s is None:
+            raise TProtocolException(message='Required field tokens_per_s is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndpointWork(object):
+    """
+    Attributes:
+     - key
+     - in_flight
+     - prompt_tokens
+
+    """
+
+    __slots__ = (
+        'key',
+        'in_flight',
+        'prompt_tokens',
+    )
+
+
+    def __init__(self, key=None, in_flight=None, prompt_tokens=None,):
+        self.key = key
+        self.in_flight = in_flight
+        self.prompt_tokens = prompt_tokens
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.key = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.in_flight = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.prompt_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointWork')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.I32, 1)
+            oprot.writeI32(self.key)
+            oprot.writeFieldEnd()
+        if self.in_flight is not None:
+            oprot.writeFieldBegin('in_flight', TType.I32, 2)
+            oprot.writeI32(self.in_flight)
+            oprot.writeFieldEnd()
+        if self.prompt_tokens is not None:
+            oprot.writeFieldBegin('prompt_tokens', TType.I32, 3)
+            oprot.writeI32(self.prompt_tokens)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.in_flight is None:
+            raise TProtocolException(message='Required field in_flight is unset!')
+        if self.prompt_tokens is None:
+            raise TProtocolException(message='Required field prompt_tokens is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Beat(object):
+    """
+    Attributes:
+     - sender
+     - sequence
+     - ready
+     - configuration_version
+     - revision
+     - members
+     - demands
+     - work
+     - waits
+     - suspects
+
+    """
+
+    __slots__ = (
+        'sender',
+        'sequence',
+        'ready',
+        'configuration_version',
+        'revision',
+        'members',
+        'demands',
+        'work',
+        'waits',
+        'suspects',
+    )
+
+
+    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, waits=None, suspects=None,):
+        self.sender = sender
+        self.sequence = sequence
+        self.ready = ready
+        self.configuration_version = configuration_version
+        self.revision = revision
+        self.members = members
+        self.demands = demands
+        self.work = work
+        self.waits = waits
+        self.suspects = suspects
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRUCT:
+                    self.sender = MemberNote()
+                    self.sender.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I64:
+                    self.sequence = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.ready = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I64:
+                    self.configuration_version = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.LIST:
+                    self.members = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = MemberNote()
+                        _elem54.read(iprot)
+                        self.members.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.demands = []
+                    (_etype58, _size55) = iprot.readListBegin()
+                    for _i59 in range(_size55):
+                        _elem60 = TeamDemand()
+                        _elem60.read(iprot)
+                        self.demands.append(_elem60)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.work = []
+                    (_etype64, _size61) = iprot.readListBegin()
+                    for _i65 in range(_size61):
+                        _elem66 = EndpointWork()
+                        _elem66.read(iprot)
+                        self.work.append(_elem66)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 9:
+                if ftype == TType.LIST:
+                    self.waits = []
+                    (_etype70, _size67) = iprot.readListBegin()
+                    for _i71 in range(_size67):
+                        _elem72 = ServiceWait()
+                        _elem72.read(iprot)
+                        self.waits.append(_elem72)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 10:
+                if ftype == TType.LIST:
+                    self.suspects = []
+                    (_etype76, _size73) = iprot.readListBegin()
+                    for _i77 in range(_size73):
+                        _elem78 = Suspect()
+                        _elem78.read(iprot)
+                        self.suspects.append(_elem78)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('Beat')
+        if self.sender is not None:
+            oprot.writeFieldBegin('sender', TType.STRUCT, 1)
+            self.sender.write(oprot)
+            oprot.writeFieldEnd()
+        if self.sequence is not None:
+            oprot.writeFieldBegin('sequence', TType.I64, 2)
+            oprot.writeI64(self.sequence)
+            oprot.writeFieldEnd()
+        if self.ready is not None:
+            oprot.writeFieldBegin('ready', TType.BOOL, 3)
+            oprot.writeBool(self.ready)
+            oprot.writeFieldEnd()
+        if self.configuration_version is not None:
+            oprot.writeFieldBegin('configuration_version', TType.I64, 4)
+            oprot.writeI64(self.configuration_version)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 5)
+            oprot.writeI64(self.revision)
+            oprot.writeFieldEnd()
+        if self.members is not None:
+            oprot.writeFieldBegin('members', TType.LIST, 6)
+            oprot.writeListBegin(TType.STRUCT, len(self.members))
+            for iter79 in self.members:
+                iter79.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.demands is not None:
+            oprot.writeFieldBegin('demands', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.demands))
+            for iter80 in self.demands:
+                iter80.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.work is not None:
+            oprot.writeFieldBegin('work', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.work))
+            for iter81 in self.work:
+                iter81.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.waits is not None:
+            oprot.writeFieldBegin('waits', TType.LIST, 9)
+            oprot.writeListBegin(TType.STRUCT, len(self.waits))
+            for iter82 in self.waits:
+                iter82.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.suspects is not None:
+            oprot.writeFieldBegin('suspects', TType.LIST, 10)
+            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
+            for iter83 in self.suspects:
+                iter83.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.sender is None:
+            raise TProtocolException(message='Required field sender is unset!')
+        if self.sequence is None:
+            raise TProtocolException(message='Required field sequence is unset!')
+        if self.ready is None:
+            raise TProtocolException(message='Required field ready is unset!')
+        if self.configuration_version is None:
+            raise TProtocolException(message='Required field configuration_version is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
+        if self.members is None:
+            raise TProtocolException(message='Required field members is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Frame(object):
     """
     Attributes:
@@ -1945,6 +2563,7 @@
      - loan_grant
      - suspect
      - load_report
+     - beat
 
     """
 
@@ -1964,10 +2583,11 @@
         'loan_grant',
         'suspect',
         'load_report',
+        'beat',
     )
 
 
-    def __init__(self, hello=None, proof=None, heartbeat=None, heartbeat_ack=None, changes_pull=None, changes_reply=None, forward=None, answer_head=None, answer_data=None, answer_end=None, cancel=None, loan_ask=None, loan_grant=None, suspect=None, load_report=None,):
+    def __init__(self, hello=None, proof=None, heartbeat=None, heartbeat_ack=None, changes_pull=None, changes_reply=None, forward=None, answer_head=None, answer_data=None, answer_end=None, cancel=None, loan_ask=None, loan_grant=None, suspect=None, load_report=None, beat=None,):
         self.hello = hello
         self.proof = proof
         self.heartbeat = heartbeat
@@ -1983,6 +2603,7 @@
         self.loan_grant = loan_grant
         self.suspect = suspect
         self.load_report = load_report
+        self.beat = beat
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2083,6 +2704,12 @@
                     self.load_report.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.beat = Beat()
+                    self.beat.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2153,6 +2780,10 @@
             oprot.writeFieldBegin('load_report', TType.STRUCT, 15)
             self.load_report.write(oprot)
             oprot.writeFieldEnd()
+        if self.beat is not None:
+            oprot.writeFieldBegin('beat', TType.STRUCT, 16)
+            self.beat.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2249,6 +2880,8 @@
     (10, TType.STRING, 'identifier', 'UTF8', None, ),  # 10
     (11, TType.I64, 'remaining_ms', None, None, ),  # 11
     (12, TType.STRING, 'incarnation', 'UTF8', None, ),  # 12
+    (13, TType.I32, 'attempts', None, None, ),  # 13
+    (14, TType.I64, 'objective_ms', None, None, ),  # 14
 )
 all_structs.append(AnswerHead)
 AnswerHead.thrift_spec = (
@@ -2258,6 +2891,8 @@
     (3, TType.I32, 'status', None, None, ),  # 3
     (4, TType.LIST, 'headers', (TType.STRUCT, [Header, None], False), None, ),  # 4
     (5, TType.STRING, 'refusal', 'UTF8', None, ),  # 5
+    (6, TType.I64, 'retry_after_ms', None, None, ),  # 6
+    (7, TType.BOOL, 'not_run', None, None, ),  # 7
 )
 all_structs.append(AnswerData)
 AnswerData.thrift_spec = (
@@ -2309,6 +2944,44 @@
     (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
     (2, TType.I32, 'deaths', None, None, ),  # 2
 )
+all_structs.append(MemberNote)
+MemberNote.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'host', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'ip', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'zone', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'region', 'UTF8', None, ),  # 4
+    (5, TType.STRING, 'incarnation', 'UTF8', None, ),  # 5
+    (6, TType.I32, 'age_ms', None, None, ),  # 6
+    (7, TType.BOOL, 'leaving', None, None, ),  # 7
+)
+all_structs.append(TeamDemand)
+TeamDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'key', None, None, ),  # 1
+    (2, TType.I32, 'tokens_per_s', None, None, ),  # 2
+)
+all_structs.append(EndpointWork)
+EndpointWork.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'key', None, None, ),  # 1
+    (2, TType.I32, 'in_flight', None, None, ),  # 2
+    (3, TType.I32, 'prompt_tokens', None, None, ),  # 3
+)
+all_structs.append(Beat)
+Beat.thrift_spec = (
+    None,  # 0
+    (1, TType.STRUCT, 'sender', [MemberNote, None], None, ),  # 1
+    (2, TType.I64, 'sequence', None, None, ),  # 2
+    (3, TType.BOOL, 'ready', None, None, ),  # 3
+    (4, TType.I64, 'configuration_version', None, None, ),  # 4
+    (5, TType.I64, 'revision', None, None, ),  # 5
+    (6, TType.LIST, 'members', (TType.STRUCT, [MemberNote, None], False), None, ),  # 6
+    (7, TType.LIST, 'demands', (TType.STRUCT, [TeamDemand, None], False), None, ),  # 7
+    (8, TType.LIST, 'work', (TType.STRUCT, [EndpointWork, None], False), None, ),  # 8
+    (9, TType.LIST, 'waits', (TType.STRUCT, [ServiceWait, None], False), None, ),  # 9
+    (10, TType.LIST, 'suspects', (TType.STRUCT, [Suspect, None], False), None, ),  # 10
+)
 all_structs.append(Frame)
 Frame.thrift_spec = (
     None,  # 0
@@ -2327,6 +3000,7 @@
     (13, TType.STRUCT, 'loan_grant', [LoanGrant, None], None, ),  # 13
     (14, TType.STRUCT, 'suspect', [Suspect, None], None, ),  # 14
     (15, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 15
+    (16, TType.STRUCT, 'beat', [Beat, None], None, ),  # 16
 )
 fix_spec(all_structs)
 del all_structs
--- /dev/null
+++ b/src/cactusmill/platform/daemon.py
@@ -0,0 +1,87 @@
+"""The process that runs on the users' machines."""
+
+import argparse
+import os
+import signal
+import sys
+
+import trio
+from absl import logging
+
+from ..errors import SettingsError
+from ..internal.logs import log_json_lines
+from ..internal.net import TCP
+from ..serving.events import log_event
+from ..serving.host import EntryHost
+from .dialect import DIALECT
+from .entrance import serve_entrance
+from .settings import SETTINGS_VARIABLE, load_platform_settings
+from .store import StoreClient
+
+_EXIT_USAGE = 2
+
+
+async def _run(cfg, path):
+    store = StoreClient(cfg.store, TCP, cfg.host.zones)
+    host = EntryHost(cfg.host, DIALECT, store.source())
+
+    async def entrance(stream):
+        await serve_entrance(host, stream)
+
+    async with trio.open_nursery() as nursery:
+        for address in {cfg.ready, cfg.directory}:
+            await nursery.start(TCP.serve, address, entrance, nursery)
+        nursery.start_soon(_follow_signals, host, path)
+        await host.run()
+        nursery.cancel_scope.cancel()
+
+
+async def _follow_signals(host, path):
+    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        async for number in signals:
+            if number == signal.SIGTERM and not host.is_leaving:
+                await host.shut_down()
+            elif number == signal.SIGHUP:
+                _reload(host, path)
+
+
+def _reload(host, path):
+    try:
+        cfg = load_platform_settings(path).host
+    except SettingsError as exc:
+        log_event("settings_rejected", place=exc.place, reason=exc.problem)
+        return
+    host.retries.ratio, host.retries.slack = cfg.retry_ratio, cfg.retry_slack
+    host.gossip.seeds = cfg.seeds
+    log_event("reload", seeds=list(cfg.seeds))
+
+
+def main(argv=None):
+    """Run until SIGTERM; return the exit code."""
+    parser = argparse.ArgumentParser(
+        prog="python -m cactusmill.platform.daemon",
+        description="Serve callers on this machine, together with the others.",
+    )
+    parser.add_argument(
+        "--settings",
+        default=os.environ.get(SETTINGS_VARIABLE),
+        help=f"settings file; ${SETTINGS_VARIABLE} if left out",
+    )
+    parser.add_argument(
+        "--verbosity", default="info", choices=["debug", "info", "warning", "error"]
+    )
+    args = parser.parse_args(argv)
+    log_json_lines(args.verbosity)
+    if not args.settings:
+        parser.error(f"name a settings file or set ${SETTINGS_VARIABLE}")
+    try:
+        cfg = load_platform_settings(args.settings)
+    except SettingsError as exc:
+        logging.error("settings: %s", exc)
+        return _EXIT_USAGE
+    trio.run(_run, cfg, args.settings)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/src/cactusmill/platform/dialect.py
@@ -0,0 +1,238 @@
+"""Heads of messages as the platform's callers and endpoints write them."""
+
+import json
+
+from ..internal.http import end_to_end, header
+from ..serving.dialect import AnswerFacts, CallerHead, Dialect
+
+_KEY_SCHEME = "token "
+# Set by the gateway alone, whatever a caller sent. The tenant names the team.
+_OWN_HEADERS = frozenset(
+    {
+        b"authorization",
+        b"deadline-ms",
+        b"expect-instance",
+        b"expected-version",
+        b"host",
+        b"kv-backup",
+        b"kv-fetch",
+        b"kv-from",
+        b"kv-hold",
+        b"pin-ms",
+        b"request-priority",
+        b"tenant",
+        b"content-length",
+        b"expect",
+    }
+)
+# Engines take urgent requests first: 0 before 9.
+_LAST_RANK = 9
+
+
+def _read_number(text):
+    try:
+        return int(text)
+    except (TypeError, ValueError):
+        return None
+
+
+def _read_usage(text):
+    """Return prompt and output tokens of "PROMPT,OUTPUT", or None."""
+    first, _, second = (text or "").partition(",")
+    prompt, output = _read_number(first), _read_number(second)
+    return None if prompt is None or output is None else (prompt, output)
+
+
+def _read_parts(text):
+    """Return the parts of "ID:TOKENS,ID:TOKENS"; none if any is unreadable."""
+    parts = []
+    for entry in (text or "").split(","):
+        part, _, tokens = entry.strip().partition(":")
+        count = _read_number(tokens)
+        if not part or count is None:
+            return ()
+        parts.append((part, count))
+    return tuple(parts)
+
+
+def _facts(headers):
+    usage = _read_usage(header(headers, b"token-usage"))
+    return {
+        "size_tokens": None if usage is None else float(sum(usage)),
+        "prompt_tokens": usage[0] if usage else 0,
+        "output_tokens": usage[1] if usage else 0,
+        "parts": _read_parts(header(headers, b"prompt-prefix")),
+    }
+
+
+def read_head(event):
+    """Read the head of a caller's request.
+
+    Parameters
+    ----------
+    event : h11.Request
+        As received.
+
+    Returns
+    -------
+    CallerHead
+    """
+    headers = list(event.headers)
+    text = header(headers, b"authorization", "")
+    secret = b""
+    if text[: len(_KEY_SCHEME)].lower() == _KEY_SCHEME:
+        secret = text[len(_KEY_SCHEME) :].strip().encode("latin-1")
+    budget_ms = _read_number(header(headers, b"deadline-ms"))
+    return CallerHead(
+        request_id=header(headers, b"request-id", ""),
+        host=header(headers, b"host", "").partition(":")[0].lower(),
+        path=event.target.decode("latin-1").partition("?")[0],
+        secret=secret,
+        budget_s=None if budget_ms is None else budget_ms / 1000,
+        passed=[(k, v) for k, v in end_to_end(headers) if k not in _OWN_HEADERS]
+        + [(k, v) for k, v in headers if k == b"host"],
+        **_facts(headers),
+    )
+
+
+def head_of_forwarded(headers):
+    """Read the headers that another host passed on."""
+    return CallerHead(
+        request_id=header(headers, b"request-id", ""),
+        host="",
+        path="",
+        secret=b"",
+        budget_s=None,
+        passed=headers,
+        **_facts(headers),
+    )
+
+
+def endpoint_headers(job, endpoint, budget_s, last_event_id):
+    """Return the headers of a request to an endpoint.
+
+    Parameters
+    ----------
+    job : Job
+        The request.
+    endpoint : Endpoint
+        Who is to run it; any other answers that it did not.
+    budget_s : float
+        Time that is left, in seconds.
+    last_event_id : str
+        Event behind which a stream goes on; empty at its beginning.
+    """
+    headers = list(job.headers)
+    if last_event_id:
+        headers = [(k, v) for k, v in headers if k != b"last-event-id"]
+        headers.append((b"last-event-id", last_event_id.encode("latin-1")))
+    headers.append((b"content-length", str(len(job.body)).encode()))
+    headers.append((b"deadline-ms", str(max(1, int(budget_s * 1000))).encode()))
+    headers.append((b"expect-instance", endpoint.name.encode()))
+    if job.team is not None:
+        headers.append((b"tenant", job.team.name.encode()))
+    if job.is_stream:
+        rank = job.route.priority
+        if job.team is not None and job.team.priority is not None:
+            rank = job.team.priority
+        rank = min(_LAST_RANK, max(0, rank))
+        headers.append((b"request-priority", str(rank).encode()))
+    return headers
+
+
+def read_answer(status, headers):
+    """Read the head of an endpoint's answer.
+
+    Parameters
+    ----------
+    status : int
+        Its status.
+    headers : list of (bytes, bytes)
+        Its headers.
+
+    Returns
+    -------
+    AnswerFacts
+    """
+    is_misdirected = status == 421
+    return AnswerFacts(
+        request_id=header(headers, b"request-id"),
+        is_not_run=header(headers, b"not-executed") is not None,
+        is_misdirected=is_misdirected,
+        is_signed=header(headers, b"response-signature") is not None,
+        work=_read_work(header(headers, b"instance-load")),
+        idle_s=_read_idle(header(headers, b"keep-alive")),
+        will_close="close" in header(headers, b"connection", "").lower(),
+    )
+
+
+def _read_work(text):
+    numbers = [_read_number(part) for part in (text or "").split(",")]
+    return None if len(numbers) != 3 or None in numbers else tuple(numbers)
+
+
+def _read_idle(text):
+    for part in (text or "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout":
+            return _read_number(value)
+    return None
+
+
+def passed_answer_headers(headers):
+    """Return the headers of an endpoint's answer that a caller may see."""
+    return end_to_end(headers)
+
+
+def refusal_answer(refusal, request_id):
+    """Render a refusal; times to come back may be fractions here.
+
+    Parameters
+    ----------
+    refusal : Refusal
+        What the caller is told.
+    request_id : str
+        The caller's identifier; empty if it gave none.
+
+    Returns
+    -------
+    status : int
+    headers : list of (bytes, bytes)
+    body : bytes
+    """
+    status = _promise_status(refusal)
+    body = json.dumps({"error": refusal.type_name, "detail": refusal.detail}).encode()
+    headers = [
+        (b"content-type", b"application/json"),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    if request_id:
+        headers.append((b"request-id", request_id.encode("latin-1")))
+    if refusal.retry_after_s is not None:
+        headers.append((b"retry-after", f"{refusal.retry_after_s:.3f}".encode()))
+    return status, headers, body
+
+
+# Callers take these as a promise that the request never runs.
+_PROMISE_STATUSES = frozenset({408, 421, 429, 503})
+_UNAVAILABLE, _BAD_GATEWAY = 503, 502
+
+
+def _promise_status(refusal):
+    """Return a status that promises just what the refusal's outcome says."""
+    is_not_run = refusal.outcome.value == "not_run"
+    if is_not_run and refusal.status >= 500 or refusal.type_name == "RequestSuspected":
+        return _UNAVAILABLE if is_not_run else _BAD_GATEWAY
+    if not is_not_run and refusal.status in _PROMISE_STATUSES:
+        return _BAD_GATEWAY
+    return refusal.status
+
+
+DIALECT = Dialect(
+    read_head=read_head,
+    head_of_forwarded=head_of_forwarded,
+    endpoint_headers=endpoint_headers,
+    read_answer=read_answer,
+    passed_answer_headers=passed_answer_headers,
+    refusal_answer=refusal_answer,
+)
--- /dev/null
+++ b/src/cactusmill/platform/store.py
@@ -0,0 +1,128 @@
+"""The one client of the platform's store."""
+
+import json
+import urllib.parse
+
+import attrs
+import trio
+
+from ..errors import ConnectError, ExchangeError, PlatformError, RecordError
+from ..internal.http import client_connection, exchange
+from ..serving.connections import watch_silence
+from ..serving.learning import HistoryLostError, Source
+from .items import change_from_item
+
+_CONNECT_TIMEOUT_S = 1.0
+# Answers take milliseconds, and 60 times that on bad days.
+_ANSWER_TIMEOUT_S = 1.5
+_OK, _GONE = 200, 410
+_MAX_PAGES = 100
+
+
+@attrs.define(eq=False)
+class StoreClient:
+    """Reads and watches the store over one connection at a time.
+
+    Attributes
+    ----------
+    address : str
+        ``"IP:PORT"`` of the store.
+    net : Network
+        How to reach it.
+    zones : dict of str to str
+        Region of each availability zone.
+    calls : int
+        Calls made so far; the platform counts each.
+    """
+
+    address: str
+    net: object
+    zones: dict
+    calls: int = 0
+    _conn: object = None
+
+    def source(self):
+        """Return this client as a source of changes."""
+        return Source(list_all=self.list_all, wait_for_changes=self.wait_for_changes)
+
+    async def list_all(self):
+        """Return all items as changes, and the revision to go on from."""
+        changes, after, revision = [], "", None
+        for _ in range(_MAX_PAGES):
+            query = {"path_prefix": ""}
+            if after:
+                query["after"] = after
+            page = await self._call("kv-range", query, _ANSWER_TIMEOUT_S)
+            items = _member(page, "items", list)
+            # Pages are no snapshot: go on from before the first of them.
+            if revision is None:
+                revision = _member(page, "store_revision", int)
+            changes += self._changes(items)
+            if not page.get("has_more") or not items:
+                return changes, revision
+            after = items[-1].get("key", "")
+        raise PlatformError(f"a listing of over {_MAX_PAGES} pages")
+
+    async def wait_for_changes(self, revision, wait_s):
+        """Return the changes behind a revision as soon as there is one."""
+        query = {"path_prefix": "", "after": revision, "wait_ms": int(wait_s * 1000)}
+        page = await self._call("kv-watch", query, wait_s + _ANSWER_TIMEOUT_S)
+        changes = self._changes(_member(page, "events", list))
+        return changes, max(revision, _member(page, "store_revision", int))
+
+    def _changes(self, items):
+        changes = []
+        for item in items:
+            try:
+                change = change_from_item(item, self.zones)
+            except RecordError as exc:
+                # One unreadable member must not keep the others out of force.
+                raise PlatformError(str(exc)) from exc
+            if change is not None:
+                changes.append(change)
+        return changes
+
+    async def _call(self, name, query, timeout_s):
+        self.calls += 1
+        target = f"/cactusmill/{name}?{urllib.parse.urlencode(query)}"
+        try:
+            with trio.fail_after(timeout_s):
+                if self._conn is None:
+                    stream = await self.net.connect(self.address, _CONNECT_TIMEOUT_S)
+                    watch_silence(stream)
+                    self._conn = client_connection(stream)
+                status, _, body = await exchange(
+                    self._conn, "GET", target, [(b"host", self.address.encode())]
+                )
+                self._conn.h11.start_next_cycle()
+        except (ConnectError, ExchangeError, trio.TooSlowError) as exc:
+            await self.close()
+            raise PlatformError(f"{name}: {exc!r}") from exc
+        except BaseException:
+            # A connection on which an answer was lost returns nothing further.
+            await self.close()
+            raise
+        if status == _GONE:
+            raise HistoryLostError(f"{name}: the history is gone")
+        if status != _OK:
+            raise PlatformError(f"{name}: status {status}")
+        try:
+            page = json.loads(body)
+        except ValueError as exc:
+            raise PlatformError(f"{name}: an answer that is no JSON") from exc
+        if not isinstance(page, dict):
+            raise PlatformError(f"{name}: an answer of another shape")
+        return page
+
+    async def close(self):
+        """Drop the connection; the next call opens another."""
+        conn, self._conn = self._conn, None
+        if conn is not None:
+            await conn.close()
+
+
+def _member(page, name, kind):
+    value = page.get(name)
+    if not isinstance(value, kind):
+        raise PlatformError(f"an answer without {name}")
+    return value
--- a/src/cactusmill/records.py
+++ b/src/cactusmill/records.py
@@ -58,6 +58,10 @@
     zone_shares : dict of str to float
         Share of rate and burst per zone, with a sum of at most 1. Empty for
         equal shares of all published zones.
+    priority : int or None
+        Rank of the team's requests, 0 first; None for the routes' own.
+    plain_tokens : float
+        Tokens that a request without a stated size costs.
     """
 
     name: str
@@ -66,6 +70,8 @@
     regions: tuple = ()
     weight: float = 1.0
     zone_shares: dict = attrs.field(factory=dict, hash=False)
+    priority: int | None = None
+    plain_tokens: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
@@ -118,6 +124,20 @@
         Tokens that a request of a service route costs.
     checks_identifier : bool
         True if the endpoints themselves run an identifier at most once.
+    host : str
+        Host name that the route belongs to; empty for any.
+    split : tuple of (str, float)
+        Services with their weights, where the route has more than one.
+    is_stream : bool
+        True if answers are event streams.
+    resumable : bool
+        True if a stream may go on at another endpoint behind its last event.
+    attempts : int
+        Most endpoints that one request may be sent to.
+    objective_s : float
+        Latency objective for the answer or a stream's first event, in seconds.
+    priority : int
+        Rank of the route's requests, 0 first.
     """
 
     name: str
@@ -133,6 +153,60 @@
     status_path: str = ""
     charge_tokens: float = 0.0
     checks_identifier: bool = False
+    host: str = ""
+    split: tuple = ()
+    is_stream: bool = False
+    resumable: bool = False
+    attempts: int = 2
+    objective_s: float = 2.0
+    priority: int = 0
+
+
+@attrs.frozen(kw_only=True)
+class Service:
+    """What a group of equal endpoints allows.
+
+    Attributes
+    ----------
+    name : str
+        The service.
+    max_connections : int
+        Connections that one endpoint accepts from all hosts together.
+    cold_s : float
+        How long an endpoint is cold after its start, in seconds.
+    cold_per_s : float
+        Requests that a cold endpoint tolerates from all hosts together, per
+        second; 0 for no limit.
+    is_engine : bool
+        True if its endpoints run models.
+    memory_tokens : float
+        Tokens that an engine holds, running and cached.
+    """
+
+    name: str
+    max_connections: int = 64
+    cold_s: float = 0.0
+    cold_per_s: float = 0.0
+    is_engine: bool = False
+    memory_tokens: float = 0.0
+
+
+@attrs.frozen(kw_only=True)
+class CallerLimits:
+    """What a caller may send, and how long it may take or stay idle.
+
+    Attributes
+    ----------
+    max_head_bytes, max_body_bytes : int
+        Largest request head and body, in bytes.
+    head_timeout_s, idle_timeout_s : float
+        Longest time for a head and between requests, in seconds.
+    """
+
+    max_head_bytes: int = 16 * 1024
+    max_body_bytes: int = 4 * 1024 * 1024
+    head_timeout_s: float = 3.0
+    idle_timeout_s: float = 15.0
 
 
 @attrs.frozen(kw_only=True)
@@ -205,6 +279,10 @@
         False once the endpoint is leaving.
     checks_fencing : bool
         True if it refuses orders with an old fencing number.
+    cold_s : float
+        How much longer it was cold when the record was written, in seconds.
+    started_ms : int
+        When it started, in Unix milliseconds; 0 if unknown.
     """
 
     name: str
@@ -215,6 +293,8 @@
     capacity: int = 8
     live: bool = True
     checks_fencing: bool = False
+    cold_s: float = 0.0
+    started_ms: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/src/cactusmill/serving/callers.py
@@ -0,0 +1,362 @@
+"""The callers' edge: connections, heads, keys, shares and final answers."""
+
+import attrs
+import h11
+import trio
+
+from ..errors import (
+    AnswerCutError,
+    BadRequestError,
+    BodyTooLarge,
+    CallerGoneError,
+    ExchangeError,
+    MalformedRequest,
+    NoEndpoint,
+    Outcome,
+    Overloaded,
+    RateExceeded,
+    UnknownKey,
+    UnknownRoute,
+)
+from ..internal.http import header, linger, read_body, server_connection
+from ..internal.job import Job, Sink
+from .events import log_event
+from .requests import may_repeat, new_progress, run
+
+# A body's bytes follow its head; a caller that stalls longer is gone.
+_BODY_TIMEOUT_S = 10.0
+# Bytes of a next request that are read ahead while one is served.
+_MAX_READ_AHEAD_BYTES = 64 * 1024
+_NO_CONFIGURATION_RETRY_S = 0.5
+_LEAVING_RETRY_S = 0.1
+# Waits for tokens above this are told as this.
+_MAX_RATE_RETRY_S = 10.0
+_MIN_RATE_RETRY_S = 0.1
+
+
+@attrs.define(eq=False)
+class Caller:
+    """One request on a caller's connection.
+
+    Attributes
+    ----------
+    conn : Connection
+        The caller's connection.
+    head : CallerHead
+        Head of the request.
+    began_at : float
+        When the head was complete, in seconds.
+    first_at : float or None
+        When the answer's head was sent, in seconds.
+    status : int
+        Status of the answer; 0 before it.
+    closes : bool
+        True if the answer says that the connection closes.
+    """
+
+    conn: object
+    head: object
+    began_at: float
+    first_at: float | None = None
+    status: int = 0
+    closes: bool = False
+
+
+async def serve_caller(host, stream):
+    """Serve one caller's connection until it ends."""
+    conn = server_connection(stream, host.limits.max_head_bytes)
+    host.caller_connections.add(conn)
+    try:
+        while await _serve_next(host, conn):
+            conn.h11.start_next_cycle()
+    except (ExchangeError, CallerGoneError):
+        # The caller left. Whatever ran for it has been cancelled.
+        return
+    except AnswerCutError:
+        # Closing without the answer's end tells the caller that it is not whole.
+        return
+    finally:
+        host.caller_connections.discard(conn)
+        await conn.close()
+
+
+async def _serve_next(host, conn):
+    """Serve the next request; return whether the connection can go on."""
+    try:
+        event = await _next_head(host, conn)
+    except h11.RemoteProtocolError as exc:
+        await _refuse_bytes(host, conn, exc.error_status_hint, str(exc))
+        return False
+    if event is None and conn.h11.trailing_data[0]:
+        await _refuse_bytes(host, conn, 408, "the head did not come in time")
+    if not isinstance(event, h11.Request):
+        return False
+    host.busy_connections.add(conn)
+    try:
+        caller = Caller(conn, host.dialect.read_head(event), host.now())
+        await _serve(host, caller, event)
+    finally:
+        host.busy_connections.discard(conn)
+    if conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE:
+        return not caller.closes
+    await linger(conn)
+    return False
+
+
+async def _next_head(host, conn):
+    """Return the next event, or None if the caller was idle for too long."""
+    with trio.move_on_after(host.limits.idle_timeout_s):
+        return await conn.next_event()
+    return None
+
+
+async def _refuse_bytes(host, conn, status, problem):
+    refusal = MalformedRequest(status_code=status, detail=problem)
+    log_event("request_malformed", status=status, reason=problem)
+    if conn.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+        await _send_refusal(host, conn, refusal, "", closes=True)
+    await linger(conn)
+
+
+async def _send_refusal(host, conn, refusal, request_id, closes):
+    status, headers, body = host.dialect.refusal_answer(refusal, request_id)
+    if closes:
+        headers = [*headers, (b"connection", b"close")]
+    response = h11.Response(status_code=status, headers=headers)
+    await conn.send(response, h11.Data(data=body), h11.EndOfMessage())
+
+
+async def _serve(host, caller, event):
+    """Answer one request and log the decision."""
+    head = caller.head
+    route = progress = job = None
+    refusal, failure = None, None
+    try:
+        route, team = _authorize(host, head)
+        body = await _read_body(host, caller)
+        job = _job(host, caller, event, route, team, body)
+        _check_leaving(host)
+        _charge(host, job)
+        progress = new_progress(job, route.attempts)
+        refusal = await _run_watched(host, caller, job, progress)
+    except _Refused as exc:
+        refusal = exc.refusal
+    except (CallerGoneError, AnswerCutError, ExchangeError) as exc:
+        failure = exc
+    if job is not None and progress is not None and not progress.may_have_run:
+        host.give_back(job)
+    _log_request(host, caller, route, job, progress, refusal, failure)
+    if failure is not None:
+        raise failure
+    if refusal is not None:
+        caller.closes = host.is_leaving or _wants_close(event)
+        caller.status = refusal.status
+        await _send_refusal(host, caller.conn, refusal, head.request_id, caller.closes)
+
+
+class _Refused(Exception):
+    """Carries a refusal out of the checks."""
+
+    def __init__(self, refusal):
+        super().__init__(refusal.detail)
+        self.refusal = refusal
+
+
+def _authorize(host, head):
+    """Return the route and the team, or raise why the request is refused."""
+    catalog = host.catalog
+    if catalog.configuration is None:
+        raise _Refused(
+            NoEndpoint(
+                detail="no configuration is known yet",
+                retry_after_s=_NO_CONFIGURATION_RETRY_S,
+            )
+        )
+    route = catalog.route_for(head.host, head.path)
+    if route is None:
+        raise _Refused(UnknownRoute(detail=f"no route for {head.path!r}"))
+    team = catalog.team_for(head.secret) if head.secret else None
+    if team is None and not route.open and catalog.configuration.teams:
+        raise _Refused(UnknownKey(detail="send a key of a team that is in force"))
+    return route, team
+
+
+async def _read_body(host, caller):
+    try:
+        with trio.fail_after(_BODY_TIMEOUT_S):
+            return await read_body(caller.conn, host.limits.max_body_bytes)
+    except BadRequestError as exc:
+        if exc.status == BodyTooLarge.status:
+            raise _Refused(BodyTooLarge(detail=exc.problem)) from exc
+        raise _Refused(
+            MalformedRequest(status_code=exc.status, detail=exc.problem)
+        ) from exc
+    except trio.TooSlowError as exc:
+        raise _Refused(
+            MalformedRequest(status_code=408, detail="the body did not come in time")
+        ) from exc
+
+
+def _job(host, caller, event, route, team, body):
+    head = caller.head
+    now = caller.began_at
+    limit_s = route.timeout_s
+    if head.budget_s is not None:
+        limit_s = min(limit_s, head.budget_s)
+    size = head.size_tokens
+    if size is None:
+        size = team.plain_tokens if team else 0.0
+    return Job(
+        request_id=head.request_id,
+        route=route,
+        team=team,
+        records_version=host.catalog.configuration.version,
+        method=event.method.decode("latin-1"),
+        target=event.target.decode("latin-1"),
+        headers=head.passed,
+        body=body,
+        deadline=now + limit_s,
+        service=choose_service(route, host.rng),
+        cost_tokens=size,
+        prompt_tokens=head.prompt_tokens,
+        is_stream=route.is_stream,
+        objective_at=now + route.objective_s,
+        parts=head.parts,
+    )
+
+
+def choose_service(route, rng):
+    """Return the service that runs a request, by the route's weights."""
+    if not route.split:
+        return route.service
+    names, weights = zip(*route.split, strict=True)
+    return rng.choices(names, weights)[0]
+
+
+def _check_leaving(host):
+    if host.takes_no_more(host.now()):
+        raise _Refused(
+            Overloaded(
+                detail="this host is shutting down; use another",
+                retry_after_s=_LEAVING_RETRY_S,
+            )
+        )
+
+
+def _charge(host, job):
+    """Take a request's tokens from this host's part of the team's rate."""
+    host.retry_budget(job.service).note_request()
+    if job.team is None:
+        return
+    now = host.now()
+    wait_s = host.quotas.take(job.team, job.cost_tokens, host.membership, now)
+    if wait_s > 0:
+        raise _Refused(
+            RateExceeded(
+                detail=f"team {job.team.name} is over its rate of "
+                f"{job.team.rate_tokens_per_s:.0f} tokens/s",
+                retry_after_s=min(_MAX_RATE_RETRY_S, max(_MIN_RATE_RETRY_S, wait_s)),
+            )
+        )
+
+
+async def _run_watched(host, caller, job, progress):
+    """Run a request while watching for the caller's leaving."""
+    refusal, failure, is_done = None, None, False
+    sink = _caller_sink(host, caller, job)
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_watch_caller, caller, job, progress, nursery.cancel_scope)
+        try:
+            refusal = await run(host, job, sink, progress)
+        except (AnswerCutError, CallerGoneError) as exc:
+            failure = exc
+        is_done = True
+        nursery.cancel_scope.cancel()
+    if failure is not None:
+        raise failure
+    if not is_done:
+        raise CallerGoneError("the caller left before the answer was whole")
+    return refusal
+
+
+async def _watch_caller(caller, job, progress, scope):
+    """Cancel the work when the caller leaves.
+
+    A request that may run once at most goes on once it was sent: stopping it
+    halfway would leave its outcome unknown to everybody.
+    """
+    conn, received = caller.conn, 0
+    while received < _MAX_READ_AHEAD_BYTES:
+        try:
+            data = await conn.stream.receive_some()
+        except (trio.BrokenResourceError, trio.ClosedResourceError):
+            data = b""
+        if not data:
+            break
+        received += len(data)
+        conn.h11.receive_data(data)
+    else:
+        return
+    if job.is_stream or may_repeat(job.route) or not progress.may_have_run:
+        scope.cancel()
+
+
+def _caller_sink(host, caller, job):
+    conn = caller.conn
+
+    async def send(*events):
+        try:
+            await conn.send(*events)
+        except ExchangeError as exc:
+            raise CallerGoneError("the caller left") from exc
+
+    async def head(status, headers):
+        caller.first_at, caller.status = host.now(), status
+        caller.closes = host.is_leaving
+        if caller.closes:
+            headers = [*headers, (b"connection", b"close")]
+        await send(h11.Response(status_code=status, headers=headers))
+
+    async def data(chunk):
+        await send(h11.Data(data=chunk))
+
+    async def end():
+        await send(h11.EndOfMessage())
+
+    return Sink(head=head, data=data, end=end)
+
+
+def _wants_close(event):
+    return "close" in header(event.headers, b"connection", "").lower()
+
+
+def _log_request(host, caller, route, job, progress, refusal, failure):
+    now = host.now()
+    name = "answered"
+    if refusal is not None:
+        name = refusal.type_name
+    elif failure is not None:
+        name = type(failure).__name__
+    first_s = None if caller.first_at is None else caller.first_at - caller.began_at
+    host.note_request(route, name, first_s)
+    log_event(
+        "request",
+        request_id=caller.head.request_id,
+        route=route.name if route else None,
+        team=job.team_name if job else None,
+        outcome=name,
+        status=refusal.status if refusal else caller.status,
+        detail=refusal.detail if refusal else str(failure or ""),
+        not_run=refusal.outcome is Outcome.NOT_RUN if refusal else None,
+        retry_after_s=_rounded(refusal.retry_after_s) if refusal else None,
+        took_s=_rounded(now - caller.began_at),
+        first_s=_rounded(first_s),
+        endpoint=progress.endpoint if progress else None,
+        sends=progress.sends if progress else 0,
+        predicted_s=_rounded(progress.first_s) if progress else None,
+        version=job.records_version if job else None,
+    )
+
+
+def _rounded(seconds):
+    return None if seconds is None else round(seconds, 3)
--- /dev/null
+++ b/src/cactusmill/serving/forwarding.py
@@ -0,0 +1,340 @@
+"""Requests on their one hop to a host of another region, and back.
+
+A connection between two hosts carries one request at a time, so that a slow
+answer holds up no other and closing it cancels the work at the far side.
+"""
+
+import collections
+
+import attrs
+import trio
+
+from ..errors import (
+    EndpointFailed,
+    ExchangeError,
+    LinkClosedError,
+    NoEndpoint,
+    Outcome,
+    Overloaded,
+    SilentEndpointError,
+    TruncatedAnswerError,
+)
+from ..internal.job import Job, Sink
+from ..internal.link import Link
+from ..internal.wire.ttypes import AnswerData, AnswerEnd, AnswerHead, Forward, Header
+from .answers import Answer
+from .connections import watch_silence
+from .events import log_event
+
+# Regions are up to 100 ms apart, one way.
+CONNECT_TIMEOUT_S = 0.6
+# Idle links are kept for the next request; opening one costs two ways.
+_MAX_IDLE_PER_HOST = 32
+_IDLE_S = 20.0
+# The far side refuses by itself in time; this covers the ways and its delays.
+_ANSWER_MARGIN_S = 0.3
+
+
+def _headers_to_wire(headers):
+    return [Header(k.decode("latin-1"), v.decode("latin-1")) for k, v in headers]
+
+
+def _headers_from_wire(headers):
+    return [(h.name.encode("latin-1"), h.value.encode("latin-1")) for h in headers]
+
+
+@attrs.define(eq=False)
+class LinkPool:
+    """Idle links to hosts of other regions.
+
+    Attributes
+    ----------
+    net : Network
+        How to reach them.
+    port : int
+        Port of every host's links.
+    """
+
+    net: object
+    port: int
+    _idle: dict = attrs.field(factory=dict)
+
+    async def take(self, ip, now):
+        """Return a link and whether it was used before.
+
+        Raises
+        ------
+        ConnectError
+            If none could be opened.
+        """
+        idle = self._idle.get(ip, ())
+        while idle:
+            link, since = idle.pop()
+            if now - since < _IDLE_S:
+                return link, True
+            await link.close()
+        stream = await self.net.connect(f"{ip}:{self.port}", CONNECT_TIMEOUT_S)
+        watch_silence(stream)
+        return Link(stream), False
+
+    async def keep(self, ip, link, now):
+        """Keep a link whose answer is whole."""
+        idle = self._idle.setdefault(ip, collections.deque())
+        if len(idle) < _MAX_IDLE_PER_HOST:
+            idle.append((link, now))
+        else:
+            await link.close()
+
+    def drop(self, ip):
+        """Close the idle links to a host."""
+        for link, _ in self._idle.pop(ip, ()):
+            close_link(link)
+
+
+def close_link(link):
+    """Close a link at once, from no task in particular."""
+    sock = getattr(link.stream, "socket", None)
+    if sock is not None:
+        sock.close()
+
+
+async def forward(host, member, job, attempts, last_event_id, stall_s):
+    """Have a host of another region run a request.
+
+    Parameters
+    ----------
+    host : EntryHost
+        This process.
+    member : Member
+        Who is to run it.
+    job : Job
+        The request.
+    attempts : int
+        How many endpoints it may be sent to there.
+    last_event_id : str
+        Event behind which a stream goes on; empty at its beginning.
+    stall_s : float
+        Longest silence inside the answer, in seconds.
+
+    Returns
+    -------
+    Answer or Refusal
+        A refusal whose outcome is ``NOT_RUN`` is the far side's promise.
+
+    Raises
+    ------
+    ConnectError
+        If the far side has received nothing.
+    ExchangeError
+        If the link failed after that.
+    """
+    now = host.now()
+    link, was_used = await host.links.take(member.id.ip, now)
+    message = Forward(
+        call=0,
+        request_id=job.request_id,
+        route=job.route.name,
+        team=job.team_name,
+        records_version=job.records_version,
+        method=job.method,
+        target=job.target,
+        headers=_headers_to_wire(job.headers),
+        body=job.body,
+        identifier=last_event_id,
+        remaining_ms=max(0, int((job.deadline - now) * 1000)),
+        incarnation=member.id.incarnation,
+        attempts=attempts,
+        objective_ms=int((job.objective_at - now) * 1000),
+    )
+    try:
+        head = await _exchange(link, message, job.deadline - now + _ANSWER_MARGIN_S)
+    except BaseException:
+        close_link(link)
+        if was_used:
+            host.links.drop(member.id.ip)
+        raise
+    if head.refusal is not None:
+        await host.links.keep(member.id.ip, link, host.now())
+        return _refusal(head)
+
+    async def next_data():
+        return await _next_data(link, stall_s)
+
+    async def release(now):
+        await host.links.keep(member.id.ip, link, now)
+
+    return Answer(
+        status=head.status,
+        headers=_headers_from_wire(head.headers),
+        facts=None,
+        next_data=next_data,
+        release=release,
+        abort=lambda: close_link(link),
+    )
+
+
+async def _exchange(link, message, timeout_s):
+    try:
+        with trio.fail_after(max(0.0, timeout_s)):
+            await link.send(forward=message)
+            head = (await link.receive()).answer_head
+    except trio.TooSlowError as exc:
+        raise SilentEndpointError(f"no answer within {timeout_s:.2f} s") from exc
+    except LinkClosedError as exc:
+        raise ExchangeError(str(exc)) from exc
+    if head is None or head.request_id != message.request_id:
+        raise ExchangeError("the other host answered another request")
+    return head
+
+
+async def _next_data(link, stall_s):
+    try:
+        with trio.fail_after(stall_s):
+            frame = await link.receive()
+    except trio.TooSlowError as exc:
+        raise SilentEndpointError(f"no progress for {stall_s:.2f} s") from exc
+    except LinkClosedError as exc:
+        raise TruncatedAnswerError(str(exc)) from exc
+    if frame.answer_data is not None:
+        return frame.answer_data.data
+    if frame.answer_end is not None and frame.answer_end.complete:
+        return None
+    raise TruncatedAnswerError("the other host could not complete the answer")
+
+
+def _refusal(head):
+    outcome = Outcome.NOT_RUN if head.not_run else Outcome.UNKNOWN
+    kind = {
+        NoEndpoint.__name__: NoEndpoint,
+        Overloaded.__name__: Overloaded,
+    }.get(head.refusal, EndpointFailed)
+    retry_s = None if head.retry_after_ms is None else head.retry_after_ms / 1000
+    return kind(
+        detail=f"another region answered {head.refusal}",
+        outcome=outcome,
+        retry_after_s=retry_s,
+    )
+
+
+async def serve_link(host, stream, run):
+    """Serve requests that another host forwards, until its link ends.
+
+    Parameters
+    ----------
+    host : EntryHost
+        This process.
+    stream : trio.SocketStream
+        The accepted connection.
+    run : callable
+        ``await run(host, job, sink, attempts, last_event_id)`` returns a
+        refusal or None once the answer is whole.
+    """
+    watch_silence(stream)
+    link = Link(stream)
+    try:
+        while True:
+            message = (await link.receive()).forward
+            if message is None or not await _serve_forward(host, link, message, run):
+                return
+    except LinkClosedError:
+        # The other host closed the link, which also cancels its request.
+        return
+    finally:
+        await link.close()
+
+
+async def _serve_forward(host, link, message, run):
+    """Serve one request; return whether the link can go on."""
+    job = _job(host, message)
+    if job is None:
+        refusal = NoEndpoint(detail="this host does not know the route yet")
+        await _send_refusal(link, message, refusal)
+        return True
+    sink = _sink(link, message)
+    refusal, is_whole = None, False
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(_cancel_on_close, link, nursery.cancel_scope)
+        try:
+            refusal = await run(
+                host, job, sink, message.attempts or 1, message.identifier or ""
+            )
+            is_whole = True
+        except (ExchangeError, LinkClosedError) as exc:
+            log_event(
+                "forwarded_answer_cut", request_id=job.request_id, reason=repr(exc)
+            )
+        nursery.cancel_scope.cancel()
+    if refusal is not None:
+        await _send_refusal(link, message, refusal)
+    return is_whole
+
+
+async def _cancel_on_close(link, scope):
+    """Cancel the work when the other host closes the link."""
+    await link.wait_closed()
+    scope.cancel()
+
+
+async def _send_refusal(link, message, refusal):
+    retry_s = refusal.retry_after_s
+    head = AnswerHead(
+        call=0,
+        request_id=message.request_id,
+        status=refusal.status,
+        headers=[],
+        refusal=refusal.type_name,
+        retry_after_ms=None if retry_s is None else int(retry_s * 1000),
+        not_run=refusal.outcome is Outcome.NOT_RUN,
+    )
+    await link.send(answer_head=head)
+
+
+def _sink(link, message):
+    async def head(status, headers):
+        await link.send(
+            answer_head=AnswerHead(
+                call=0,
+                request_id=message.request_id,
+                status=status,
+                headers=_headers_to_wire(headers),
+            )
+        )
+
+    async def data(chunk):
+        await link.send(answer_data=AnswerData(call=0, data=chunk))
+
+    async def end():
+        await link.send(answer_end=AnswerEnd(call=0, complete=True))
+
+    return Sink(head=head, data=data, end=end)
+
+
+def _job(host, message):
+    """Return the job of a forwarded request, or None if its route is unknown."""
+    configuration = host.catalog.configuration
+    if configuration is None:
+        return None
+    routes = {route.name: route for route in configuration.routes}
+    route = routes.get(message.route)
+    team = configuration.teams.get(message.team) if message.team else None
+    if route is None or (message.team and team is None):
+        return None
+    now = host.now()
+    headers = _headers_from_wire(message.headers)
+    head = host.dialect.head_of_forwarded(headers)
+    return Job(
+        request_id=message.request_id,
+        route=route,
+        team=team,
+        records_version=configuration.version,
+        method=message.method,
+        target=message.target,
+        headers=headers,
+        body=message.body,
+        deadline=now + message.remaining_ms / 1000,
+        service="",
+        prompt_tokens=head.prompt_tokens,
+        is_stream=route.is_stream,
+        objective_at=now + (message.objective_ms or 0) / 1000,
+        parts=head.parts,
+    )
--- /dev/null
+++ b/src/cactusmill/serving/gossip.py
@@ -0,0 +1,253 @@
+"""Beats between hosts, as datagrams.
+
+A beat says that its sender lives, whom it has heard of, and what it shares
+with others: demands, work at endpoints, waits, suspects. A lost datagram costs
+nothing but age; the next one replaces it.
+"""
+
+import attrs
+import trio
+
+from ..errors import LinkClosedError
+from ..internal.link import decode, encode_frame
+from ..internal.wire.ttypes import (
+    Beat,
+    EndpointWork,
+    Frame,
+    MemberNote,
+    ServiceWait,
+    Suspect,
+    TeamDemand,
+)
+from .events import log_event
+from .membership import HostId
+
+# Time between beats to hosts of the own region: an estimate of the work at an
+# endpoint is stale after about one prompt's reading.
+REGION_BEAT_S = 0.15
+# Bytes between regions are dear, and waits there change slowly.
+FAR_BEAT_S = 0.6
+# Seeds are asked again at this interval, so that parts of the fleet that knew
+# nothing of each other meet.
+SEED_BEAT_S = 1.0
+# Receivers per round; keeps the cost of control flat as the fleet grows.
+MAX_NEAR = 12
+MAX_FAR = 4
+# Bounds of one beat, so that it fits one datagram.
+MAX_NOTES = 16
+MAX_DEMANDS = 40
+MAX_WORK = 40
+MAX_WAITS = 8
+MAX_SUSPECTS = 8
+_MAX_DATAGRAM_BYTES = 64 * 1024
+_HOUSEKEEPING_S = 0.5
+
+
+def _note(host_id, is_leaving, age_s):
+    return MemberNote(
+        host=host_id.name,
+        ip=host_id.ip,
+        zone=host_id.zone,
+        region=host_id.region,
+        incarnation=host_id.incarnation,
+        age_ms=int(age_s * 1000),
+        leaving=is_leaving,
+    )
+
+
+def _host_id(note):
+    return HostId(
+        name=note.host,
+        ip=note.ip,
+        zone=note.zone,
+        region=note.region,
+        incarnation=note.incarnation,
+    )
+
+
+@attrs.define(eq=False)
+class Gossip:
+    """Sends and takes beats.
+
+    Attributes
+    ----------
+    host : EntryHost
+        Whose state the beats tell.
+    port : int
+        UDP port of every host.
+    seeds : tuple of str
+        IP numbers of hosts to ask first; they may be gone.
+    """
+
+    host: object
+    port: int
+    seeds: tuple
+    _sock: object = None
+    _sequence: int = 0
+    _answered: dict = attrs.field(factory=dict)
+
+    async def run(self, task_status=trio.TASK_STATUS_IGNORED):
+        """Beat and listen until cancelled."""
+        self._sock = trio.socket.socket(trio.socket.AF_INET, trio.socket.SOCK_DGRAM)
+        await self._sock.bind((self.host.cfg.ip, self.port))
+        task_status.started()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(self._listen)
+            nursery.start_soon(self._beat_for_ever)
+            nursery.start_soon(self._keep_house)
+
+    async def _keep_house(self):
+        while True:
+            await trio.sleep(_HOUSEKEEPING_S)
+            now = self.host.now()
+            for member in self.host.membership.forget(now):
+                log_event(
+                    "host_forgotten",
+                    host=member.id.name,
+                    silent_s=round(now - member.heard_at, 2),
+                )
+
+    async def _beat_for_ever(self):
+        far_at = seeds_at = self.host.now()
+        while True:
+            now = self.host.now()
+            await self._send_all(self._near(now), self.beat(now, is_near=True))
+            if now >= far_at:
+                far_at = now + FAR_BEAT_S
+                await self._send_all(self._far(now), self.beat(now, is_near=False))
+            if now >= seeds_at:
+                seeds_at = now + SEED_BEAT_S
+                await self._send_all(self._seeds(), self.beat(now, is_near=False))
+            await trio.sleep(REGION_BEAT_S)
+
+    async def announce(self):
+        """Tell all known hosts at once, such as on leaving."""
+        now = self.host.now()
+        members = self.host.membership.live(now)
+        await self._send_all([m.id.ip for m in members], self.beat(now, is_near=True))
+
+    def _near(self, now):
+        region = self.host.cfg.region
+        ips = [m.id.ip for m in self.host.membership.known() if m.id.region == region]
+        return self.host.rng.sample(ips, min(MAX_NEAR, len(ips)))
+
+    def _far(self, now):
+        region = self.host.cfg.region
+        by_region = {}
+        for member in self.host.membership.known():
+            if member.id.region != region:
+                by_region.setdefault(member.id.region, []).append(member.id.ip)
+        return [
+            ip
+            for ips in by_region.values()
+            for ip in self.host.rng.sample(ips, min(MAX_FAR, len(ips)))
+        ]
+
+    def _seeds(self):
+        known = {m.id.ip for m in self.host.membership.live(self.host.now())}
+        return [ip for ip in self.seeds if ip not in known and ip != self.host.cfg.ip]
+
+    async def _send_all(self, ips, beat):
+        if not ips:
+            return
+        data = encode_frame(Frame(beat=beat))
+        for ip in ips:
+            try:
+                await self._sock.sendto(data, (ip, self.port))
+            except OSError as exc:
+                # Like a lost datagram; the next beat tries again.
+                log_event("beat_not_sent", ip=ip, reason=repr(exc))
+
+    def beat(self, now, is_near):
+        """Return this host's beat.
+
+        Parameters
+        ----------
+        now : float
+            Present time, in seconds.
+        is_near : bool
+            True for hosts of the own region, whose hosts share endpoints.
+
+        Returns
+        -------
+        Beat
+        """
+        host = self.host
+        self._sequence += 1
+        members = host.membership.live(now)
+        if len(members) > MAX_NOTES:
+            members = host.rng.sample(members, MAX_NOTES)
+        demands = sorted(host.quotas.demands(now).items(), key=lambda d: -d[1])
+        work = host.placement.own_work() if is_near else {}
+        return Beat(
+            sender=_note(host.membership.me, host.is_leaving, 0.0),
+            sequence=self._sequence,
+            ready=host.is_ready(now),
+            configuration_version=host.catalog.configuration.version
+            if host.catalog.configuration
+            else 0,
+            revision=host.catalog.revision,
+            members=[_note(m.id, m.is_leaving, now - m.heard_at) for m in members],
+            demands=[TeamDemand(k, d) for k, d in demands[:MAX_DEMANDS]],
+            work=[EndpointWork(k, n, t) for k, (n, t) in list(work.items())[:MAX_WORK]],
+            waits=[
+                ServiceWait(service, int(wait_s * 1000))
+                for service, wait_s in list(host.waits(now).items())[:MAX_WAITS]
+            ],
+            suspects=[
+                Suspect(digest, deaths)
+                for digest, deaths in host.fresh_suspects(now)[:MAX_SUSPECTS]
+            ],
+        )
+
+    async def _listen(self):
+        while True:
+            try:
+                data, _ = await self._sock.recvfrom(_MAX_DATAGRAM_BYTES)
+            except OSError as exc:
+                # A datagram of ours that found no listener is reported here.
+                log_event("beat_not_received", reason=repr(exc))
+                continue
+            try:
+                beat = decode(data).beat
+            except LinkClosedError as exc:
+                log_event("beat_unreadable", reason=str(exc))
+                continue
+            if beat is not None:
+                self.take(beat, self.host.now())
+
+    def take(self, beat, now):
+        """Take over what a beat says.
+
+        Parameters
+        ----------
+        beat : Beat
+            As received.
+        now : float
+            Present time, in seconds.
+        """
+        host = self.host
+        sender = _host_id(beat.sender)
+        is_new = all(
+            m.id.incarnation != sender.incarnation for m in host.membership.known()
+        )
+        member = host.membership.note(sender, beat.sender.leaving, 0.0, now)
+        for note in beat.members:
+            host.membership.note(_host_id(note), note.leaving, note.age_ms / 1000, now)
+        if member is None or beat.sequence <= member.sequence:
+            return
+        if is_new:
+            log_event("host_met", host=sender.name, region=sender.region)
+        member.sequence = beat.sequence
+        member.told_at = now
+        member.is_ready = beat.ready
+        member.configuration_version = beat.configuration_version
+        member.revision = beat.revision
+        member.demands = {d.key: d.tokens_per_s for d in beat.demands or ()}
+        if sender.region == host.cfg.region:
+            member.work = {
+                w.key: (w.in_flight, w.prompt_tokens) for w in beat.work or ()
+            }
+        member.waits = {w.serves: w.wait_ms / 1000 for w in beat.waits or ()}
+        for suspect in beat.suspects or ():
+            host.learn_suspect(suspect.digest, suspect.deaths, now)
--- /dev/null
+++ b/src/cactusmill/serving/learning.py
@@ -0,0 +1,196 @@
+"""Learning what is in force: a full listing, then what changes.
+
+The source may be slow, down, out of history or silent, for some hosts only.
+Whatever was learned stays in force meanwhile. Hosts that fall behind their
+peers ask one of them.
+"""
+
+import attrs
+import trio
+
+from ..errors import PlatformError
+from .catalog import (
+    ConfigurationPublished,
+    EndpointPublished,
+    EvacuationPublished,
+    Unreadable,
+)
+from .events import log_event
+
+# A connection may go silent, so a wait for changes is renewed well inside the
+# time in which a configuration must be in force.
+WATCH_S = 2.5
+_FIRST_RETRY_S = 0.1
+_LAST_RETRY_S = 1.0
+# Entries of endpoints that lapsed while the source was away are back this soon
+# after its return; until then they count as listed.
+LAPSE_S = 2.2
+# Removed endpoints are remembered this long, for entries that come late.
+_REMEMBER_REMOVED_S = 30.0
+
+
+class HistoryLostError(PlatformError):
+    """The source no longer has the changes that were asked for."""
+
+
+@attrs.frozen(kw_only=True)
+class Source:
+    """Where items come from, as functions.
+
+    Attributes
+    ----------
+    list_all : callable
+        ``await list_all()`` returns ``(changes, revision)``.
+    wait_for_changes : callable
+        ``await wait_for_changes(revision, wait_s)`` returns
+        ``(changes, revision)`` behind a revision, raising
+        :class:`HistoryLostError` if it cannot.
+    """
+
+    list_all: object
+    wait_for_changes: object
+
+
+@attrs.define(eq=False)
+class Availability:
+    """How long the source has answered.
+
+    Attributes
+    ----------
+    failing_since : float or None
+        When it began to fail, in seconds; None while it answers.
+    back_at : float
+        When it last came back, in seconds.
+    answered_at : float
+        When it last answered, in seconds.
+    """
+
+    failing_since: float | None = None
+    back_at: float = float("-inf")
+    answered_at: float = float("-inf")
+
+    def note_failure(self, now):
+        """Count a failed call; return True if it is the first in a row."""
+        if self.failing_since is not None:
+            return False
+        self.failing_since = now
+        return True
+
+    def note_answer(self, now):
+        """Count an answer; return True if it ends a time of failures."""
+        self.answered_at = now
+        if self.failing_since is None:
+            return False
+        self.failing_since = None
+        self.back_at = now
+        return True
+
+    def hold_removed_s(self, now):
+        """Return how long a removed entry still counts as listed, in seconds.
+
+        Entries may lapse while the source is away though the endpoints live.
+        """
+        if self.failing_since is not None or now - self.back_at < LAPSE_S:
+            return LAPSE_S
+        return 0.0
+
+
+async def learn_for_ever(host, source):
+    """Keep a host's catalog up to date until cancelled.
+
+    Parameters
+    ----------
+    host : EntryHost
+        This process.
+    source : Source
+        Where items come from.
+    """
+    revision, retry_s = None, _FIRST_RETRY_S
+    while True:
+        try:
+            if revision is None:
+                changes, revision = await source.list_all()
+                _take_listing(host, changes, revision)
+            else:
+                changes, revision = await source.wait_for_changes(revision, WATCH_S)
+                take_changes(host, changes)
+        except HistoryLostError as exc:
+            log_event("history_lost", revision=revision, reason=str(exc))
+            revision = None
+            continue
+        except PlatformError as exc:
+            if host.availability.note_failure(host.now()):
+                log_event("platform_lost", revision=revision, reason=str(exc))
+            await trio.sleep(retry_s * (0.5 + host.rng.random()))
+            retry_s = min(_LAST_RETRY_S, 2 * retry_s)
+            continue
+        retry_s = _FIRST_RETRY_S
+        if host.availability.note_answer(host.now()):
+            log_event("platform_regained", revision=revision)
+
+
+def _take_listing(host, changes, revision):
+    take_changes(host, changes)
+    names = {c.name for c in changes if isinstance(c, EndpointPublished)}
+    zones = {c.zone for c in changes if isinstance(c, EvacuationPublished)}
+    host.catalog.keep_only(names, zones, revision, host.now())
+
+
+def take_changes(host, changes):
+    """Apply changes and log those that change what this host believes.
+
+    Parameters
+    ----------
+    host : EntryHost
+        This process.
+    changes : list
+        As published.
+    """
+    now = host.now()
+    for change in changes:
+        if isinstance(change, Unreadable):
+            log_event(
+                "item_unreadable",
+                key=change.key,
+                revision=change.revision,
+                reason=change.problem,
+            )
+            continue
+        if not host.catalog.apply(change, now):
+            continue
+        _log_change(change)
+        if isinstance(change, EndpointPublished) and change.endpoint is not None:
+            host.placement.note_listed(change.endpoint)
+    host.catalog.forget_removed(now - _REMEMBER_REMOVED_S)
+    host.placement.keep_only({e.endpoint.name for e in host.catalog.listed()})
+
+
+def _log_change(change):
+    match change:
+        case ConfigurationPublished():
+            log_event(
+                "configuration_in_force",
+                version=change.configuration.version,
+                revision=change.revision,
+                routes=len(change.configuration.routes),
+            )
+        case EndpointPublished(endpoint=None):
+            log_event(
+                "endpoint_removed", endpoint=change.name, revision=change.revision
+            )
+        case EndpointPublished():
+            log_event(
+                "endpoint_listed",
+                endpoint=change.name,
+                revision=change.revision,
+                is_live=change.endpoint.live,
+                cold_s=change.endpoint.cold_s,
+                address=change.endpoint.address,
+            )
+        case EvacuationPublished():
+            log_event(
+                "evacuation",
+                zone=change.zone,
+                is_evacuated=change.is_evacuated,
+                revision=change.revision,
+            )
--- /dev/null
+++ b/src/cactusmill/serving/membership.py
@@ -0,0 +1,174 @@
+"""Which hosts there are, learned from seeds and from each other.
+
+Nothing lists the hosts. Each tells others, by beats, that it lives and whom it
+has heard of, with the age of that knowledge. The younger word about a host
+holds, so a dead host's traces grow old everywhere at the same pace.
+"""
+
+import attrs
+
+# Six beats inside a region; a pause of a second is common on busy hosts.
+DEAD_AFTER_S = 1.5
+# Hosts of other regions beat less often and over links that lose packets.
+FAR_DEAD_AFTER_S = 3.5
+# A silent host may be cut off and still use its part of the budgets. Longer
+# than most cuts; what a dead host held goes unused that long.
+FORGET_AFTER_S = 12.0
+# Notes about a host older than this bring nobody back.
+_MAX_NOTE_AGE_S = FAR_DEAD_AFTER_S
+
+
+@attrs.frozen(kw_only=True)
+class HostId:
+    """Who a host is.
+
+    Attributes
+    ----------
+    name, ip, zone, region : str
+        The host, its IPv4 number and where it is.
+    incarnation : str
+        Random name of the running process.
+    """
+
+    name: str
+    ip: str
+    zone: str
+    region: str
+    incarnation: str
+
+
+@attrs.define(eq=False, kw_only=True)
+class Member:
+    """Another host as this host knows it.
+
+    Attributes
+    ----------
+    id : HostId
+        Who it is.
+    heard_at : float
+        When it last was known to live, at first or second hand, in seconds.
+    told_at : float
+        When its own word last came, in seconds; minus infinity if never.
+    sequence : int
+        Number of its last beat.
+    is_leaving, is_ready : bool
+        Whether it is shutting down, and whether it serves callers.
+    configuration_version, revision : int
+        What it has in force.
+    demands : dict of int to int
+        By team key, the tokens per second that are asked of it.
+    work : dict of int to (int, int)
+        By endpoint key, its requests there and their prompt tokens.
+    waits : dict of str to float
+        By service, the wait in its region, in seconds.
+    """
+
+    id: HostId
+    heard_at: float
+    told_at: float = float("-inf")
+    sequence: int = -1
+    is_leaving: bool = False
+    is_ready: bool = True
+    configuration_version: int = 0
+    revision: int = 0
+    demands: dict = attrs.field(factory=dict)
+    work: dict = attrs.field(factory=dict)
+    waits: dict = attrs.field(factory=dict)
+
+
+@attrs.define(eq=False)
+class Membership:
+    """All hosts that one host knows.
+
+    Attributes
+    ----------
+    me : HostId
+        This host.
+    """
+
+    me: HostId
+    _members: dict = attrs.field(factory=dict)
+
+    def note(self, host_id, is_leaving, age_s, now):
+        """Take over what somebody says of a host.
+
+        Parameters
+        ----------
+        host_id : HostId
+            Of whom.
+        is_leaving : bool
+            Whether it is shutting down.
+        age_s : float
+            How old the knowledge is, in seconds.
+        now : float
+            Present time, in seconds.
+
+        Returns
+        -------
+        Member or None
+            None if it is this host itself, or too old to be of use.
+        """
+        heard_at = now - max(0.0, age_s)
+        if host_id.name == self.me.name:
+            return None
+        member = self._members.get(host_id.name)
+        if member is not None and member.id.incarnation == host_id.incarnation:
+            member.heard_at = max(member.heard_at, heard_at)
+            member.is_leaving = member.is_leaving or is_leaving
+            return member
+        if age_s > _MAX_NOTE_AGE_S or (member and member.heard_at >= heard_at):
+            return None
+        member = Member(id=host_id, heard_at=heard_at, is_leaving=is_leaving)
+        self._members[host_id.name] = member
+        return member
+
+    def known(self):
+        """Return all members, also silent ones that are not forgotten yet."""
+        return list(self._members.values())
+
+    def is_live(self, member, now):
+        """Tell whether a member was heard of lately enough."""
+        is_near = member.id.region == self.me.region
+        limit_s = DEAD_AFTER_S if is_near else FAR_DEAD_AFTER_S
+        return now - member.heard_at <= limit_s
+
+    def live(self, now):
+        """Return the members that live, as far as known."""
+        return [m for m in self._members.values() if self.is_live(m, now)]
+
+    def serving(self, now, region=None):
+        """Return live members that take callers and requests.
+
+        Parameters
+        ----------
+        now : float
+            Present time, in seconds.
+        region : str or None
+            Only members of this region.
+        """
+        return [
+            m
+            for m in self.live(now)
+            if m.is_ready
+            and not m.is_leaving
+            and (region is None or m.id.region == region)
+        ]
+
+    def silent(self, now):
+        """Return members that fell silent without having said that they leave."""
+        return [
+            m
+            for m in self._members.values()
+            if not m.is_leaving and not self.is_live(m, now)
+        ]
+
+    def forget(self, now):
+        """Drop members that have been silent for long; return them."""
+        gone = [
+            m
+            for m in self._members.values()
+            if now - m.heard_at > (FAR_DEAD_AFTER_S if m.is_leaving else FORGET_AFTER_S)
+        ]
+        for member in gone:
+            del self._members[member.id.name]
+        return gone
--- /dev/null
+++ b/src/cactusmill/serving/overload.py
@@ -0,0 +1,115 @@
+"""What to do with a request: send it, have another region run it, or refuse.
+
+The load it answers: regions that are offered over twice what their engines can
+read, at different times. A request that would begin in time goes to the own
+region's endpoint; else to a region whose wait leaves time for the way there;
+else it is refused at once, with the time at which there will be room. Engines
+then never hold more than about one objective's worth of prompts, so that what
+is admitted is on time.
+"""
+
+import attrs
+
+from ..errors import NoEndpoint, Outcome, Overloaded
+
+# Part of the objective that predictions may fill; the rest is for their error.
+OBJECTIVE_PART = 0.85
+# There and back between regions, with the hop's own work.
+FAR_WAY_S = 0.2
+# Callers return after a part of the wait, spread so that they do not return
+# together.
+_MIN_RETRY_S = 0.15
+_MAX_RETRY_S = 4.0
+_SPREAD = 0.5
+_NO_ENDPOINT_RETRY_S = 0.6
+
+
+@attrs.frozen(kw_only=True)
+class Send:
+    """Send the request to an endpoint of the own region."""
+
+    choice: object
+
+
+@attrs.frozen(kw_only=True)
+class ForwardTo:
+    """Have a host of another region run it."""
+
+    member: object
+    wait_s: float
+
+
+def decide(*, own, far, objective_s, deadline_s, is_engine, spread):
+    """Decide what to do with a request now.
+
+    Parameters
+    ----------
+    own : Choice or None
+        Best endpoint of the own region.
+    far : tuple of (Member, float) or None
+        Host of another region and the wait there, in seconds.
+    objective_s : float
+        What is left of the latency objective, in seconds.
+    deadline_s : float
+        What is left until the deadline, in seconds.
+    is_engine : bool
+        True for prompts, which queue; plain services shed by themselves.
+    spread : float
+        Random number, 0 to 1.
+
+    Returns
+    -------
+    Send, ForwardTo or Refusal
+    """
+    room_s = objective_s * OBJECTIVE_PART
+    if own is not None and (own.first_s <= room_s or not is_engine):
+        return Send(choice=own)
+    if far is not None:
+        member, wait_s = far
+        far_s = wait_s + FAR_WAY_S
+        if far_s <= room_s or (own is None and far_s <= deadline_s):
+            return ForwardTo(member=member, wait_s=wait_s)
+    if own is None:
+        return NoEndpoint(
+            detail="no permitted endpoint takes requests now",
+            outcome=Outcome.NOT_RUN,
+            retry_after_s=_NO_ENDPOINT_RETRY_S * (1 + _SPREAD * spread),
+        )
+    if objective_s <= 0 and own.first_s <= deadline_s * OBJECTIVE_PART:
+        return Send(choice=own)
+    wait_s = max(_MIN_RETRY_S, own.first_s - room_s / 2)
+    return Overloaded(
+        detail=f"an answer would begin in {own.first_s:.2f} s, over {room_s:.2f} s",
+        outcome=Outcome.NOT_RUN,
+        retry_after_s=min(_MAX_RETRY_S, wait_s * (1 + _SPREAD * spread)),
+    )
+
+
+def choose_far(members, service, is_permitted, rng):
+    """Choose a host of another region to run a request.
+
+    Of two at random the one with the shorter wait, so that hosts with the same
+    stale knowledge do not all choose the same.
+
+    Parameters
+    ----------
+    members : list of Member
+        Hosts of other regions that take requests.
+    service : str
+        The service.
+    is_permitted : callable
+        ``is_permitted(region)`` tells whether a region may run it.
+    rng : random.Random
+        Source of random choices.
+
+    Returns
+    -------
+    tuple of (Member, float) or None
+        With the wait there, in seconds.
+    """
+    able = [m for m in members if service in m.waits and is_permitted(m.id.region)]
+    if not able:
+        return None
+    pair = rng.sample(able, min(2, len(able)))
+    member = min(pair, key=lambda m: m.waits[service])
+    return member, member.waits[service]
--- /dev/null
+++ b/src/cactusmill/serving/placement.py
@@ -0,0 +1,412 @@
+"""Which endpoint a request goes to, and when its answer would begin.
+
+The load it answers: prompts that share long parts, engines whose reading of
+prompts is the bottleneck, and several hosts that place work on the same
+engines. The time to the first event is predicted from the prompt tokens that
+all hosts of the region have queued at an engine and from the parts that it
+holds already. The prediction is corrected by what first events really took.
+"""
+
+import collections
+import math
+
+import attrs
+import xxhash
+
+from ..internal.endpoints import load_key
+from .budgets import ColdPace, cold_users
+
+# Prompt tokens that an engine reads per second, until measured.
+FIRST_PACE_TOKENS_PER_S = 70_000.0
+# Time to the first event of an empty prompt, until corrected by the bias.
+FIRST_EVENT_S = 0.06
+# A plain service's answer takes this long, until measured.
+FIRST_SERVICE_S = 0.03
+# What peers said of their work counts this long; they say it every 0.15 s.
+_WORK_VALID_S = 0.8
+_SMOOTHING = 0.15
+_MIN_BIAS, _MAX_BIAS = 0.4, 8.0
+# Without new answers a correction fades, so that an endpoint once slow is tried.
+_BIAS_FADES_S = 4.0
+_FAILURES_FADE_S = 3.0
+# What a certain failure costs, in seconds of waiting.
+_FAILURE_COST_S = 1.0
+_FIRST_BACKOFF_S = 0.25
+_LAST_BACKOFF_S = 2.0
+# Tokens remembered per engine, as a part of its memory: running requests use
+# the rest.
+_CACHE_PART = 0.6
+DEFAULT_MEMORY_TOKENS = 200_000.0
+# Reading shared parts again delays the requests behind as well.
+_REREAD_WEIGHT = 1.5
+# Part of the shared prompt that the engine preferred by hash is taken to hold
+# though this host has not sent it there yet: others may have.
+_PREFERRED_HOLDS = 0.5
+# Above its batch an engine makes requests wait for whole answers of others.
+_FULL_COST_S = 1.0
+
+
+@attrs.define(eq=False)
+class EndpointView:
+    """What this host knows of one endpoint besides its entry.
+
+    Attributes
+    ----------
+    name : str
+        The endpoint.
+    in_flight : int
+        Requests of this host there.
+    prompt_tokens : int
+        Prompt tokens of those that have not begun to answer.
+    down_until : float
+        No request is sent before this time, in seconds.
+    misdirected_revision : int
+        Revision of the entry under which another endpoint answered.
+    """
+
+    name: str
+    in_flight: int = 0
+    prompt_tokens: int = 0
+    down_until: float = 0.0
+    misdirected_revision: int = -1
+    pace: ColdPace = attrs.field(factory=ColdPace)
+    _failures: int = 0
+    _failure_rate: float = 0.0
+    _failure_rate_at: float = 0.0
+    _bias: float = 1.0
+    _bias_at: float = 0.0
+    _parts: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
+    _part_tokens: int = 0
+
+    def note_unreachable(self, now):
+        """Back off, longer with each failure in a row."""
+        backoff_s = min(_LAST_BACKOFF_S, _FIRST_BACKOFF_S * 2**self._failures)
+        self._failures += 1
+        self.down_until = now + backoff_s
+
+    def note_result(self, is_failure, now):
+        """Count an answer or a failure towards the failure rate."""
+        rate = self.failure_rate(now)
+        self._failure_rate = rate + _SMOOTHING * (is_failure - rate)
+        self._failure_rate_at = now
+        if not is_failure:
+            self._failures = 0
+            self.down_until = 0.0
+
+    def failure_rate(self, now):
+        """Return the part of recent requests that failed, faded to a time."""
+        age_s = now - self._failure_rate_at
+        return self._failure_rate * math.exp(-age_s / _FAILURES_FADE_S)
+
+    def bias(self, now):
+        """Return the correction of predictions, faded to a time."""
+        fade = math.exp(-(now - self._bias_at) / _BIAS_FADES_S)
+        return 1.0 + (self._bias - 1.0) * fade
+
+    def note_first_event(self, predicted_s, took_s, now):
+        """Correct predictions by one answer.
+
+        Parameters
+        ----------
+        predicted_s : float
+            What was predicted without the correction, in seconds.
+        took_s : float
+            What it took, in seconds.
+        now : float
+            Present time, in seconds.
+        """
+        sample = min(_MAX_BIAS, max(_MIN_BIAS, took_s / predicted_s))
+        bias = self.bias(now)
+        self._bias = bias + _SMOOTHING * (sample - bias)
+        self._bias_at = now
+
+    def holds(self, part):
+        """Tell whether the endpoint probably holds a prompt's part."""
+        return part in self._parts
+
+    def note_parts(self, parts, memory_tokens):
+        """Remember the parts of a prompt that the endpoint has read."""
+        for part, tokens in parts:
+            if part in self._parts:
+                self._parts.move_to_end(part)
+                continue
+            self._parts[part] = tokens
+            self._part_tokens += tokens
+        while self._part_tokens > memory_tokens * _CACHE_PART and self._parts:
+            _, tokens = self._parts.popitem(last=False)
+            self._part_tokens -= tokens
+
+    def forget_parts(self):
+        """Forget what it held, after it started again."""
+        self._parts.clear()
+        self._part_tokens = 0
+
+
+@attrs.frozen(kw_only=True)
+class Choice:
+    """An endpoint with what was predicted for a request there.
+
+    Attributes
+    ----------
+    endpoint : Endpoint
+        The endpoint.
+    view : EndpointView
+        Its state.
+    first_s : float
+        Predicted time until the answer begins, in seconds.
+    raw_s : float
+        The same before the correction, in seconds.
+    unread_tokens : int
+        Prompt tokens that it would have to read.
+    cold_per_s : float
+        Requests per second that it tolerates now; 0 if it is not cold.
+    users : int
+        Hosts that share that pace.
+    """
+
+    endpoint: object
+    view: EndpointView
+    first_s: float
+    raw_s: float
+    unread_tokens: int
+    cold_per_s: float = 0.0
+    users: int = 1
+
+
+@attrs.define(eq=False)
+class Placement:
+    """Places requests on the endpoints of the own region.
+
+    Attributes
+    ----------
+    region, host_name : str
+        Where this host is, and its name.
+    """
+
+    region: str
+    host_name: str
+    _views: dict = attrs.field(factory=dict)
+    _pace: dict = attrs.field(factory=dict)
+    _answer_s: dict = attrs.field(factory=dict)
+    _started: dict = attrs.field(factory=dict)
+
+    def view(self, name):
+        """Return the view of an endpoint, made on first use."""
+        if name not in self._views:
+            self._views[name] = EndpointView(name)
+        return self._views[name]
+
+    def keep_only(self, names):
+        """Drop views of endpoints that are not listed any more."""
+        for name in set(self._views) - names:
+            if self._views[name].in_flight == 0:
+                del self._views[name]
+                self._started.pop(name, None)
+
+    def note_listed(self, endpoint):
+        """Take over an entry; a new start means that nothing is held."""
+        started = self._started.get(endpoint.name)
+        self._started[endpoint.name] = endpoint.started_ms
+        if started is not None and started != endpoint.started_ms:
+            self.view(endpoint.name).forget_parts()
+
+    def own_work(self):
+        """Return this host's requests and prompt tokens, by endpoint key."""
+        return {
+            load_key(v.name): (v.in_flight, v.prompt_tokens)
+            for v in self._views.values()
+            if v.in_flight
+        }
+
+    def usable(self, catalog, service, now, hold_removed_s=0.0):
+        """Return the listed endpoints of the region that may get requests.
+
+        Parameters
+        ----------
+        catalog : Catalog
+            What is in force.
+        service : str
+            The service.
+        now : float
+            Present time, in seconds.
+        hold_removed_s : float
+            How long a removed entry still counts, in seconds.
+        """
+        found = []
+        for listed in catalog.listed_for(service):
+            endpoint = listed.endpoint
+            if endpoint.region != self.region or not endpoint.live:
+                continue
+            if catalog.is_evacuated(endpoint.zone):
+                continue
+            removed_at = listed.removed_at
+            if removed_at is not None and now - removed_at >= hold_removed_s:
+                continue
+            if self.view(endpoint.name).misdirected_revision == listed.revision:
+                continue
+            found.append(listed)
+        return found
+
+    def choose(self, job, service, listed, membership, now, tried=()):
+        """Choose an endpoint.
+
+        Parameters
+        ----------
+        job : Job
+            The request.
+        service : Service
+            What the endpoints allow.
+        listed : list of ListedEndpoint
+            The endpoints that may get requests.
+        membership : Membership
+            The other hosts and their work.
+        now : float
+            Present time, in seconds.
+        tried : collection of str
+            Endpoints to leave out.
+
+        Returns
+        -------
+        Choice or None
+        """
+        near = membership.serving(now, self.region)
+        preferred = _preferred(job, listed)
+        best, best_score = None, float("inf")
+        for entry in listed:
+            endpoint = entry.endpoint
+            view = self.view(endpoint.name)
+            if endpoint.name in tried or now < view.down_until:
+                continue
+            cold_per_s, users = self._cold(entry, service, near, now)
+            if cold_per_s and (not users or not view.pace.may_send(now)):
+                continue
+            choice = self._predict(
+                job, service, endpoint, view, near, endpoint.name == preferred, now
+            )
+            choice = attrs.evolve(choice, cold_per_s=cold_per_s, users=max(1, users))
+            score = (
+                choice.first_s
+                + _FAILURE_COST_S * view.failure_rate(now)
+                + _REREAD_WEIGHT * choice.unread_tokens / self.pace(service.name)
+            )
+            if score < best_score:
+                best, best_score = choice, score
+        return best
+
+    def _cold(self, entry, service, near, now):
+        """Return the pace of a cold endpoint, 0 if warm, and who shares it."""
+        is_cold = now < entry.learned_at + entry.endpoint.cold_s
+        if not is_cold or service.cold_per_s <= 0:
+            return 0.0, 1
+        names = [self.host_name, *(m.id.name for m in near)]
+        users = cold_users(entry.endpoint.name, names)
+        return service.cold_per_s, len(users) if self.host_name in users else 0
+
+    def _work_at(self, view, near, now):
+        """Return requests and unread prompt tokens of all hosts there."""
+        in_flight, tokens = view.in_flight, view.prompt_tokens
+        key = load_key(view.name)
+        for member in near:
+            if now - member.told_at <= _WORK_VALID_S:
+                theirs = member.work.get(key, (0, 0))
+                in_flight += theirs[0]
+                tokens += theirs[1]
+        return in_flight, tokens
+
+    def _predict(self, job, service, endpoint, view, near, is_preferred, now):
+        in_flight, queued = self._work_at(view, near, now)
+        if service.is_engine:
+            unread = unread_tokens(job, view, is_preferred)
+            raw_s = FIRST_EVENT_S + (queued + unread) / self.pace(service.name)
+        else:
+            unread = 0
+            took_s = self._answer_s.get(service.name, FIRST_SERVICE_S)
+            raw_s = took_s * (1.0 + in_flight / endpoint.capacity)
+        first_s = raw_s * view.bias(now)
+        if in_flight >= endpoint.capacity and service.is_engine:
+            first_s += _FULL_COST_S
+        return Choice(
+            endpoint=endpoint,
+            view=view,
+            first_s=first_s,
+            raw_s=raw_s,
+            unread_tokens=unread,
+        )
+
+    def pace(self, service_name):
+        """Return the prompt tokens that a service's engines read per second."""
+        return self._pace.get(service_name, FIRST_PACE_TOKENS_PER_S)
+
+    def note_begun(self, choice, service, took_s, now):
+        """Take over how long an answer took to begin."""
+        choice.view.note_result(False, now)
+        choice.view.note_first_event(choice.raw_s, took_s, now)
+        if not service.is_engine:
+            before = self._answer_s.get(service.name, FIRST_SERVICE_S)
+            self._answer_s[service.name] = before + 0.02 * (took_s - before)
+
+    def wait_s(self, catalog, service, membership, now):
+        """Return the shortest wait for a new request in this region, or None.
+
+        Parameters
+        ----------
+        catalog : Catalog
+            What is in force.
+        service : Service
+            For which service.
+        membership : Membership
+            The other hosts and their work.
+        now : float
+            Present time, in seconds.
+
+        Returns
+        -------
+        float or None
+            Seconds; None if no endpoint may get requests.
+        """
+        near = membership.serving(now, self.region)
+        waits = []
+        for entry in self.usable(catalog, service.name, now):
+            view = self.view(entry.endpoint.name)
+            if now < view.down_until or self._cold(entry, service, near, now)[0]:
+                continue
+            in_flight, queued = self._work_at(view, near, now)
+            wait_s = FIRST_EVENT_S + queued / self.pace(service.name)
+            if not service.is_engine:
+                took_s = self._answer_s.get(service.name, FIRST_SERVICE_S)
+                wait_s = took_s * max(0.0, in_flight / entry.endpoint.capacity)
+            elif in_flight >= entry.endpoint.capacity:
+                wait_s += _FULL_COST_S
+            waits.append(wait_s * view.bias(now))
+        return min(waits, default=None)
+
+
+def unread_tokens(job, view, is_preferred):
+    """Estimate the prompt tokens that an endpoint would have to read.
+
+    A part is held only if all parts before it are. The last part belongs to
+    the request or its session.
+    """
+    parts = job.parts or ((("", job.prompt_tokens),))
+    unread, is_held = 0, True
+    for at, (part, tokens) in enumerate(parts):
+        is_held = is_held and view.holds(part)
+        if is_held:
+            continue
+        is_shared = at < len(parts) - 1
+        holds_some = is_shared and is_preferred
+        unread += int(tokens * (1 - _PREFERRED_HOLDS)) if holds_some else tokens
+    return unread
+
+
+def _preferred(job, listed):
+    """Return the endpoint that all hosts prefer for a prompt's shared parts."""
+    if len(job.parts) < 2:
+        return None
+    shared = job.parts[-2][0]
+    names = [entry.endpoint.name for entry in listed]
+    return max(
+        names,
+        key=lambda n: xxhash.xxh64_intdigest(f"{shared}/{n}".encode()),
+        default=None,
+    )
--- /dev/null
+++ b/src/cactusmill/serving/quota.py
@@ -0,0 +1,164 @@
+"""Each team's rate and burst, divided among hosts by the demand they see.
+
+A host's part of a team's rate is its part of the demand that all hosts tell.
+While some host is silent, no part may rise: the silent host may be cut off and
+go on with the part it had. A process that has just started takes a small part
+until it has heard from others. See docs/design/platform.md for the worst case.
+"""
+
+import math
+
+import attrs
+import xxhash
+
+# Demand is averaged over this time: short against the limits' window, long
+# against the time between beats.
+_DEMAND_S = 2.0
+# Each host counts as having at least this part of the rate as demand, so that
+# the first requests after a pause find tokens.
+_FLOOR_PART = 0.03
+# Part that a process may use until it has had time to hear of others.
+START_PART = 0.1
+START_S = 2.0
+
+
+def team_key(name):
+    """Return the number by which beats name a team."""
+    return xxhash.xxh32_intdigest(name.encode()) - 2**31
+
+
+@attrs.define
+class Account:
+    """One team's tokens on this host.
+
+    Attributes
+    ----------
+    tokens : float
+        What may be spent now.
+    filled_at : float
+        When `tokens` was brought up to date, in seconds.
+    demand : float
+        Smoothed tokens asked for per second, as of `asked_at`.
+    asked_at : float
+        When demand was last noted, in seconds.
+    agreed_part : float
+        This host's part of the rate when no member was silent.
+    """
+
+    tokens: float = 0.0
+    filled_at: float = 0.0
+    demand: float = 0.0
+    asked_at: float = 0.0
+    agreed_part: float = START_PART
+
+    def demand_at(self, now):
+        """Return the demand, faded to a time."""
+        return self.demand * math.exp(-max(0.0, now - self.asked_at) / _DEMAND_S)
+
+    def note_demand(self, cost, now):
+        """Add a request's tokens to the demand."""
+        self.demand = self.demand_at(now) + cost / _DEMAND_S
+        self.asked_at = now
+
+
+@attrs.define(eq=False)
+class Quotas:
+    """All teams' tokens on this host.
+
+    Attributes
+    ----------
+    started_at : float
+        When this process started, in seconds.
+    zones : int
+        Availability zones of the deployment.
+    """
+
+    started_at: float
+    zones: int
+    _accounts: dict = attrs.field(factory=dict)
+
+    def account(self, team_name):
+        """Return a team's account, which fills up since the process started.
+
+        What an earlier process spent is unknown, so it starts empty.
+        """
+        if team_name not in self._accounts:
+            self._accounts[team_name] = Account(filled_at=self.started_at)
+        return self._accounts[team_name]
+
+    def part(self, team, membership, now):
+        """Return the part of a team's rate that this host may use.
+
+        Parameters
+        ----------
+        team : Team
+            Whose rate.
+        membership : Membership
+            The other hosts and their demands.
+        now : float
+            Present time, in seconds.
+
+        Returns
+        -------
+        float
+            0 to 1.
+        """
+        account = self.account(team.name)
+        floor = _FLOOR_PART * team.rate_tokens_per_s
+        mine = max(account.demand_at(now), floor)
+        key = team_key(team.name)
+        known = membership.known()
+        others = sum(max(m.demands.get(key, 0), floor) for m in known)
+        part = mine / (mine + others)
+        # Zones of which nobody was ever heard are taken to use equal parts.
+        seen = {m.id.zone for m in known} | {membership.me.zone}
+        part *= min(1.0, len(seen) / self.zones)
+        if now - self.started_at < START_S:
+            return min(part, START_PART)
+        if membership.silent(now):
+            return min(part, account.agreed_part)
+        account.agreed_part = part
+        return part
+
+    def take(self, team, cost, membership, now):
+        """Take a request's tokens if this host's part allows it.
+
+        Returns
+        -------
+        float
+            0 if the tokens were taken, else the time until they would be
+            there, in seconds.
+        """
+        if team.rate_tokens_per_s <= 0:
+            return 0.0
+        account = self.account(team.name)
+        account.note_demand(cost, now)
+        part = self.part(team, membership, now)
+        rate = team.rate_tokens_per_s * part
+        # A request larger than a small part of the burst must still pass.
+        burst = max(team.burst_tokens * part, cost)
+        grown = account.tokens + (now - account.filled_at) * rate
+        account.tokens, account.filled_at = min(burst, grown), now
+        if account.tokens < cost:
+            return (cost - account.tokens) / rate
+        account.tokens -= cost
+        return 0.0
+
+    def give_back(self, team, cost, now):
+        """Return the tokens of a request that did not run."""
+        if team.rate_tokens_per_s > 0:
+            self.account(team.name).tokens += cost
+
+    def demands(self, now):
+        """Return the teams' demands on this host, by key.
+
+        Returns
+        -------
+        dict of int to int
+            Tokens per second.
+        """
+        return {
+            team_key(name): demand
+            for name, account in self._accounts.items()
+            if (demand := int(account.demand_at(now))) > 0
+        }
