Place and admit streams by when they would end

Placement looked at the first event only.

Now the gap between events is measured per engine; a stream is placed by its expected end too, a prompt by how many streams it delays, and a request that would end far over its deadline is refused at once. A process that has just started waits a moment for its first configuration instead of refusing.

--- a/src/cactusmill/internal/job.py
+++ b/src/cactusmill/internal/job.py
@@ -33,6 +33,8 @@
         Most tokens that it can use.
     prompt_tokens : int
         Estimated length of a model request's prompt.
+    output_tokens : int
+        Expected length of a model request's answer.
     affinity : str
         Digest of the prompt's beginning, kept in the region; empty if none.
     is_stream : bool
@@ -58,6 +60,7 @@
     service: str
     cost_tokens: float = 0.0
     prompt_tokens: int = 0
+    output_tokens: int = 0
     affinity: str = ""
     is_stream: bool = False
     identifier: object = None
--- a/src/cactusmill/platform/dialect.py
+++ b/src/cactusmill/platform/dialect.py
@@ -57,10 +57,12 @@
 
 def _facts(headers):
     usage = _read_usage(header(headers, b"token-usage"))
+    most = usage[1] if usage else 0
+    hint = _read_number(header(headers, b"length-hint"))
     return {
         "size_tokens": None if usage is None else float(sum(usage)),
         "prompt_tokens": usage[0] if usage else 0,
-        "output_tokens": usage[1] if usage else 0,
+        "output_tokens": most if hint is None else min(most, hint),
         "parts": _read_parts(header(headers, b"prompt-prefix")),
     }
 
--- a/src/cactusmill/platform/items.py
+++ b/src/cactusmill/platform/items.py
@@ -160,6 +160,7 @@
         cold_per_s=data.get("cold_per_s") or 0.0,
         is_engine=bool(engine),
         memory_tokens=engine.get("kv_capacity") or 0.0,
+        event_tokens=max(1, engine.get("stride") or 1),
     )
 
 
--- a/src/cactusmill/records.py
+++ b/src/cactusmill/records.py
@@ -181,6 +181,8 @@
         True if its endpoints run models.
     memory_tokens : float
         Tokens that an engine holds, running and cached.
+    event_tokens : int
+        Tokens in one event of an engine's stream.
     """
 
     name: str
@@ -189,6 +191,7 @@
     cold_per_s: float = 0.0
     is_engine: bool = False
     memory_tokens: float = 0.0
+    event_tokens: int = 1
 
 
 @attrs.frozen(kw_only=True)
--- a/src/cactusmill/serving/callers.py
+++ b/src/cactusmill/serving/callers.py
@@ -29,6 +29,9 @@
 _MAX_READ_AHEAD_BYTES = 64 * 1024
 _NO_CONFIGURATION_RETRY_S = 0.5
 _LEAVING_RETRY_S = 0.1
+# The first listing takes two ways to the platform's region and an answer.
+_CONFIGURATION_WAIT_S = 0.4
+_CONFIGURATION_POLL_S = 0.01
 # Waits for tokens above this are told as this.
 _MAX_RATE_RETRY_S = 10.0
 _MIN_RATE_RETRY_S = 0.1
@@ -132,6 +135,7 @@
     route = progress = job = None
     refusal, failure = None, None
     try:
+        await _wait_for_configuration(host)
         route, team = _authorize(host, head)
         body = await _read_body(host, caller)
         job = _job(host, caller, event, route, team, body)
@@ -162,6 +166,13 @@
         self.refusal = refusal
 
 
+async def _wait_for_configuration(host):
+    """Wait a moment for the first configuration of a process just started."""
+    with trio.move_on_after(_CONFIGURATION_WAIT_S):
+        while host.catalog.configuration is None:
+            await trio.sleep(_CONFIGURATION_POLL_S)
+
+
 def _authorize(host, head):
     """Return the route and the team, or raise why the request is refused."""
     catalog = host.catalog
@@ -219,6 +230,7 @@
         service=choose_service(route, host.rng),
         cost_tokens=size,
         prompt_tokens=head.prompt_tokens,
+        output_tokens=head.output_tokens,
         is_stream=route.is_stream,
         objective_at=now + route.objective_s,
         parts=head.parts,
--- a/src/cactusmill/serving/dialect.py
+++ b/src/cactusmill/serving/dialect.py
@@ -24,8 +24,10 @@
         How long the caller waits, in seconds.
     size_tokens : float or None
         Prompt tokens and most output tokens together; None if not stated.
-    prompt_tokens, output_tokens : int
-        Stated size of the prompt and of the answer.
+    prompt_tokens : int
+        Stated size of the prompt.
+    output_tokens : int
+        Expected size of the answer.
     parts : tuple of (str, int)
         The prompt's parts in order with their tokens.
     passed : list of (bytes, bytes)
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -334,6 +334,7 @@
         deadline=now + message.remaining_ms / 1000,
         service="",
         prompt_tokens=head.prompt_tokens,
+        output_tokens=head.output_tokens,
         is_stream=route.is_stream,
         objective_at=now + (message.objective_ms or 0) / 1000,
         parts=head.parts,
--- a/src/cactusmill/serving/overload.py
+++ b/src/cactusmill/serving/overload.py
@@ -14,6 +14,9 @@
 
 # Part of the objective that predictions may fill; the rest is for their error.
 OBJECTIVE_PART = 0.85
+# Lengths of answers are known roughly: only those far over the deadline are
+# turned away for it.
+WHOLE_PART = 1.2
 # There and back between regions, with the hop's own work.
 FAR_WAY_S = 0.2
 # Callers return after a part of the wait, spread so that they do not return
@@ -62,7 +65,7 @@
     Send, ForwardTo or Refusal
     """
     room_s = objective_s * OBJECTIVE_PART
-    if own is not None and (own.first_s <= room_s or not is_engine):
+    if own is not None and (_is_in_time(own, room_s, deadline_s) or not is_engine):
         return Send(choice=own)
     if far is not None:
         member, wait_s = far
@@ -79,12 +82,18 @@
         return Send(choice=own)
     wait_s = max(_MIN_RETRY_S, own.first_s - room_s / 2)
     return Overloaded(
-        detail=f"an answer would begin in {own.first_s:.2f} s, over {room_s:.2f} s",
+        detail=f"an answer would begin in {own.first_s:.2f} s and end in "
+        f"{own.whole_s:.2f} s; there are {room_s:.2f} s and {deadline_s:.2f} s",
         outcome=Outcome.NOT_RUN,
         retry_after_s=min(_MAX_RETRY_S, wait_s * (1 + _SPREAD * spread)),
     )
 
 
+def _is_in_time(own, room_s, deadline_s):
+    """Tell whether an answer would begin and end in time."""
+    return own.first_s <= room_s and own.whole_s <= deadline_s * WHOLE_PART
+
+
 def choose_far(members, service, is_permitted, rng):
     """Choose a host of another region to run a request.
 
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -44,6 +44,14 @@
 _PREFERRED_HOLDS = 0.5
 # Above its batch an engine makes requests wait for whole answers of others.
 _FULL_COST_S = 1.0
+# Time between two events of a stream, until measured.
+_FIRST_EVENT_GAP_S = 0.06
+_GAP_SMOOTHING = 0.05
+_GAP_FADES_S = 5.0
+# Reading a prompt delays every stream that runs beside it.
+_DELAY_WEIGHT = 0.05
+# What a stream is expected to end behind its deadline counts this much more.
+_OVERTIME_WEIGHT = 1.0
 
 
 @attrs.define(eq=False)
@@ -75,6 +83,8 @@
     _failure_rate_at: float = 0.0
     _bias: float = 1.0
     _bias_at: float = 0.0
+    _gap_s: float = _FIRST_EVENT_GAP_S
+    _gap_at: float = 0.0
     _parts: collections.OrderedDict = attrs.field(factory=collections.OrderedDict)
     _part_tokens: int = 0
 
@@ -120,6 +130,17 @@
         self._bias = bias + _SMOOTHING * (sample - bias)
         self._bias_at = now
 
+    def event_gap_s(self, now):
+        """Return the time between two events of a stream, in seconds."""
+        fade = math.exp(-(now - self._gap_at) / _GAP_FADES_S)
+        return _FIRST_EVENT_GAP_S + (self._gap_s - _FIRST_EVENT_GAP_S) * fade
+
+    def note_event_gap(self, gap_s, now):
+        """Take over the time that passed between two events."""
+        before_s = self.event_gap_s(now)
+        self._gap_s = before_s + _GAP_SMOOTHING * (gap_s - before_s)
+        self._gap_at = now
+
     def holds(self, part):
         """Tell whether the endpoint probably holds a prompt's part."""
         return part in self._parts
@@ -158,6 +179,10 @@
         The same before the correction, in seconds.
     unread_tokens : int
         Prompt tokens that it would have to read.
+    whole_s : float
+        Predicted time until the answer is whole, in seconds.
+    delay_s : float
+        Time by which the prompt delays the streams there, added up, in seconds.
     cold_per_s : float
         Requests per second that it tolerates now; 0 if it is not cold.
     users : int
@@ -169,6 +194,8 @@
     first_s: float
     raw_s: float
     unread_tokens: int
+    whole_s: float
+    delay_s: float = 0.0
     cold_per_s: float = 0.0
     users: int = 1
 
@@ -288,6 +315,8 @@
                 choice.first_s
                 + _FAILURE_COST_S * view.failure_rate(now)
                 + _REREAD_WEIGHT * choice.unread_tokens / self.pace(service.name)
+                + _DELAY_WEIGHT * choice.delay_s
+                + _OVERTIME_WEIGHT * max(0.0, now + choice.whole_s - job.deadline)
             )
             if score < best_score:
                 best, best_score = choice, score
@@ -317,9 +346,12 @@
         in_flight, queued = self._work_at(view, near, now)
         if service.is_engine:
             unread = unread_tokens(job, view, is_preferred)
+            events = job.output_tokens / service.event_tokens
+            rest_s = events * view.event_gap_s(now)
+            delay_s = in_flight * unread / self.pace(service.name)
             raw_s = FIRST_EVENT_S + (queued + unread) / self.pace(service.name)
         else:
-            unread = 0
+            unread, rest_s, delay_s = 0, 0.0, 0.0
             took_s = self._answer_s.get(service.name, FIRST_SERVICE_S)
             raw_s = took_s * (1.0 + in_flight / endpoint.capacity)
         first_s = raw_s * view.bias(now)
@@ -331,6 +363,8 @@
             first_s=first_s,
             raw_s=raw_s,
             unread_tokens=unread,
+            whole_s=first_s + rest_s,
+            delay_s=delay_s,
         )
 
     def pace(self, service_name):
--- a/src/cactusmill/serving/quota.py
+++ b/src/cactusmill/serving/quota.py
@@ -35,8 +35,9 @@
     ----------
     tokens : float
         What may be spent now.
-    filled_at : float
-        When `tokens` was brought up to date, in seconds.
+    filled_at : float or None
+        When `tokens` was brought up to date, in seconds; None before the
+        first request.
     demand : float
         Smoothed tokens asked for per second, as of `asked_at`.
     asked_at : float
@@ -46,7 +47,7 @@
     """
 
     tokens: float = 0.0
-    filled_at: float = 0.0
+    filled_at: float | None = None
     demand: float = 0.0
     asked_at: float = 0.0
     agreed_part: float = START_PART
@@ -78,12 +79,9 @@
     _accounts: dict = attrs.field(factory=dict)
 
     def account(self, team_name):
-        """Return a team's account, which fills up since the process started.
-
-        What an earlier process spent is unknown, so it starts empty.
-        """
+        """Return a team's account, made on first use."""
         if team_name not in self._accounts:
-            self._accounts[team_name] = Account(filled_at=self.started_at)
+            self._accounts[team_name] = Account()
         return self._accounts[team_name]
 
     def part(self, team, membership, now):
@@ -137,6 +135,10 @@
         rate = team.rate_tokens_per_s * part
         # A request larger than a small part of the burst must still pass.
         burst = max(team.burst_tokens * part, cost)
+        if account.filled_at is None:
+            # What earlier processes spent is unknown; a small part is granted.
+            account.tokens = team.burst_tokens * min(part, START_PART)
+            account.filled_at = now
         grown = account.tokens + (now - account.filled_at) * rate
         account.tokens, account.filled_at = min(burst, grown), now
         if account.tokens < cost:
--- a/src/cactusmill/serving/requests.py
+++ b/src/cactusmill/serving/requests.py
@@ -452,11 +452,15 @@
 async def _pass_stream(host, job, sink, progress, choice, answer, work, sent_at):
     """Pass a stream's events on as they arrive."""
     scanner = progress.scanner
-    is_first = True
+    is_first, event_at = True, host.now()
     while (data := await answer.next_data()) is not None:
         whole = scanner.feed(data)
+        if whole and choice is not None and not is_first:
+            now = host.now()
+            choice.view.note_event_gap((now - event_at) / whole.count(b"\n\n"), now)
+            event_at = now
         if is_first:
-            is_first = False
+            is_first, event_at = False, host.now()
             work.begin()
             if choice is not None:
                 host.placement.note_begun(
