--- a/src/cactusmill/cli.py
+++ b/src/cactusmill/cli.py
@@ -3,7 +3,7 @@
 import argparse
 import sys
 
-from .internal.commands import burn, check, explain, status
+from .internal.commands import burn, check, explain, status, story
 
 EXIT_FAULT = 1
 
@@ -51,6 +51,17 @@
     explain_.add_argument("--team", default="", help="the team that asks")
     explain_.add_argument("--path", required=True, help="path of the request")
     explain_.add_argument("--model", default="", help="model, on model routes")
+    story_ = commands.add_parser(
+        "story",
+        help="tell from logs what became of a request",
+        description="Print the log lines of one request in order, and what "
+        "changed around it. Give the logs of all hosts; clocks may differ a little.",
+    )
+    story_.add_argument("--request", required=True, metavar="ID")
+    story_.add_argument(
+        "logs", nargs="*", metavar="LOG", help="log files; standard input if none"
+    )
+    story_.set_defaults(run=story.run)
     return parser
 
 
--- a/src/cactusmill/internal/operators.py
+++ b/src/cactusmill/internal/operators.py
@@ -15,21 +15,34 @@
 _IDLE_TIMEOUT_S = 30.0
 _MAX_HEAD_BYTES = 16 * 1024
 _JSON = b"application/json"
-_TEXT = b"text/plain; version=0.0.4"
+TEXT = b"text/plain; version=0.0.4"
 
 
 @attrs.frozen
-class _Page:
+class Page:
+    """One answer to an operator."""
+
     status: int
     body: bytes
     content_type: bytes = _JSON
 
 
-async def serve_operator(host, stream):
-    """Serve one operator's connection until it ends."""
+async def serve_operator(host, stream, render=None):
+    """Serve one operator's connection until it ends.
+
+    Parameters
+    ----------
+    host : HostProcess or EntryHost
+        This process.
+    stream : trio.abc.Stream
+        The accepted connection.
+    render : callable or None
+        ``render(host, target)`` returns a :class:`Page`; None for the pages
+        of a host that the host list names.
+    """
     conn = server_connection(stream, _MAX_HEAD_BYTES)
     try:
-        while await _serve_page(host, conn):
+        while await _serve_page(host, conn, render or _render):
             conn.h11.start_next_cycle()
     except (ExchangeError, h11.RemoteProtocolError):
         pass
@@ -37,7 +50,7 @@
         await conn.close()
 
 
-async def _serve_page(host, conn):
+async def _serve_page(host, conn, render):
     head = None
     with trio.move_on_after(_IDLE_TIMEOUT_S):
         head = await conn.next_event()
@@ -45,7 +58,7 @@
         return False
     while not isinstance(await conn.next_event(), h11.EndOfMessage):
         pass
-    page = _render(host, head.target.decode("latin-1"))
+    page = render(host, head.target.decode("latin-1"))
     headers = [
         (b"content-type", page.content_type),
         (b"content-length", str(len(page.body)).encode()),
@@ -62,25 +75,25 @@
     path, _, query = target.partition("?")
     args = dict(urllib.parse.parse_qsl(query))
     pages = {
-        "/healthz": lambda: _Page(200, b"ok\n", _TEXT),
+        "/healthz": lambda: Page(200, b"ok\n", TEXT),
         "/readyz": lambda: _readiness(host),
-        "/metrics": lambda: _Page(200, host.metrics.render(gauges(host)), _TEXT),
+        "/metrics": lambda: Page(200, host.metrics.render(gauges(host)), TEXT),
         "/v1/status": lambda: _json(status(host)),
         "/v1/burn": lambda: _json(burn(host)),
         "/v1/explain": lambda: _json(explain(host, args)),
     }
     page = pages.get(path)
-    return page() if page else _Page(404, b"no such page\n", _TEXT)
+    return page() if page else Page(404, b"no such page\n", TEXT)
 
 
 def _json(value):
-    return _Page(200, json.dumps(value).encode())
+    return Page(200, json.dumps(value).encode())
 
 
 def _readiness(host):
     if host.ready.is_set() and not host.leaving:
-        return _Page(200, b"ready\n", _TEXT)
-    return _Page(503, b"leaving\n" if host.leaving else b"learning\n", _TEXT)
+        return Page(200, b"ready\n", TEXT)
+    return Page(503, b"leaving\n" if host.leaving else b"learning\n", TEXT)
 
 
 def gauges(host):
--- a/src/cactusmill/platform/daemon.py
+++ b/src/cactusmill/platform/daemon.py
@@ -11,8 +11,10 @@
 from ..errors import SettingsError
 from ..internal.logs import log_json_lines
 from ..internal.net import TCP
+from ..internal.operators import serve_operator
 from ..serving.events import log_event
 from ..serving.host import EntryHost
+from ..serving.pages import render_page
 from .dialect import DIALECT
 from .entrance import serve_entrance
 from .settings import SETTINGS_VARIABLE, load_platform_settings
@@ -28,7 +30,15 @@
     async def entrance(stream):
         await serve_entrance(host, stream)
 
+    async def metrics(stream):
+        await serve_operator(host, stream, render_page)
+
     async with trio.open_nursery() as nursery:
+        try:
+            await nursery.start(TCP.serve, cfg.metrics, metrics, nursery)
+        except OSError as exc:
+            # Callers are served without it.
+            log_event("metrics_not_served", address=cfg.metrics, reason=repr(exc))
         for address in {cfg.ready, cfg.directory}:
             await nursery.start(TCP.serve, address, entrance, nursery)
         nursery.start_soon(_follow_signals, host, path)
--- a/src/cactusmill/platform/settings.py
+++ b/src/cactusmill/platform/settings.py
@@ -10,6 +10,8 @@
 from ..settings import parse_address
 
 SETTINGS_VARIABLE = "CACTUSMILL_CONFIG"
+# The same as in deploy/system.toml, where scrapers learn it.
+METRICS_PORT = 7610
 
 
 @attrs.frozen(kw_only=True)
@@ -24,12 +26,15 @@
         ``"IP:PORT"`` of the readiness check and of the directory.
     store : str
         ``"IP:PORT"`` of the platform's store.
+    metrics : str
+        ``"IP:PORT"`` of the metrics.
     """
 
     host: HostSettings
     ready: str
     directory: str
     store: str
+    metrics: str
 
 
 def load_platform_settings(path):
@@ -99,6 +104,7 @@
         ready=_address(data, "listen.ready_address"),
         directory=_address(data, "listen.directory"),
         store=_address(data, "platform.address"),
+        metrics=f"{host.ip}:{METRICS_PORT}",
     )
 
 
--- a/src/cactusmill/serving/host.py
+++ b/src/cactusmill/serving/host.py
@@ -268,6 +268,24 @@
             near = [h for h in hosts if h.region in homes] or hosts
         return [f"{h.ip}:{port}" for h in near]
 
+    def gauges(self, now):
+        """Return sizes, ages and versions by name, for metrics."""
+        configuration = self.catalog.configuration
+        listed = self.catalog.listed()
+        return {
+            "ready": float(self.is_ready(now)),
+            "configuration_version": configuration.version if configuration else 0,
+            "revision": self.catalog.revision,
+            "platform_answer_age_seconds": now - self.availability.answered_at,
+            "members_live": len(self.membership.live(now)),
+            "members_silent": len(self.membership.silent(now)),
+            "endpoints_listed": len(listed),
+            "endpoints_live": sum(e.endpoint.live for e in listed),
+            "endpoint_connections_opened": self.pool.opened,
+            "caller_connections": len(self.caller_connections),
+            "requests_running": len(self.busy_connections),
+        }
+
     # The life of the process.
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
--- a/src/cactusmill/serving/membership.py
+++ b/src/cactusmill/serving/membership.py
@@ -14,6 +14,9 @@
 # A silent host may be cut off and still use its part of the budgets. Longer
 # than most cuts; what a dead host held goes unused that long.
 FORGET_AFTER_S = 12.0
+# Two beats between regions and the way between them: knowledge older than this
+# is not built on.
+FRESH_S = 1.3
 # Notes about a host older than this bring nobody back.
 _MAX_NOTE_AGE_S = FAR_DEAD_AFTER_S
 
@@ -162,6 +165,19 @@
             if not m.is_leaving and not self.is_live(m, now)
         ]
 
+    def heard_since(self):
+        """Return the time since which every member has been heard of.
+
+        Returns
+        -------
+        float
+            Seconds; infinity if there are no members.
+        """
+        return min(
+            (m.heard_at for m in self._members.values() if not m.is_leaving),
+            default=float("inf"),
+        )
+
     def forget(self, now):
         """Drop members that have been silent for long; return them."""
         gone = [
--- /dev/null
+++ b/src/cactusmill/serving/pages.py
@@ -0,0 +1,29 @@
+"""Pages that operators and scrapers read from a host."""
+
+from ..internal.operators import TEXT, Page
+
+METRICS_PATH = "/metrics"
+HEALTH_PATH = "/healthz"
+
+
+def render_page(host, target):
+    """Return the page behind a target.
+
+    Parameters
+    ----------
+    host : EntryHost
+        This process.
+    target : str
+        Target of the request.
+
+    Returns
+    -------
+    Page
+    """
+    path = target.partition("?")[0]
+    now = host.now()
+    if path == METRICS_PATH:
+        return Page(200, host.metrics.render(host.gauges(now)), TEXT)
+    if path == HEALTH_PATH:
+        return Page(200 if host.is_ready(now) else 503, b"{}")
+    return Page(404, b"{}")
--- a/src/cactusmill/serving/quota.py
+++ b/src/cactusmill/serving/quota.py
@@ -1,9 +1,11 @@
 """Each team's rate and burst, divided among hosts by the demand they see.
 
 A host's part of a team's rate is its part of the demand that all hosts tell.
-While some host is silent, no part may rise: the silent host may be cut off and
-go on with the part it had. A process that has just started takes a small part
-until it has heard from others. See docs/design/platform.md for the worst case.
+A part that was worked out at some time is agreed once every other host has
+been heard of after that time. While some host is silent, only the agreed part
+may be used: the silent host may be cut off and go on with its own. A process
+that has just started takes a small part until it has heard from others. See
+docs/design/platform.md for the worst case.
 """
 
 import math
@@ -11,6 +13,8 @@
 import attrs
 import xxhash
 
+from .membership import FRESH_S
+
 # Demand is averaged over this time: short against the limits' window, long
 # against the time between beats.
 _DEMAND_S = 2.0
@@ -43,7 +47,10 @@
     asked_at : float
         When demand was last noted, in seconds.
     agreed_part : float
-        This host's part of the rate when no member was silent.
+        This host's part of the rate that all hosts could know of.
+    worked_out_part, worked_out_at : float
+        A later part that waits to be agreed, and when it was worked out, in
+        seconds.
     """
 
     tokens: float = 0.0
@@ -51,11 +58,29 @@
     demand: float = 0.0
     asked_at: float = 0.0
     agreed_part: float = START_PART
+    worked_out_part: float = START_PART
+    worked_out_at: float = 0.0
 
     def demand_at(self, now):
         """Return the demand, faded to a time."""
         return self.demand * math.exp(-max(0.0, now - self.asked_at) / _DEMAND_S)
 
+    def agree(self, part, heard_since, now):
+        """Take over a part that is worked out now; agree on an earlier one.
+
+        Parameters
+        ----------
+        part : float
+            What demands say now.
+        heard_since : float
+            Time since which every other host has been heard of, in seconds.
+        now : float
+            Present time, in seconds.
+        """
+        if heard_since > self.worked_out_at:
+            self.agreed_part = self.worked_out_part
+            self.worked_out_part, self.worked_out_at = part, now
+
     def note_demand(self, cost, now):
         """Add a request's tokens to the demand."""
         self.demand = self.demand_at(now) + cost / _DEMAND_S
@@ -113,9 +138,10 @@
         part *= min(1.0, len(seen) / self.zones)
         if now - self.started_at < START_S:
             return min(part, START_PART)
-        if membership.silent(now):
+        heard_since = membership.heard_since()
+        account.agree(part, heard_since, now)
+        if now - heard_since > FRESH_S:
             return min(part, account.agreed_part)
-        account.agreed_part = part
         return part
 
     def take(self, team, cost, membership, now):
--- /dev/null
+++ b/standins/site.py
@@ -0,0 +1,481 @@
+"""A site on loopback: the platform's store, endpoints, and hosts that serve.
+
+Everything runs in one trio program over real sockets, each host on a loopback
+number of its own. Endpoints misbehave as told.
+"""
+
+import base64
+import contextlib
+import json
+import random
+import urllib.parse
+
+import attrs
+import h11
+import trio
+
+from cactusmill.internal.http import (
+    client_connection,
+    header,
+    read_body,
+    server_connection,
+)
+from cactusmill.internal.net import TCP, split_address
+from cactusmill.platform.dialect import DIALECT
+from cactusmill.platform.entrance import serve_entrance
+from cactusmill.platform.store import StoreClient
+from cactusmill.serving.host import EntryHost, HostSettings
+
+ZONES = {"east-a": "east", "west-a": "west", "north-a": "north"}
+KEY = "key-of-red"
+SLOW_S = 30.0
+_PORTS = iter(range(21000, 60000, 7))
+
+
+def next_port():
+    """Return a port that no earlier site of this process used."""
+    return next(_PORTS) + random.SystemRandom().randrange(7)
+
+
+@attrs.define(eq=False)
+class Store:
+    """The platform's store: items with revisions, listings and watches."""
+
+    items: dict = attrs.field(factory=dict)
+    events: list = attrs.field(factory=list)
+    revision: int = 1
+    calls: int = 0
+    is_down: bool = False
+    oldest: int = 0
+    changed: trio.Event = attrs.field(factory=trio.Event)
+
+    def put(self, key, value):
+        """Write an item; bytes are stored as they are."""
+        self.revision += 1
+        data = value if isinstance(value, bytes) else json.dumps(value).encode()
+        item = {
+            "key": key,
+            "value": base64.b64encode(data).decode(),
+            "revision": self.revision,
+        }
+        self.items[key] = item
+        self._note(item)
+
+    def remove(self, key):
+        """Remove an item."""
+        self.revision += 1
+        self.items.pop(key, None)
+        self._note({"key": key, "revision": self.revision, "tombstone": True})
+
+    def forget_history(self):
+        """Drop the events so far; watches behind them must list again."""
+        self.events.clear()
+        self.oldest = self.revision
+
+    def _note(self, event):
+        self.events.append(event)
+        self.changed.set()
+        self.changed = trio.Event()
+
+    async def answer(self, request, _body):
+        """Answer one call."""
+        self.calls += 1
+        if self.is_down:
+            return 503, [], b"{}"
+        path, _, query = request.target.decode().partition("?")
+        asked = {k: v[0] for k, v in urllib.parse.parse_qs(query).items()}
+        if path.endswith("kv-range"):
+            keys = sorted(k for k in self.items if k > asked.get("after", ""))
+            page = [self.items[k] for k in keys[:3]]
+            return _json(
+                items=page, has_more=len(keys) > 3, store_revision=self.revision
+            )
+        after = int(asked["after"])
+        with trio.move_on_after(int(asked["wait_ms"]) / 1000):
+            while self.revision <= after:
+                await self.changed.wait()
+        if after < self.oldest:
+            return 410, [], b"{}"
+        found = [e for e in self.events if e["revision"] > after]
+        return _json(events=found, store_revision=self.revision)
+
+
+def _json(**members):
+    return 200, [(b"content-type", b"application/json")], json.dumps(members).encode()
+
+
+@attrs.define(eq=False)
+class Worker:
+    """An endpoint that counts what it runs.
+
+    Attributes
+    ----------
+    name, zone, service : str
+        Who it is.
+    runs : list of str
+        Identifiers of the requests that it ran, in order.
+    seen : list of h11.Request
+        Heads of all requests that reached it.
+    behave : callable or None
+        ``await behave(worker, conn, request)`` answers instead and returns
+        whether the connection goes on.
+    events : int
+        Events of a stream.
+    event_gap_s : float
+        Time before each event, in seconds.
+    work_s : float
+        Time that a plain request takes, in seconds.
+    """
+
+    name: str
+    zone: str
+    service: str
+    address: str = ""
+    runs: list = attrs.field(factory=list)
+    cancelled: list = attrs.field(factory=list)
+    seen: list = attrs.field(factory=list)
+    behave: object = None
+    events: int = 5
+    event_gap_s: float = 0.0
+    work_s: float = 0.0
+    slots: int = 8
+
+    def entry(self, **changes):
+        """Return the worker's entry in the store."""
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": "ready",
+            "cold_left_ms": 0,
+            "seq": 1,
+            "born": 1_700_000_000_000,
+            **changes,
+        }
+
+    async def serve(self, stream):
+        """Serve one connection."""
+        conn = server_connection(stream, 64 * 1024)
+        with contextlib.suppress(Exception):
+            while True:
+                request = await conn.next_event()
+                if not isinstance(request, h11.Request):
+                    break
+                self.seen.append(request)
+                if self.behave is not None:
+                    if not await self.behave(self, conn, request):
+                        break
+                else:
+                    await self.run(conn, request)
+                if conn.h11.our_state is not h11.DONE:
+                    break
+                conn.h11.start_next_cycle()
+        await trio.aclose_forcefully(stream)
+
+    def head(self, request, status=200, extra=()):
+        """Return the head of an answer to a request."""
+        return h11.Response(
+            status_code=status,
+            headers=[
+                ("request-id", header(request.headers, b"request-id", "")),
+                ("response-signature", f"signed-by-{self.name}"),
+                *extra,
+            ],
+        )
+
+    async def run(self, conn, request, upto=None):
+        """Run a request to its end, or a stream up to an event."""
+        await read_body(conn, 10**7)
+        expected = header(request.headers, b"expect-instance")
+        if expected != self.name:
+            await _send_whole(conn, 421, [("instance-id", self.name)])
+            return
+        request_id = header(request.headers, b"request-id")
+        self.runs.append(request_id)
+        try:
+            if header(request.headers, b"model"):
+                await self._stream(conn, request, upto)
+            else:
+                await trio.sleep(self.work_s)
+                body = f"{self.name} ran {request_id}".encode()
+                await conn.send(
+                    self.head(request, extra=[("content-length", str(len(body)))]),
+                    h11.Data(data=body),
+                    h11.EndOfMessage(),
+                )
+        except trio.Cancelled:
+            self.cancelled.append(request_id)
+            raise
+
+    async def _stream(self, conn, request, upto):
+        first = int(header(request.headers, b"last-event-id", "0")) + 1
+        await conn.send(self.head(request, extra=[("transfer-encoding", "chunked")]))
+        for number in range(first, self.events + 1):
+            if upto is not None and number > upto:
+                return
+            await trio.sleep(self.event_gap_s)
+            await conn.send(h11.Data(data=event(number)))
+        await conn.send(h11.EndOfMessage())
+
+
+def event(number):
+    """Return one event of a stream."""
+    return f"id: {number}\ndata: token-{number}\n\n".encode()
+
+
+async def _send_whole(conn, status, headers, body=b""):
+    headers = [*headers, ("content-length", str(len(body)))]
+    await conn.send(
+        h11.Response(status_code=status, headers=headers),
+        h11.Data(data=body),
+        h11.EndOfMessage(),
+    )
+
+
+async def not_executed(worker, conn, request):
+    """Reject a request as not run."""
+    await read_body(conn, 10**7)
+    await _send_whole(
+        conn,
+        503,
+        [
+            ("request-id", header(request.headers, b"request-id")),
+            ("not-executed", "1"),
+        ],
+    )
+    return True
+
+
+def configuration(version=1, **changes):
+    """Return a configuration with one route of each kind."""
+
+    def route(name, kind, **more):
+        return {
+            "name": name,
+            "host": "api.example",
+            "path_prefix": f"/{name}/",
+            "kind": kind,
+            "timeout_ms": 3000,
+            "target_latency_ms": 800,
+            "priority": 0,
+            "service": "engines" if kind == "streaming" else "desk",
+            "max_attempts": 2,
+            "public": False,
+            **more,
+        }
+
+    return {
+        "version": version,
+        "routes": [
+            route("chat", "streaming", sticky=True, resumable=True),
+            route("draft", "streaming", sticky=True, max_attempts=1),
+            route("order", "unsafe", max_attempts=1),
+            route("look", "safe"),
+            route("bound", "safe", allowed_regions=["west"]),
+        ],
+        "services": [
+            {"name": "engines", "max_conns": 100, "engine": {"kv_capacity": 100_000}},
+            {"name": "desk", "max_conns": 50},
+        ],
+        "limits": {
+            "max_header_bytes": 16384,
+            "max_body_bytes": 100_000,
+            "idle_timeout_ms": 5000,
+        },
+        "tenants": [
+            {
+                "name": "red",
+                "api_keys": [KEY],
+                "rate_per_s": 1_000_000,
+                "burst": 1_000_000,
+                "plain_tokens": 200,
+            }
+        ],
+        **changes,
+    }
+
+
+@attrs.define(eq=False)
+class Site:
+    """A running site."""
+
+    nursery: object
+    store: Store
+    port: int
+    store_address: str
+    workers: dict = attrs.field(factory=dict)
+    hosts: dict = attrs.field(factory=dict)
+    scopes: dict = attrs.field(factory=dict)
+
+    async def add_worker(self, name, zone, service):
+        """Start an endpoint and list it."""
+        worker = Worker(name, zone, service)
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        worker.address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+        scope = trio.CancelScope()
+        self.scopes[name] = scope
+
+        async def serve():
+            with scope:
+                await trio.serve_listeners(worker.serve, listeners)
+
+        self.nursery.start_soon(serve)
+        self.workers[name] = worker
+        self.store.put(f"servers/{name}", worker.entry())
+        return worker
+
+    async def add_host(self, name, zone, number, seeds):
+        """Start a host on the loopback number 127.0.1.NUMBER."""
+        ip = f"127.0.1.{number}"
+        cfg = HostSettings(
+            host=name,
+            ip=ip,
+            zone=zone,
+            region=ZONES[zone],
+            callers=f"{ip}:{self.port}",
+            peers=f"{ip}:{self.port + 1}",
+            seeds=tuple(f"127.0.1.{seed}" for seed in seeds),
+            zones=ZONES,
+            grace_s=4.0,
+        )
+        client = StoreClient(self.store_address, TCP, ZONES)
+        host = EntryHost(cfg, DIALECT, client.source(), rng=random.Random(number))
+        self.hosts[name] = host
+        scope = trio.CancelScope()
+        self.scopes[name] = scope
+
+        async def entrance(stream):
+            await serve_entrance(host, stream)
+
+        async def run():
+            with scope:
+                async with trio.open_nursery() as nursery:
+                    await nursery.start(
+                        TCP.serve, f"{ip}:{self.port + 2}", entrance, nursery
+                    )
+                    await host.run()
+                    nursery.cancel_scope.cancel()
+
+        self.nursery.start_soon(run)
+        return host
+
+    async def wait_until(self, test, timeout_s=5.0):
+        """Wait until something is true."""
+        with trio.fail_after(timeout_s):
+            while not test():
+                await trio.sleep(0.01)
+
+    async def wait_until_ready(self):
+        """Wait until all hosts serve and know each other and the endpoints."""
+
+        def is_settled():
+            return all(
+                h.is_ready(h.now())
+                and len(h.membership.serving(h.now())) == len(self.hosts) - 1
+                and len(h.catalog.listed()) == len(self.workers)
+                for h in self.hosts.values()
+            )
+
+        await self.wait_until(is_settled)
+
+    async def connect(self, host_name):
+        """Open a caller's connection to a host."""
+        return await trio.open_tcp_stream(
+            *split_address(self.hosts[host_name].cfg.callers)
+        )
+
+    async def ask(self, host_name, path, **more):
+        """Send one request on a connection of its own; return the reply."""
+        stream = await self.connect(host_name)
+        try:
+            return await ask_on(client_connection(stream), path, **more)
+        finally:
+            await trio.aclose_forcefully(stream)
+
+
+@attrs.frozen
+class Reply:
+    """What a caller got."""
+
+    status: int
+    headers: list
+    body: bytes
+    is_whole: bool
+
+    def header(self, name):
+        """Return a header of the answer, or None."""
+        return header(self.headers, name)
+
+
+async def ask_on(
+    conn, path, request_id="r-1", key=KEY, body=b"", budget_ms=2500, extra=(), model=""
+):
+    """Send one request on a connection and read its answer."""
+    headers = [
+        ("host", "api.example"),
+        ("request-id", request_id),
+        ("deadline-ms", str(budget_ms)),
+        ("content-length", str(len(body))),
+        *extra,
+    ]
+    if key:
+        headers.append(("authorization", f"Token {key}"))
+    if model:
+        headers += [("model", model), ("token-usage", "100,30")]
+    await conn.send(
+        h11.Request(method="POST", target=path, headers=headers),
+        h11.Data(data=body),
+        h11.EndOfMessage(),
+    )
+    head = await conn.next_event()
+    if not isinstance(head, h11.Response):
+        return Reply(0, [], b"", False)
+    chunks = []
+    try:
+        while (data := await conn.next_data()) is not None:
+            chunks.append(data)
+    except (h11.RemoteProtocolError, Exception):
+        return Reply(head.status_code, list(head.headers), b"".join(chunks), False)
+    return Reply(head.status_code, list(head.headers), b"".join(chunks), True)
+
+
+@contextlib.asynccontextmanager
+async def running_site(hosts=(("e1", "east-a"),), workers=(), published=None):
+    """Run a site with hosts and endpoints; stop all of it at the end.
+
+    Parameters
+    ----------
+    hosts : sequence of (str, str)
+        Names and zones.
+    workers : sequence of (str, str, str)
+        Names, zones and services.
+    published : dict or None
+        The configuration; the usual one if left out.
+    """
+    store = Store()
+    store.put("op/config", published or configuration())
+    async with trio.open_nursery() as nursery:
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        address = f"127.0.0.1:{listeners[0].socket.getsockname()[1]}"
+
+        async def serve_store(stream):
+            conn = server_connection(stream, 64 * 1024)
+            with contextlib.suppress(Exception):
+                while isinstance(request := await conn.next_event(), h11.Request):
+                    body = await read_body(conn, 10**6)
+                    status, headers, answer = await store.answer(request, body)
+                    await _send_whole(conn, status, headers, answer)
+                    conn.h11.start_next_cycle()
+            await trio.aclose_forcefully(stream)
+
+        nursery.start_soon(trio.serve_listeners, serve_store, listeners)
+        site = Site(nursery, store, next_port(), address)
+        for name, zone, service in workers:
+            await site.add_worker(name, zone, service)
+        for number, (name, zone) in enumerate(hosts, 1):
+            await site.add_host(name, zone, number, seeds=[1])
+        await site.wait_until_ready()
+        yield site
+        nursery.cancel_scope.cancel()
--- /dev/null
+++ b/tests/platform/test_items.py
@@ -0,0 +1,87 @@
+"""Items of the store become records, or harm only themselves."""
+
+import base64
+import json
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cactusmill.errors import RecordError
+from cactusmill.platform.items import change_from_item
+from cactusmill.serving.catalog import (
+    ConfigurationPublished,
+    EndpointPublished,
+    EvacuationPublished,
+    Unreadable,
+    key_digest,
+)
+from standins.site import ZONES, Worker, configuration
+
+ENTRY = Worker("e1", "east-a", "engines", address="127.0.0.1:9").entry()
+
+
+def item(key, value, revision=7):
+    data = value if isinstance(value, bytes) else json.dumps(value).encode()
+    return {
+        "key": key,
+        "value": base64.b64encode(data).decode(),
+        "revision": revision,
+    }
+
+
+def test_endpoint_entry():
+    change = change_from_item(
+        item("servers/e1", {**ENTRY, "cold_left_ms": 1500}), ZONES
+    )
+    assert isinstance(change, EndpointPublished)
+    assert change.endpoint.region == "east" and change.endpoint.live
+    assert change.endpoint.cold_s == 1.5
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"state": "odd"},
+        {"zone": "nowhere"},
+        {"slots": "8"},
+        {"slots": True},
+        {"address": None},
+        {"service": 5},
+        {"cold_left_ms": "x"},
+    ],
+)
+def test_faulty_entry_names_no_endpoint(fault):
+    change = change_from_item(item("servers/e1", {**ENTRY, **fault}), ZONES)
+    assert isinstance(change, Unreadable)
+
+
+@given(st.binary(max_size=60))
+def test_any_bytes_harm_only_their_entry(data):
+    for key in ("servers/e1", "op/config"):
+        change = change_from_item(item(key, data), ZONES)
+        assert isinstance(change, Unreadable)
+
+
+def test_removals_and_evacuations():
+    gone = change_from_item({"key": "servers/e1", "revision": 9, "tombstone": True}, {})
+    assert gone == EndpointPublished(revision=9, name="e1", endpoint=None)
+    assert change_from_item(item("op/evacuate/z", {}), {}) == EvacuationPublished(
+        revision=7, zone="z", is_evacuated=True
+    )
+    assert not change_from_item(
+        {"key": "op/evacuate/z", "revision": 9, "tombstone": True}, {}
+    ).is_evacuated
+
+
+def test_configuration_knows_keys_by_digest_only():
+    change = change_from_item(item("op/config", configuration(4)), ZONES)
+    assert isinstance(change, ConfigurationPublished)
+    assert change.configuration.version == 4
+    assert change.configuration.team_by_key == {key_digest(b"key-of-red"): "red"}
+    assert "key-of-red" not in repr(change)
+
+
+def test_member_without_key_is_an_error():
+    with pytest.raises(RecordError):
+        change_from_item({"value": "x"}, ZONES)
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,64 @@
+"""The platform's settings file: checked, and open to new fields."""
+
+import json
+
+import pytest
+
+from cactusmill.errors import SettingsError
+from cactusmill.platform.settings import (
+    load_platform_settings,
+    parse_platform_settings,
+)
+
+FILE = {
+    "node": "front-1",
+    "ip": "10.1.0.25",
+    "zone": "east-a",
+    "region": "east",
+    "zones": {"east-a": "east"},
+    "listen": {
+        "front": "10.1.0.25:8221",
+        "ready_address": "10.1.0.25:8224",
+        "control": "10.1.0.25:8229",
+        "directory": "10.1.0.25:8220",
+    },
+    "seeds": ["10.1.0.25:8229", "10.2.0.17:8229"],
+    "bounds": {"grace_s": 8, "retry_budget_ratio": 0.2, "retry_slack": 52},
+    "platform": {"address": "10.200.1.7:8225"},
+    "a_new_field": {"of": "tomorrow"},
+}
+
+
+def test_file_with_unknown_fields_is_read():
+    cfg = parse_platform_settings(FILE)
+    assert cfg.host.seeds == ("10.1.0.25", "10.2.0.17")
+    assert cfg.host.retry_slack == 52 and cfg.store == "10.200.1.7:8225"
+
+
+@pytest.mark.parametrize(
+    ("change", "place"),
+    [
+        ({"node": None}, "node"),
+        ({"node": 5}, "node"),
+        ({"listen": {}}, "listen.control"),
+        ({"listen": []}, "listen"),
+        ({"seeds": ["nowhere"]}, "seeds.0"),
+        ({"platform": {"address": "host:1"}}, "platform.address"),
+        ({"bounds": {"grace_s": "8"}}, "bounds.grace_s"),
+    ],
+)
+def test_fault_names_its_place(change, place):
+    with pytest.raises(SettingsError) as caught:
+        parse_platform_settings({**FILE, **change})
+    assert caught.value.place == place
+
+
+def test_file_that_is_missing_or_no_json(tmp_path):
+    path = tmp_path / "local.json"
+    with pytest.raises(SettingsError, match="cannot be read"):
+        load_platform_settings(path)
+    path.write_text("{")
+    with pytest.raises(SettingsError, match="is not JSON"):
+        load_platform_settings(path)
+    path.write_text(json.dumps(FILE))
+    assert load_platform_settings(path).host.host == "front-1"
--- /dev/null
+++ b/tests/serving/test_membership.py
@@ -0,0 +1,98 @@
+"""Hosts learn of each other, and forget the dead."""
+
+import random
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cactusmill.serving.membership import (
+    DEAD_AFTER_S,
+    FAR_DEAD_AFTER_S,
+    FORGET_AFTER_S,
+    HostId,
+    Membership,
+)
+
+
+def host_id(name, region="east", incarnation="1"):
+    return HostId(
+        name=name,
+        ip="127.0.0.1",
+        zone=f"{region}-a",
+        region=region,
+        incarnation=incarnation,
+    )
+
+
+def test_silent_host_is_dead_after_the_bound_and_then_forgotten():
+    membership = Membership(host_id("me"))
+    membership.note(host_id("near"), False, 0.0, 10.0)
+    membership.note(host_id("far", "west"), False, 0.0, 10.0)
+    names = lambda now: {m.id.name for m in membership.serving(now)}  # noqa: E731
+    assert names(10.0 + DEAD_AFTER_S) == {"near", "far"}
+    assert names(10.1 + DEAD_AFTER_S) == {"far"}
+    assert names(10.1 + FAR_DEAD_AFTER_S) == set()
+    membership.forget(10.0 + FORGET_AFTER_S)
+    assert membership.known()
+    membership.forget(10.1 + FORGET_AFTER_S)
+    assert not membership.known()
+
+
+def test_old_word_does_not_bring_a_dead_host_back():
+    membership = Membership(host_id("me"))
+    assert membership.note(host_id("gone"), False, FAR_DEAD_AFTER_S + 1, 50.0) is None
+    assert not membership.known()
+
+
+def test_restarted_host_replaces_its_earlier_process():
+    membership = Membership(host_id("me"))
+    membership.note(host_id("h", incarnation="1"), True, 0.0, 10.0)
+    membership.note(host_id("h", incarnation="2"), False, 0.0, 11.0)
+    assert [m.id.incarnation for m in membership.serving(11.0)] == ["2"]
+    # Word of the earlier process that is older changes nothing.
+    membership.note(host_id("h", incarnation="1"), True, 1.5, 11.5)
+    assert [m.id.incarnation for m in membership.serving(11.5)] == ["2"]
+
+
+def test_leaving_is_known_at_second_hand():
+    membership = Membership(host_id("me"))
+    membership.note(host_id("h"), False, 0.0, 10.0)
+    membership.note(host_id("h"), True, 0.2, 10.1)
+    assert not membership.serving(10.1)
+    assert not membership.silent(20.0)
+
+
+@given(seed=st.integers(0, 2**32), hosts=st.integers(3, 30))
+def test_word_spreads_and_dies_out_with_random_partners(seed, hosts):
+    rng = random.Random(seed)
+    ids = [host_id(f"h{n}") for n in range(hosts)]
+    views = [Membership(i) for i in ids]
+    now, dead = 0.0, 0
+    for at in range(1, hosts):
+        # Everybody knows the seed, as its address is in the settings.
+        views[at].note(ids[0], False, 0.0, now)
+
+    def beat(sender, receiver):
+        views[receiver].note(ids[sender], False, 0.0, now)
+        for member in views[sender].live(now):
+            views[receiver].note(
+                member.id, member.is_leaving, now - member.heard_at, now
+            )
+
+    for _ in range(12):
+        now += 0.15
+        for sender in range(hosts):
+            known = [int(m.id.name[1:]) for m in views[sender].known()]
+            for receiver in rng.sample(known, min(6, len(known))):
+                beat(sender, receiver)
+    assert all(len(v.live(now)) == hosts - 1 for v in views)
+    dead = hosts - 1
+    stopped_at = now
+    while now < stopped_at + 2 * DEAD_AFTER_S:
+        now += 0.15
+        for sender in range(hosts - 1):
+            known = [int(m.id.name[1:]) for m in views[sender].known()]
+            for receiver in rng.sample(known, min(6, len(known))):
+                if receiver != dead:
+                    beat(sender, receiver)
+    assert all(f"h{dead}" not in {m.id.name for m in v.live(now)} for v in views[:-1])
--- /dev/null
+++ b/tests/serving/test_placement.py
@@ -0,0 +1,187 @@
+"""Where prompts go, replayed on engines that read at a known pace."""
+
+import random
+
+import attrs
+import pytest
+
+from cactusmill.internal.job import Job
+from cactusmill.records import Endpoint, Route, Service
+from cactusmill.serving.catalog import Catalog, EndpointPublished, EvacuationPublished
+from cactusmill.serving.membership import Membership
+from cactusmill.serving.placement import Placement
+
+from .test_membership import host_id
+
+ROUTE = Route(name="draft", prefix="/d/", kind="model", is_stream=True)
+ENGINE = Service(
+    name="engines",
+    is_engine=True,
+    memory_tokens=300_000,
+    event_tokens=6,
+    cold_per_s=3.7,
+)
+
+
+def job(parts=(), output_tokens=60, deadline=5.0):
+    return Job(
+        request_id="r",
+        route=ROUTE,
+        team=None,
+        records_version=1,
+        method="POST",
+        target="/d/",
+        headers=[],
+        body=b"",
+        deadline=deadline,
+        service="engines",
+        prompt_tokens=sum(t for _, t in parts),
+        output_tokens=output_tokens,
+        parts=tuple(parts),
+        is_stream=True,
+    )
+
+
+def catalog_of(names, **changes):
+    catalog = Catalog()
+    for revision, name in enumerate(names, 1):
+        endpoint = Endpoint(
+            name=name,
+            zone="east-a",
+            region="east",
+            address="127.0.0.1:1",
+            serves=("engines",),
+            capacity=128,
+            **changes,
+        )
+        catalog.apply(
+            EndpointPublished(revision=revision, name=name, endpoint=endpoint), 0.0
+        )
+    return catalog
+
+
+@pytest.fixture
+def site():
+    placement = Placement("east", "me")
+    return placement, catalog_of(["e1", "e2", "e3"]), Membership(host_id("me"))
+
+
+def choose(site, request, now=1.0, tried=()):
+    placement, catalog, membership = site
+    listed = placement.usable(catalog, "engines", now)
+    return placement.choose(request, ENGINE, listed, membership, now, tried)
+
+
+def test_prompts_go_where_their_shared_parts_are_held(site):
+    parts = [("a", 2500), ("b", 3800), ("own", 2900)]
+    first = choose(site, job(parts))
+    first.view.note_parts(parts, ENGINE.memory_tokens)
+    again = choose(site, job([("a", 2500), ("b", 3800), ("other", 2900)]))
+    assert again.endpoint.name == first.endpoint.name
+    assert again.unread_tokens == 2900
+
+
+def test_all_hosts_prefer_the_same_engine_for_a_shared_part():
+    names = ["e1", "e2", "e3"]
+    parts = [("a", 2500), ("b", 3800), ("own", 2900)]
+    chosen = set()
+    for host in ("h1", "h2", "h3"):
+        site = Placement("east", host), catalog_of(names), Membership(host_id(host))
+        chosen.add(choose(site, job(parts)).endpoint.name)
+    assert len(chosen) == 1
+
+
+def test_queued_prompts_of_other_hosts_count(site):
+    placement, _, membership = site
+    from cactusmill.internal.endpoints import load_key
+
+    parts = [("a", 2500), ("b", 3800), ("own", 2900)]
+    first = choose(site, job(parts)).endpoint.name
+    member = membership.note(host_id("other"), False, 0.0, 1.0)
+    member.told_at = 1.0
+    member.work = {load_key(first): (20, 150_000)}
+    assert choose(site, job(parts)).endpoint.name != first
+    # What was said long ago says nothing.
+    assert choose(site, job(parts), now=2.4).endpoint.name == first
+
+
+def test_long_answers_avoid_engines_whose_streams_are_slow(site):
+    placement = site[0]
+    slow = choose(site, job([("own", 600)], 900, deadline=13.0)).endpoint.name
+    for _ in range(200):
+        placement.view(slow).note_event_gap(0.3, 1.0)
+    long = choose(site, job([("own", 600)], 900, deadline=13.0))
+    assert long.endpoint.name != slow and long.whole_s < 12.0
+
+
+def test_failing_endpoint_is_avoided_and_tried_again_later(site):
+    bad = choose(site, job([("own", 600)])).endpoint.name
+    for _ in range(6):
+        site[0].view(bad).note_result(True, 1.0)
+    assert choose(site, job([("own", 600)])).endpoint.name != bad
+    for name in {"e1", "e2", "e3"} - {bad}:
+        site[0].view(name).prompt_tokens = 5_000
+    assert choose(site, job([("own", 600)]), now=2.0).endpoint.name != bad
+    assert choose(site, job([("own", 600)]), now=20.0).endpoint.name == bad
+
+
+def test_cold_endpoint_is_paced_and_evacuated_zone_is_empty():
+    site = (
+        Placement("east", "me"),
+        catalog_of(["e1"], cold_s=3.0),
+        Membership(host_id("me")),
+    )
+    first = choose(site, job())
+    assert first.cold_per_s == 3.7
+    first.view.pace.note_sent(first.cold_per_s, first.users, 1.0)
+    assert choose(site, job(), now=1.1) is None
+    assert choose(site, job(), now=1.3) is not None
+    site[1].apply(
+        EvacuationPublished(revision=9, zone="east-a", is_evacuated=True), 1.4
+    )
+    assert choose(site, job(), now=5.0) is None
+
+
+def test_prompts_spread_over_engines_under_load_within_the_objective():
+    """One region at 0.8 of what its engines read: nobody waits long."""
+    rng = random.Random(7)
+    site = (
+        Placement("east", "me"),
+        catalog_of(["e1", "e2", "e3"]),
+        Membership(host_id("me")),
+    )
+    pace, now, late, sent = 90_000.0, 1.0, 0, 0
+    free_at = dict.fromkeys(["e1", "e2", "e3"], 0.0)
+    ending = []
+    for _ in range(1500):
+        now += rng.expovariate(23.0)
+        for entry in [e for e in ending if e[0] <= now]:
+            ending.remove(entry)
+            entry[1].prompt_tokens -= entry[2]
+            entry[1].in_flight -= 1
+        subject = f"s{rng.randrange(60)}"
+        parts = [("a", 2500), (subject, 3800), (f"own{sent}", 2900)]
+        choice = choose(site, job(parts, deadline=now + 5), now)
+        unread = sum(t for p, t in parts if not choice.view.holds(p))
+        choice.view.note_parts(parts[:2], 300_000)
+        name = choice.endpoint.name
+        free_at[name] = max(now, free_at[name]) + unread / pace
+        took_s = free_at[name] - now + 0.05
+        choice.view.prompt_tokens += choice.unread_tokens
+        choice.view.in_flight += 1
+        ending.append((now + took_s, choice.view, choice.unread_tokens))
+        site[0].note_begun(choice, ENGINE, took_s, now)
+        late += took_s > 0.8
+        sent += 1
+    assert late <= 0.01 * sent
+
+
+def test_restarted_engine_holds_nothing():
+    placement = Placement("east", "me")
+    endpoint = catalog_of(["e1"]).listed()[0].endpoint
+    placement.note_listed(attrs.evolve(endpoint, started_ms=1))
+    placement.view("e1").note_parts([("a", 100)], 1000)
+    placement.note_listed(attrs.evolve(endpoint, started_ms=1))
+    assert placement.view("e1").holds("a")
+    placement.note_listed(attrs.evolve(endpoint, started_ms=2))
+    assert not placement.view("e1").holds("a")
--- /dev/null
+++ b/tests/serving/test_whole_path.py
@@ -0,0 +1,520 @@
+"""Hosts, endpoints and a store on loopback: what callers and endpoints see."""
+
+import h11
+import pytest
+import trio
+
+from cactusmill.internal.http import client_connection, header, read_body
+from standins.site import (
+    KEY,
+    ask_on,
+    configuration,
+    event,
+    not_executed,
+    running_site,
+)
+
+EAST = (("e1", "east-a"),)
+BOTH = (("e1", "east-a"), ("w1", "west-a"))
+WORKERS = (
+    ("engine-1", "east-a", "engines"),
+    ("engine-2", "east-a", "engines"),
+    ("desk-1", "east-a", "desk"),
+)
+WHOLE_STREAM = b"".join(event(n) for n in range(1, 6))
+
+
+def on_site(body, **site):
+    """Run a test's body on a site."""
+
+    async def main():
+        with trio.fail_after(20):
+            async with running_site(**site) as running:
+                await body(running)
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("route", ["order", "look"])
+def test_plain_answers_come_back_whole_and_signed(route):
+    async def body(site):
+        reply = await site.ask("e1", f"/{route}/1", body=b"x" * 500)
+        assert reply.status == 200 and reply.is_whole
+        assert reply.body == b"desk-1 ran r-1"
+        assert reply.header(b"response-signature") == "signed-by-desk-1"
+
+    on_site(body, workers=WORKERS)
+
+
+@pytest.mark.parametrize("route", ["chat", "draft"])
+def test_streams_come_back_whole(route):
+    async def body(site):
+        reply = await site.ask("e1", f"/{route}/1", model="m")
+        assert reply.body == WHOLE_STREAM and reply.is_whole
+
+    on_site(body, workers=WORKERS)
+
+
+def test_endpoint_sees_team_and_time_left_but_no_key():
+    async def body(site):
+        forged = [("tenant", "blue"), ("kv-hold", "h"), ("request-priority", "0")]
+        await site.ask("e1", "/look/1", extra=forged)
+        seen = dict(site.workers["desk-1"].seen[0].headers)
+        assert seen[b"tenant"] == b"red"
+        assert seen[b"expect-instance"] == b"desk-1"
+        assert 0 < int(seen[b"deadline-ms"]) <= 2500
+        assert b"kv-hold" not in seen and b"authorization" not in seen
+        assert KEY.encode() not in b"".join(seen.values())
+
+    on_site(body, workers=WORKERS)
+
+
+@pytest.mark.parametrize(
+    ("path", "key", "status"),
+    [("/none/1", KEY, 404), ("/look/1", "wrong", 401), ("/look/1", "", 401)],
+)
+def test_unknown_routes_and_keys_are_refused(path, key, status):
+    async def body(site):
+        assert (await site.ask("e1", path, key=key)).status == status
+        assert not site.workers["desk-1"].runs
+
+    on_site(body, workers=WORKERS)
+
+
+def test_host_without_configuration_refuses_for_now():
+    async def body(site):
+        host = site.hosts["e1"]
+        host.catalog.configuration = None
+        reply = await site.ask("e1", "/look/1")
+        assert reply.status == 503 and float(reply.header(b"retry-after")) > 0
+
+    on_site(body, workers=WORKERS)
+
+
+def test_once_request_that_broke_off_is_not_sent_again():
+    async def crash(worker, conn, request):
+        await read_body(conn, 10**6)
+        worker.runs.append(header(request.headers, b"request-id"))
+        return False
+
+    async def body(site):
+        desk = site.workers["desk-1"]
+        desk.behave = crash
+        reply = await site.ask("e1", "/order/1")
+        # Neither 429 nor 503: those would promise that it never ran.
+        assert reply.status == 502
+        assert desk.runs == ["r-1"]
+
+    on_site(body, workers=WORKERS)
+
+
+def test_rejected_once_request_is_refused_as_not_run():
+    async def body(site):
+        site.workers["desk-1"].behave = not_executed
+        reply = await site.ask("e1", "/order/1")
+        assert reply.status == 503 and float(reply.header(b"retry-after")) > 0
+
+    on_site(body, workers=WORKERS)
+
+
+def test_repeatable_request_is_tried_again():
+    async def fail_once(worker, conn, request):
+        worker.behave = None
+        await read_body(conn, 10**6)
+        head = worker.head(request, status=500, extra=[("content-length", "0")])
+        await conn.send(head, h11.EndOfMessage())
+        return True
+
+    async def body(site):
+        site.workers["desk-1"].behave = fail_once
+        assert (await site.ask("e1", "/look/1")).status == 200
+
+    on_site(body, workers=WORKERS)
+
+
+@pytest.mark.parametrize("cut", [b"", b"id: 4\nda"])
+def test_resumable_stream_goes_on_behind_its_last_whole_event(cut):
+    async def break_off(worker, conn, request):
+        await worker.run(conn, request, upto=3)
+        if cut:
+            await conn.send(h11.Data(data=cut))
+        return False
+
+    async def body(site):
+        engines = [site.workers["engine-1"], site.workers["engine-2"]]
+        for engine in engines:
+            engine.behave = break_off
+        # The first that breaks off lets the other serve.
+        original = break_off
+
+        async def first_only(worker, conn, request):
+            for engine in engines:
+                engine.behave = None
+            return await original(worker, conn, request)
+
+        for engine in engines:
+            engine.behave = first_only
+        reply = await site.ask("e1", "/chat/1", model="m")
+        assert reply.body == WHOLE_STREAM and reply.is_whole
+        first = next(e for e in engines if e.runs[0] == "r-1")
+        assert reply.header(b"response-signature") in {
+            f"signed-by-{e.name}" for e in engines
+        }
+        assert first.runs
+
+    on_site(body, workers=WORKERS)
+
+
+def test_stream_that_may_not_be_resumed_ends_without_looking_whole():
+    async def break_off(worker, conn, request):
+        await worker.run(conn, request, upto=3)
+        return False
+
+    async def body(site):
+        for name in ("engine-1", "engine-2"):
+            site.workers[name].behave = break_off
+        reply = await site.ask("e1", "/draft/1", model="m")
+        assert not reply.is_whole
+        runs = site.workers["engine-1"].runs + site.workers["engine-2"].runs
+        assert runs == ["r-1"]
+
+    on_site(body, workers=WORKERS)
+
+
+def test_late_answer_to_another_request_is_passed_over():
+    async def body(site):
+        desk = site.workers["desk-1"]
+
+        async def extra_first(worker, conn, request):
+            worker.behave = None
+            head = worker.head(request, extra=[("content-length", "5")])
+            stray = h11.Connection(h11.SERVER)
+            stray.receive_data(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+            stray.next_event()
+            late = h11.Response(
+                status_code=200,
+                headers=[
+                    ("request-id", "another"),
+                    ("response-signature", "s"),
+                    ("content-length", "3"),
+                ],
+            )
+            data = b"".join(
+                stray.send(e) for e in (late, h11.Data(data=b"bad"), h11.EndOfMessage())
+            )
+            await conn.stream.send_all(data)
+            await read_body(conn, 10**6)
+            await conn.send(head, h11.Data(data=b"right"), h11.EndOfMessage())
+            return True
+
+        desk.behave = extra_first
+        reply = await site.ask("e1", "/order/1")
+        assert reply.status == 200 and reply.body == b"right"
+
+    on_site(body, workers=WORKERS)
+
+
+def test_success_without_signature_does_not_reach_the_caller():
+    async def unsigned(worker, conn, request):
+        await read_body(conn, 10**6)
+        await conn.send(
+            h11.Response(
+                status_code=200, headers=[("content-length", "2"), ("x", "y")]
+            ),
+            h11.Data(data=b"hi"),
+            h11.EndOfMessage(),
+        )
+        return True
+
+    async def body(site):
+        site.workers["desk-1"].behave = unsigned
+        assert (await site.ask("e1", "/order/1")).status == 502
+
+    on_site(body, workers=WORKERS)
+
+
+def test_early_answer_to_a_long_body_leaves_no_foreign_bytes():
+    rests = []
+
+    async def early(worker, conn, request):
+        worker.behave = None
+        head = worker.head(request, status=413, extra=[("content-length", "0")])
+        await conn.send(head, h11.EndOfMessage())
+        await trio.sleep(0.2)
+        rests.append(await read_body(conn, 10**6))
+        return True
+
+    async def body(site):
+        site.workers["desk-1"].behave = early
+        reply = await site.ask("e1", "/order/1", body=b"x" * 90_000)
+        assert reply.status == 413
+        again = await site.ask("e1", "/order/2", request_id="r-2", body=b"y" * 10)
+        assert again.body == b"desk-1 ran r-2"
+        assert rests in ([], [b"x" * 90_000])
+
+    on_site(body, workers=WORKERS)
+
+
+def test_leaving_caller_stops_the_work():
+    async def body(site):
+        engine = site.workers["engine-1"]
+        other = site.workers["engine-2"]
+        for worker in (engine, other):
+            worker.event_gap_s, worker.events = 0.2, 100
+        host = site.hosts["e1"]
+        stream = await site.connect("e1")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_ask_quietly, stream)
+            await site.wait_until(lambda: engine.runs or other.runs)
+            nursery.cancel_scope.cancel()
+        await trio.aclose_forcefully(stream)
+        await site.wait_until(lambda: not host.busy_connections, 0.5)
+        assert all(not v.in_flight for v in host.placement._views.values())
+
+    on_site(body, workers=WORKERS)
+
+
+async def _ask_quietly(stream):
+    await ask_on(client_connection(stream), "/chat/1", model="m")
+
+
+def test_bound_request_is_forwarded_to_its_home_once():
+    async def body(site):
+        reply = await site.ask("e1", "/bound/1")
+        assert reply.body == b"desk-w ran r-1"
+        assert not site.workers["desk-1"].seen
+
+    on_site(body, hosts=BOTH, workers=(*WORKERS, ("desk-w", "west-a", "desk")))
+
+
+def test_bound_request_is_refused_when_its_home_is_gone():
+    async def body(site):
+        reply = await site.ask("e1", "/bound/1")
+        assert reply.status == 503
+        assert not site.workers["desk-1"].seen
+
+    on_site(body, workers=WORKERS)
+
+
+def test_forwarded_stream_is_cancelled_with_its_caller():
+    async def body(site):
+        engine = site.workers["engine-w"]
+        engine.event_gap_s, engine.events = 0.2, 100
+        far = site.hosts["w1"]
+        stream = await site.connect("e1")
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(_ask_quietly, stream)
+            await site.wait_until(lambda: engine.runs)
+            nursery.cancel_scope.cancel()
+        await trio.aclose_forcefully(stream)
+        view = far.placement.view("engine-w")
+        await site.wait_until(lambda: view.in_flight == 0, 0.5)
+
+    on_site(body, hosts=BOTH, workers=(("engine-w", "west-a", "engines"),))
+
+
+def test_configuration_takes_force_and_never_reverts():
+    async def body(site):
+        host = site.hosts["e1"]
+        site.store.put("op/config", configuration(5, tenants=[]))
+        await site.wait_until(lambda: host.catalog.configuration.version == 5, 1.0)
+        site.store.put("op/config", configuration(3))
+        site.store.put("servers/marker", b"no entry")
+        await trio.sleep(0.2)
+        assert host.catalog.configuration.version == 5
+
+    on_site(body, workers=WORKERS)
+
+
+def test_withdrawn_key_stops_on_an_open_connection():
+    async def body(site):
+        host = site.hosts["e1"]
+        stream = await site.connect("e1")
+        conn = client_connection(stream)
+        assert (await ask_on(conn, "/look/1")).status == 200
+        conn.h11.start_next_cycle()
+        tenants = configuration()["tenants"]
+        tenants[0]["api_keys"] = ["another"]
+        site.store.put("op/config", configuration(2, tenants=tenants))
+        await site.wait_until(lambda: host.catalog.configuration.version == 2, 1.0)
+        assert (await ask_on(conn, "/look/2", request_id="r-2")).status == 401
+
+    on_site(body, workers=WORKERS)
+
+
+def test_draining_and_evacuated_endpoints_get_nothing():
+    async def body(site):
+        host = site.hosts["e1"]
+        site.store.put(
+            "servers/engine-1", site.workers["engine-1"].entry(state="draining")
+        )
+        await site.wait_until(
+            lambda: (
+                len(host.placement.usable(host.catalog, "engines", host.now())) == 1
+            ),
+            1.0,
+        )
+        for number in range(6):
+            await site.ask("e1", "/chat/1", request_id=f"r-{number}", model="m")
+        assert not site.workers["engine-1"].seen
+        site.store.put("op/evacuate/east-a", {})
+        await site.wait_until(lambda: host.catalog.is_evacuated("east-a"), 1.0)
+        reply = await site.ask("e1", "/chat/1", request_id="r-9", model="m")
+        assert reply.status == 503
+        site.store.remove("op/evacuate/east-a")
+        await site.wait_until(lambda: not host.catalog.is_evacuated("east-a"), 1.0)
+        reply = await site.ask("e1", "/chat/1", request_id="r-10", model="m")
+        assert reply.status == 200
+
+    on_site(body, workers=WORKERS)
+
+
+def test_unreadable_entries_harm_only_themselves():
+    async def body(site):
+        site.store.put("servers/bad-1", b"\xff\xfe")
+        site.store.put("servers/bad-2", {"service": 3})
+        site.store.put("op/other", b"?")
+        site.store.put("op/config", configuration(2))
+        host = site.hosts["e1"]
+        await site.wait_until(lambda: host.catalog.configuration.version == 2, 1.0)
+        assert (await site.ask("e1", "/look/1")).status == 200
+
+    on_site(body, workers=WORKERS)
+
+
+def test_lost_history_leads_to_a_new_listing():
+    async def body(site):
+        host = site.hosts["e1"]
+        site.store.is_down = True
+        site.store.put("op/config", configuration(4))
+        site.store.remove("servers/engine-1")
+        site.store.forget_history()
+        site.store.is_down = False
+        await site.wait_until(lambda: host.catalog.configuration.version == 4, 5.0)
+        await site.wait_until(
+            lambda: (
+                len(host.placement.usable(host.catalog, "engines", host.now())) == 1
+            ),
+            3.0,
+        )
+
+    on_site(body, workers=WORKERS)
+
+
+def test_host_serves_on_while_the_store_is_down():
+    async def body(site):
+        site.store.is_down = True
+        await trio.sleep(0.2)
+        assert (await site.ask("e1", "/look/1")).status == 200
+
+    on_site(body, workers=WORKERS)
+
+
+def test_other_endpoint_at_an_address_does_not_run_the_request():
+    async def body(site):
+        worker = site.workers["desk-1"]
+        site.store.put("servers/desk-old", worker.entry())
+        site.store.remove("servers/desk-1")
+        host = site.hosts["e1"]
+        await site.wait_until(
+            lambda: (
+                [
+                    e.endpoint.name
+                    for e in host.placement.usable(host.catalog, "desk", host.now())
+                ]
+                == ["desk-old"]
+            ),
+            1.0,
+        )
+        reply = await site.ask("e1", "/order/1")
+        assert reply.status == 503 and not worker.runs
+
+    on_site(body, workers=WORKERS)
+
+
+def test_directory_names_hosts_of_the_callers_region():
+    async def body(site):
+        now = site.hosts["e1"].now()
+        east = site.hosts["e1"].hosts_for_callers("api.example", "east", now)
+        west = site.hosts["e1"].hosts_for_callers("api.example", "west", now)
+        assert east == [site.hosts["e1"].cfg.callers]
+        assert west == [site.hosts["w1"].cfg.callers]
+
+    on_site(body, hosts=BOTH)
+
+
+def test_directory_falls_back_to_the_homes_of_the_routes():
+    # Seen on a day with restarts: callers whose region's only host was leaving
+    # were named hosts of a region that is no home of their routes.
+    async def body(site):
+        site.hosts["e1"].is_leaving = True
+        await site.wait_until(
+            lambda: (
+                not site.hosts["n1"].membership.serving(site.hosts["n1"].now(), "east")
+            ),
+            2.0,
+        )
+        named = site.hosts["n1"].hosts_for_callers(
+            "api.example", "east", site.hosts["n1"].now()
+        )
+        assert named == [site.hosts["w1"].cfg.callers]
+
+    bound = configuration()
+    bound["routes"] = [r for r in bound["routes"] if r["name"] == "bound"]
+    on_site(body, hosts=(*BOTH, ("n1", "north-a")), published=bound)
+
+
+def test_killed_host_is_named_no_more():
+    async def body(site):
+        site.scopes["w1"].cancel()
+        host = site.hosts["e1"]
+        await site.wait_until(
+            lambda: (
+                len(host.hosts_for_callers("api.example", "west", host.now())) == 1
+                and not host.membership.serving(host.now())
+            ),
+            5.0,
+        )
+
+    on_site(body, hosts=BOTH)
+
+
+def test_leaving_host_ends_its_requests_and_then_itself():
+    async def body(site):
+        host = site.hosts["e1"]
+        site.workers["desk-1"].work_s = 1.0
+        replies = []
+
+        async def ask():
+            replies.append(await site.ask("e1", "/order/1"))
+
+        site.nursery.start_soon(ask)
+        await site.wait_until(lambda: site.workers["desk-1"].runs)
+        await host.shut_down()
+        assert not host.is_ready(host.now())
+        await site.wait_until(lambda: replies, 3.0)
+        assert replies[0].status == 200 and replies[0].is_whole
+        assert replies[0].header(b"connection") == "close"
+
+    on_site(body, workers=WORKERS)
+
+
+def test_deadline_gives_a_final_answer_at_once():
+    async def body(site):
+        site.workers["desk-1"].work_s = 5.0
+        began = trio.current_time()
+        reply = await site.ask("e1", "/order/1", budget_ms=300)
+        assert reply.status == 504
+        assert 0.25 < trio.current_time() - began < 0.6
+
+    on_site(body, workers=WORKERS)
+
+
+def test_malformed_bytes_get_an_answer_and_an_end():
+    async def body(site):
+        stream = await site.connect("e1")
+        await stream.send_all(b"not http at all\r\n\r\n")
+        answer = await stream.receive_some()
+        assert answer.startswith(b"HTTP/1.1 400")
+
+    on_site(body)
