--- a/src/cactusmill/platform/daemon.py
+++ b/src/cactusmill/platform/daemon.py
@@ -21,6 +21,8 @@
 from .store import StoreClient
 
 _EXIT_USAGE = 2
+# A look at the file's time costs microseconds.
+_SETTINGS_POLL_S = 1.0
 
 
 async def _run(cfg, path):
@@ -42,6 +44,7 @@
         for address in {cfg.ready, cfg.directory}:
             await nursery.start(TCP.serve, address, entrance, nursery)
         nursery.start_soon(_follow_signals, host, path)
+        nursery.start_soon(_follow_file, host, path)
         await host.run()
         nursery.cancel_scope.cancel()
 
@@ -55,6 +58,25 @@
                 _reload(host, path)
 
 
+async def _follow_file(host, path):
+    """Take over changes of the settings file that no signal announces."""
+    seen = _changed_at(path)
+    while True:
+        await trio.sleep(_SETTINGS_POLL_S)
+        changed = _changed_at(path)
+        if changed not in (None, seen):
+            seen = changed
+            _reload(host, path)
+
+
+def _changed_at(path):
+    try:
+        return os.stat(path).st_mtime_ns
+    except OSError as exc:
+        log_event("settings_not_seen", path=path, reason=repr(exc))
+        return None
+
+
 def _reload(host, path):
     try:
         cfg = load_platform_settings(path).host
--- a/src/cactusmill/platform/items.py
+++ b/src/cactusmill/platform/items.py
@@ -64,7 +64,10 @@
 
 
 def _read_value(item):
-    return json.loads(base64.b64decode(item["value"], validate=True))
+    value = json.loads(base64.b64decode(item["value"], validate=True))
+    if not isinstance(value, dict):
+        raise RecordError("item", "value", f"{value!r} must be an object")
+    return value
 
 
 def _endpoint_change(key, revision, item, zones):
--- a/src/cactusmill/platform/store.py
+++ b/src/cactusmill/platform/store.py
@@ -17,6 +17,8 @@
 _ANSWER_TIMEOUT_S = 1.5
 _OK, _GONE = 200, 410
 _MAX_PAGES = 100
+# Beyond this, the traces of removed items are dropped, oldest first.
+_MAX_KEPT_ITEMS = 4096
 
 
 @attrs.define(eq=False)
@@ -40,10 +42,36 @@
     zones: dict
     calls: int = 0
     _conn: object = None
+    _items: dict = attrs.field(factory=dict)
 
     def source(self):
         """Return this client as a source of changes."""
-        return Source(list_all=self.list_all, wait_for_changes=self.wait_for_changes)
+        return Source(
+            list_all=self.list_all,
+            wait_for_changes=self.wait_for_changes,
+            export=self.export,
+            read_export=self.read_export,
+        )
+
+    def export(self):
+        """Return all items that are known, in the store's own form."""
+        return json.dumps(list(self._items.values())).encode()
+
+    def read_export(self, data):
+        """Return the changes in another host's export.
+
+        Raises
+        ------
+        PlatformError
+            If it has another shape.
+        """
+        try:
+            items = json.loads(data)
+        except ValueError as exc:
+            raise PlatformError("an export that is no JSON") from exc
+        if not isinstance(items, list):
+            raise PlatformError("an export of another shape")
+        return self._changes(items)
 
     async def list_all(self):
         """Return all items as changes, and the revision to go on from."""
@@ -80,8 +108,19 @@
                 raise PlatformError(str(exc)) from exc
             if change is not None:
                 changes.append(change)
+                self._keep(item)
         return changes
 
+    def _keep(self, item):
+        """Remember an item for hosts that the store does not answer."""
+        held = self._items.pop(item["key"], None)
+        newest = max(held or item, item, key=lambda i: i["revision"])
+        self._items[item["key"]] = newest
+        if len(self._items) > _MAX_KEPT_ITEMS:
+            gone = [k for k, i in self._items.items() if i.get("tombstone")]
+            for key in gone[: len(gone) // 2 + 1]:
+                del self._items[key]
+
     async def _call(self, name, query, timeout_s):
         self.calls += 1
         target = f"/cactusmill/{name}?{urllib.parse.urlencode(query)}"
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -21,7 +21,15 @@
 )
 from ..internal.job import Job, Sink
 from ..internal.link import Link
-from ..internal.wire.ttypes import AnswerData, AnswerEnd, AnswerHead, Forward, Header
+from ..internal.wire.ttypes import (
+    AnswerData,
+    AnswerEnd,
+    AnswerHead,
+    ChangesPull,
+    ChangesReply,
+    Forward,
+    Header,
+)
 from .answers import Answer
 from .connections import watch_silence
 from .events import log_event
@@ -33,6 +41,8 @@
 _IDLE_S = 20.0
 # The far side refuses by itself in time; this covers the ways and its delays.
 _ANSWER_MARGIN_S = 0.3
+_ITEMS_TIMEOUT_S = 1.5
+_ALL_ITEMS = "all"
 
 
 def _headers_to_wire(headers):
@@ -216,6 +226,28 @@
     )
 
 
+async def ask_for_items(host, member):
+    """Ask another host for all published items that it knows.
+
+    Raises
+    ------
+    ConnectError, LinkClosedError
+        If there is no whole answer in time.
+    """
+    link, _ = await host.links.take(member.id.ip, host.now())
+    try:
+        with trio.fail_after(_ITEMS_TIMEOUT_S):
+            await link.send(changes_pull=ChangesPull(0, _ALL_ITEMS, 0))
+            reply = (await link.receive()).changes_reply
+    except trio.TooSlowError as exc:
+        raise LinkClosedError("no answer in time") from exc
+    finally:
+        close_link(link)
+    if reply is None:
+        raise LinkClosedError("an answer of another kind")
+    return reply.update
+
+
 async def serve_link(host, stream, run):
     """Serve requests that another host forwards, until its link ends.
 
@@ -233,7 +265,12 @@
     link = Link(stream)
     try:
         while True:
-            message = (await link.receive()).forward
+            frame = await link.receive()
+            if frame.changes_pull is not None:
+                items = host.source.export()
+                await link.send(changes_reply=ChangesReply(0, items))
+                continue
+            message = frame.forward
             if message is None or not await _serve_forward(host, link, message, run):
                 return
     except LinkClosedError:
--- a/src/cactusmill/serving/host.py
+++ b/src/cactusmill/serving/host.py
@@ -18,11 +18,12 @@
 from .events import log_event
 from .forwarding import LinkPool, serve_link
 from .gossip import Gossip
-from .learning import Availability, learn_for_ever
+from .learning import Availability, catch_up_for_ever, learn_for_ever
 from .membership import HostId, Membership
 from .placement import Placement
 from .quota import Quotas
 from .requests import new_progress, run
+from .returns import Returns
 
 # A host that leaves takes requests of callers that still use its address until
 # the directory's answers have run out.
@@ -30,6 +31,8 @@
 # It ends this long before it would be killed.
 _END_MARGIN_S = 0.4
 _HOUSEKEEPING_S = 0.5
+# A region that refused says by its next beats when it has room again.
+_FAR_REFUSAL_S = 0.4
 # Deaths are told to others this long.
 _SUSPECT_TOLD_S = 3.0
 # Several requests that one death broke off count once each.
@@ -112,6 +115,8 @@
     pool: ConnectionPool = attrs.field(init=False)
     links: LinkPool = attrs.field(init=False)
     gossip: Gossip = attrs.field(init=False)
+    far_refusals: dict = attrs.field(factory=dict)
+    _returns: dict = attrs.field(factory=dict)
     _deaths: dict = attrs.field(factory=dict)
     _fresh_suspects: dict = attrs.field(factory=dict)
     _accepting: trio.CancelScope = attrs.field(factory=trio.CancelScope)
@@ -180,6 +185,17 @@
         if job.team is not None:
             self.quotas.give_back(job.team, job.cost_tokens, self.now())
 
+    def returns_for(self, service):
+        """Return when callers come back that lack room at a service."""
+        if service not in self._returns:
+            self._returns[service] = Returns()
+        return self._returns[service]
+
+    def note_far_refusal(self, region, service, refusal):
+        """Leave a region alone for a moment that has just refused."""
+        wait_s = min(_FAR_REFUSAL_S, refusal.retry_after_s or _FAR_REFUSAL_S)
+        self.far_refusals[region, service] = self.now() + wait_s
+
     def note_misdirected(self, endpoint):
         """Use an entry no more whose address another endpoint has."""
         for listed in self.catalog.listed():
@@ -300,6 +316,7 @@
         async with trio.open_nursery() as nursery:
             await nursery.start(self.gossip.run)
             nursery.start_soon(learn_for_ever, self, self.source)
+            nursery.start_soon(catch_up_for_ever, self, self.source)
             await self._listen(nursery, self.cfg.peers, self._serve_link)
             await self._listen(
                 nursery, self.cfg.callers, self._serve_caller, self._accepting
--- a/src/cactusmill/serving/learning.py
+++ b/src/cactusmill/serving/learning.py
@@ -8,7 +8,7 @@
 import attrs
 import trio
 
-from ..errors import PlatformError
+from ..errors import ConnectError, LinkClosedError, PlatformError
 from .catalog import (
     ConfigurationPublished,
     EndpointPublished,
@@ -16,10 +16,13 @@
     Unreadable,
 )
 from .events import log_event
+from .forwarding import ask_for_items
 
 # A connection may go silent, so a wait for changes is renewed well inside the
 # time in which a configuration must be in force.
 WATCH_S = 2.5
+# Between two looks for hosts that know more.
+CATCH_UP_S = 0.5
 _FIRST_RETRY_S = 0.1
 _LAST_RETRY_S = 1.0
 # Entries of endpoints that lapsed while the source was away are back this soon
@@ -45,10 +48,17 @@
         ``await wait_for_changes(revision, wait_s)`` returns
         ``(changes, revision)`` behind a revision, raising
         :class:`HistoryLostError` if it cannot.
+    export : callable
+        ``export()`` returns all items that are known, as bytes for another
+        host.
+    read_export : callable
+        ``read_export(data)`` returns the changes in another host's export.
     """
 
     list_all: object
     wait_for_changes: object
+    export: object
+    read_export: object
 
 
 @attrs.define(eq=False)
@@ -85,6 +95,11 @@
         self.back_at = now
         return True
 
+    def is_answering(self, now):
+        """Tell whether the source answers, as far as its last answer says."""
+        is_recent = now - self.answered_at < WATCH_S + CATCH_UP_S
+        return self.failing_since is None and is_recent
+
     def hold_removed_s(self, now):
         """Return how long a removed entry still counts as listed, in seconds.
 
@@ -129,6 +144,51 @@
             log_event("platform_regained", revision=revision)
 
 
+async def catch_up_for_ever(host, source):
+    """Ask other hosts for what the source does not tell this one.
+
+    Parameters
+    ----------
+    host : EntryHost
+        This process.
+    source : Source
+        Reads other hosts' exports.
+    """
+    while True:
+        await trio.sleep(CATCH_UP_S)
+        member = ahead_of(host, host.now())
+        if member is None:
+            continue
+        try:
+            data = await ask_for_items(host, member)
+            changes = source.read_export(data)
+        except (ConnectError, LinkClosedError, PlatformError) as exc:
+            log_event("catch_up_failed", host=member.id.name, reason=repr(exc))
+            continue
+        log_event("caught_up", host=member.id.name, revision=member.revision)
+        take_changes(host, changes)
+
+
+def ahead_of(host, now):
+    """Return a member that knows more, while the source does not answer here.
+
+    Parameters
+    ----------
+    host : EntryHost
+        This process.
+    now : float
+        Present time, in seconds.
+
+    Returns
+    -------
+    Member or None
+    """
+    if host.availability.is_answering(now):
+        return None
+    ahead = [m for m in host.membership.live(now) if m.revision > host.catalog.revision]
+    return host.rng.choice(ahead) if ahead else None
+
+
 def _take_listing(host, changes, revision):
     take_changes(host, changes)
     names = {c.name for c in changes if isinstance(c, EndpointPublished)}
--- a/src/cactusmill/serving/overload.py
+++ b/src/cactusmill/serving/overload.py
@@ -25,6 +25,7 @@
 _MAX_RETRY_S = 4.0
 _SPREAD = 0.5
 _NO_ENDPOINT_RETRY_S = 0.6
+_FAR_JITTER_S = 0.1
 
 
 @attrs.frozen(kw_only=True)
@@ -42,7 +43,9 @@
     wait_s: float
 
 
-def decide(*, own, far, objective_s, deadline_s, is_engine, spread):
+def decide(
+    *, own, far, objective_s, deadline_s, is_engine, spread, returns, engines, now
+):
     """Decide what to do with a request now.
 
     Parameters
@@ -59,6 +62,12 @@
         True for prompts, which queue; plain services shed by themselves.
     spread : float
         Random number, 0 to 1.
+    returns : Returns
+        When callers come back that were refused for lack of room.
+    engines : float
+        Endpoints that this host may count as its own.
+    now : float
+        Present time, in seconds.
 
     Returns
     -------
@@ -80,7 +89,8 @@
         )
     if objective_s <= 0 and own.first_s <= deadline_s * OBJECTIVE_PART:
         return Send(choice=own)
-    wait_s = max(_MIN_RETRY_S, own.first_s - room_s / 2)
+    lacking_s = max(_MIN_RETRY_S, own.first_s - room_s / 2)
+    wait_s = returns.wait_s(own.work_s, lacking_s, engines, now)
     return Overloaded(
         detail=f"an answer would begin in {own.first_s:.2f} s and end in "
         f"{own.whole_s:.2f} s; there are {room_s:.2f} s and {deadline_s:.2f} s",
@@ -94,11 +104,11 @@
     return own.first_s <= room_s and own.whole_s <= deadline_s * WHOLE_PART
 
 
-def choose_far(members, service, is_permitted, rng):
+def choose_far(members, service, is_permitted, refusals, now, rng):
     """Choose a host of another region to run a request.
 
-    Of two at random the one with the shorter wait, so that hosts with the same
-    stale knowledge do not all choose the same.
+    The region with the shortest wait is taken, by the host of it that says so
+    last. A region that has just refused counts as long as it asked to wait.
 
     Parameters
     ----------
@@ -108,6 +118,10 @@
         The service.
     is_permitted : callable
         ``is_permitted(region)`` tells whether a region may run it.
+    refusals : dict of (str, str) to float
+        By region and service, until when it refuses, in seconds.
+    now : float
+        Present time, in seconds.
     rng : random.Random
         Source of random choices.
 
@@ -116,9 +130,22 @@
     tuple of (Member, float) or None
         With the wait there, in seconds.
     """
-    able = [m for m in members if service in m.waits and is_permitted(m.id.region)]
+    able = [
+        m
+        for m in members
+        if service in m.waits
+        and is_permitted(m.id.region)
+        and refusals.get((m.id.region, service), 0.0) <= now
+    ]
     if not able:
         return None
-    pair = rng.sample(able, min(2, len(able)))
-    member = min(pair, key=lambda m: m.waits[service])
-    return member, member.waits[service]
+    by_region = {}
+    for member in able:
+        by_region.setdefault(member.id.region, []).append(member)
+    # A little chance keeps hosts with the same knowledge from moving together.
+    waits = {
+        region: min(m.waits[service] for m in group) + rng.random() * _FAR_JITTER_S
+        for region, group in by_region.items()
+    }
+    region = min(waits, key=waits.get)
+    return rng.choice(by_region[region]), waits[region]
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -181,6 +181,8 @@
         Prompt tokens that it would have to read.
     whole_s : float
         Predicted time until the answer is whole, in seconds.
+    work_s : float
+        Time that reading the prompt takes, in seconds.
     delay_s : float
         Time by which the prompt delays the streams there, added up, in seconds.
     cold_per_s : float
@@ -195,6 +197,7 @@
     raw_s: float
     unread_tokens: int
     whole_s: float
+    work_s: float = 0.0
     delay_s: float = 0.0
     cold_per_s: float = 0.0
     users: int = 1
@@ -364,6 +367,7 @@
             raw_s=raw_s,
             unread_tokens=unread,
             whole_s=first_s + rest_s,
+            work_s=unread / self.pace(service.name),
             delay_s=delay_s,
         )
 
--- a/src/cactusmill/serving/quota.py
+++ b/src/cactusmill/serving/quota.py
@@ -14,6 +14,7 @@
 import xxhash
 
 from .membership import FRESH_S
+from .returns import Returns
 
 # Demand is averaged over this time: short against the limits' window, long
 # against the time between beats.
@@ -46,6 +47,8 @@
         Smoothed tokens asked for per second, as of `asked_at`.
     asked_at : float
         When demand was last noted, in seconds.
+    returns : Returns
+        When refused callers come back.
     agreed_part : float
         This host's part of the rate that all hosts could know of.
     worked_out_part, worked_out_at : float
@@ -58,6 +61,7 @@
     demand: float = 0.0
     asked_at: float = 0.0
     agreed_part: float = START_PART
+    returns: Returns = attrs.field(factory=Returns)
     worked_out_part: float = START_PART
     worked_out_at: float = 0.0
 
@@ -168,7 +172,7 @@
         grown = account.tokens + (now - account.filled_at) * rate
         account.tokens, account.filled_at = min(burst, grown), now
         if account.tokens < cost:
-            return (cost - account.tokens) / rate
+            return account.returns.wait_s(cost, cost - account.tokens, rate, now)
         account.tokens -= cost
         return 0.0
 
--- a/src/cactusmill/serving/requests.py
+++ b/src/cactusmill/serving/requests.py
@@ -179,7 +179,7 @@
 def _next_step(host, job, progress, is_forwarded):
     """Return what to do next: a step of the overload policy."""
     now = host.now()
-    own = None
+    own, listed = None, []
     service = host.service(job.service)
     if is_permitted(host.cfg.region, job.team, job.route):
         listed = host.placement.usable(
@@ -201,6 +201,9 @@
         deadline_s=job.deadline - now,
         is_engine=service.is_engine,
         spread=host.rng.random(),
+        returns=host.returns_for(job.service),
+        engines=max(1.0, len(listed)) / host.region_hosts(now),
+        now=now,
     )
 
 
@@ -214,6 +217,8 @@
         members,
         job.service,
         lambda region: is_permitted(region, job.team, job.route),
+        host.far_refusals,
+        now,
         host.rng,
     )
 
@@ -508,6 +513,7 @@
         )
         if isinstance(answer, Refusal):
             refusal, answer = answer, None
+            host.note_far_refusal(member.id.region, job.service, refusal)
             if refusal.outcome is Outcome.NOT_RUN:
                 progress.may_have_run = was_run_before
                 progress.sends -= 1
--- a/standins/site.py
+++ b/standins/site.py
@@ -14,13 +14,14 @@
 import h11
 import trio
 
+from cactusmill.errors import ConnectError
 from cactusmill.internal.http import (
     client_connection,
     header,
     read_body,
     server_connection,
 )
-from cactusmill.internal.net import TCP, split_address
+from cactusmill.internal.net import TCP, Network, split_address
 from cactusmill.platform.dialect import DIALECT
 from cactusmill.platform.entrance import serve_entrance
 from cactusmill.platform.store import StoreClient
@@ -308,6 +309,7 @@
     workers: dict = attrs.field(factory=dict)
     hosts: dict = attrs.field(factory=dict)
     scopes: dict = attrs.field(factory=dict)
+    stores_cut: set = attrs.field(factory=set)
 
     async def add_worker(self, name, zone, service):
         """Start an endpoint and list it."""
@@ -340,7 +342,13 @@
             zones=ZONES,
             grace_s=4.0,
         )
-        client = StoreClient(self.store_address, TCP, ZONES)
+
+        async def connect(address, timeout_s):
+            if name in self.stores_cut and address == self.store_address:
+                raise ConnectError(f"{name} is cut off from the store")
+            return await TCP.connect(address, timeout_s)
+
+        client = StoreClient(self.store_address, Network(connect, TCP.serve), ZONES)
         host = EntryHost(cfg, DIALECT, client.source(), rng=random.Random(number))
         self.hosts[name] = host
         scope = trio.CancelScope()
--- a/tests/serving/test_whole_path.py
+++ b/tests/serving/test_whole_path.py
@@ -410,6 +410,18 @@
     on_site(body, workers=WORKERS)
 
 
+def test_host_that_the_store_does_not_answer_learns_from_others():
+    async def body(site):
+        site.stores_cut.add("e1")
+        host = site.hosts["e1"]
+        site.store.put("op/config", configuration(6, tenants=[]))
+        site.store.remove("servers/desk-1")
+        await site.wait_until(lambda: host.catalog.configuration.version == 6, 6.0)
+        assert not host.placement.usable(host.catalog, "desk", host.now(), 0.0)
+
+    on_site(body, hosts=BOTH, workers=WORKERS)
+
+
 def test_other_endpoint_at_an_address_does_not_run_the_request():
     async def body(site):
         worker = site.workers["desk-1"]
