--- a/src/cactusmill/serving/overload.py
+++ b/src/cactusmill/serving/overload.py
@@ -5,7 +5,8 @@
 region's endpoint; else to a region whose wait leaves time for the way there;
 else it is refused at once, with the time at which there will be room. Engines
 then never hold more than about one objective's worth of prompts, so that what
-is admitted is on time.
+is admitted is on time. Heavy prompts yield first where streams have become
+slow, since an engine that reads all the time ends no long answer in time.
 """
 
 import attrs
@@ -14,6 +15,11 @@
 
 # Part of the objective that predictions may fill; the rest is for their error.
 OBJECTIVE_PART = 0.85
+# Prompts that take longer to read are heavy: each delays all streams beside it.
+HEAVY_S = 0.02
+# Streams of usual length still end in time at this gap between events. Heavy
+# prompts find less room at engines whose streams are slower.
+EVENT_GAP_S = 0.15
 # Lengths of answers are known roughly: only those far over the deadline are
 # turned away for it.
 WHOLE_PART = 1.2
@@ -74,6 +80,8 @@
     Send, ForwardTo or Refusal
     """
     room_s = objective_s * OBJECTIVE_PART
+    if own is not None and own.work_s > HEAVY_S:
+        room_s *= min(1.0, EVENT_GAP_S / own.gap_s)
     if own is not None and (_is_in_time(own, room_s, deadline_s) or not is_engine):
         return Send(choice=own)
     if far is not None:
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -183,6 +183,8 @@
         Predicted time until the answer is whole, in seconds.
     work_s : float
         Time that reading the prompt takes, in seconds.
+    gap_s : float
+        Time between events of the streams there, in seconds.
     delay_s : float
         Time by which the prompt delays the streams there, added up, in seconds.
     cold_per_s : float
@@ -198,6 +200,7 @@
     unread_tokens: int
     whole_s: float
     work_s: float = 0.0
+    gap_s: float = _FIRST_EVENT_GAP_S
     delay_s: float = 0.0
     cold_per_s: float = 0.0
     users: int = 1
@@ -367,6 +370,7 @@
             raw_s=raw_s,
             unread_tokens=unread,
             whole_s=first_s + rest_s,
+            gap_s=view.event_gap_s(now),
             work_s=unread / self.pace(service.name),
             delay_s=delay_s,
         )
--- a/tests/serving/test_overload.py
+++ b/tests/serving/test_overload.py
@@ -17,6 +17,7 @@
     first_s: float
     whole_s: float = 1.0
     work_s: float = 0.1
+    gap_s: float = 0.06
 
 
 def member(name, region, wait_s):
@@ -59,6 +60,13 @@
     assert isinstance(step(Own(0.2, whole_s=9.0)), Overloaded)
 
 
+def test_heavy_prompts_yield_where_streams_are_slow():
+    """An engine that reads all the time: events come every 0.3 s, not 0.06."""
+    assert isinstance(step(Own(0.5, gap_s=0.3)), Overloaded)
+    assert isinstance(step(Own(0.5, gap_s=0.3, work_s=0.007)), Send)
+    assert isinstance(step(Own(0.5, gap_s=0.1)), Send)
+
+
 def test_plain_services_shed_by_themselves():
     assert isinstance(step(Own(0.9), is_engine=False), Send)
 
