Take only dead endpoints' requests for suspects; hear of other regions sooner

Ruled out: configuration (in force within 16 ms of the start), evacuation (none at that time). Now a break is followed by one connection that shows whether the endpoint lives; a new process beats eagerly and is answered at once; a request without an endpoint is held for a moment.

--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -10,6 +10,7 @@
 import trio
 
 from ..errors import (
+    ConnectError,
     CrossedAnswerError,
     ExchangeError,
     SilentEndpointError,
@@ -20,6 +21,8 @@
 
 # A connection attempt crosses one region at most.
 CONNECT_TIMEOUT_S = 0.6
+# A host of the same region answers within a millisecond or two.
+_PROBE_TIMEOUT_S = 0.1
 # Data that a far side does not acknowledge for this long is lost: links inside
 # a region answer in milliseconds.
 _UNACKNOWLEDGED_MS = 1500
@@ -127,6 +130,21 @@
         self._count(name, 1)
         return client_connection(stream), False
 
+    async def is_alive(self, name, address, now):
+        """Tell whether an endpoint still accepts connections.
+
+        The connection that shows it is kept for the next request.
+        """
+        try:
+            stream = await self.net.connect(address, _PROBE_TIMEOUT_S)
+        except ConnectError:
+            return False
+        watch_silence(stream)
+        self.opened += 1
+        entry = _Idle(client_connection(stream), now + _DEFAULT_IDLE_S * _IDLE_PART)
+        self._idle.setdefault(name, collections.deque()).append(entry)
+        return True
+
     def _count(self, name, step):
         self._in_use[name] = self._in_use.get(name, 0) + step
 
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -30,6 +30,9 @@
 # Seeds are asked again at this interval, so that parts of the fleet that knew
 # nothing of each other meet.
 SEED_BEAT_S = 1.0
+# A process that has just started beats to all at the pace of its region: who
+# serves what elsewhere is needed by its first requests.
+EAGER_S = 2.0
 # Receivers per round; keeps the cost of control flat as the fleet grows.
 MAX_NEAR = 12
 MAX_FAR = 4
@@ -84,7 +87,7 @@
     seeds: tuple
     _sock: object = None
     _sequence: int = 0
-    _answered: dict = attrs.field(factory=dict)
+    _newcomers: list = attrs.field(factory=list)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Beat and listen until cancelled."""
@@ -109,14 +112,16 @@
 
     async def _beat_for_ever(self):
         far_at = seeds_at = self.host.now()
+        eager_until = far_at + EAGER_S
         while True:
             now = self.host.now()
+            is_eager = now < eager_until
             await self._send_all(self._near(now), self.beat(now, is_near=True))
             if now >= far_at:
-                far_at = now + FAR_BEAT_S
+                far_at = now + (0.0 if is_eager else FAR_BEAT_S)
                 await self._send_all(self._far(now), self.beat(now, is_near=False))
             if now >= seeds_at:
-                seeds_at = now + SEED_BEAT_S
+                seeds_at = now + (REGION_BEAT_S if is_eager else SEED_BEAT_S)
                 await self._send_all(self._seeds(), self.beat(now, is_near=False))
             await trio.sleep(REGION_BEAT_S)
 
@@ -214,7 +219,11 @@
                 log_event("beat_unreadable", reason=str(exc))
                 continue
             if beat is not None:
-                self.take(beat, self.host.now())
+                now = self.host.now()
+                self.take(beat, now)
+                # A newcomer learns of this host without waiting for its turn.
+                newcomers, self._newcomers = self._newcomers, []
+                await self._send_all(newcomers, self.beat(now, is_near=False))
 
     def take(self, beat, now):
         """Take over what a beat says.
@@ -238,6 +247,7 @@
             return
         if is_new:
             log_event("host_met", host=sender.name, region=sender.region)
+            self._newcomers.append(sender.ip)
         member.sequence = beat.sequence
         member.told_at = now
         member.is_ready = beat.ready
--- a/src/cactusmill/serving/host.py
+++ b/src/cactusmill/serving/host.py
@@ -91,6 +91,8 @@
         How other machines are reached.
     now : callable
         Monotonic time, in seconds.
+    started_at : float
+        When it began to run, in seconds.
     """
 
     cfg: HostSettings
@@ -99,6 +101,7 @@
     net: object = TCP
     rng: random.Random = attrs.field(factory=random.Random)
     now: object = trio.current_time
+    started_at: float = float("inf")
     is_leaving: bool = False
     left_at: float = float("inf")
     caller_connections: set = attrs.field(factory=set)
@@ -306,7 +309,7 @@
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Run until :meth:`shut_down` has ended or the task is cancelled."""
-        self.quotas.started_at = self.now()
+        self.started_at = self.quotas.started_at = self.now()
         log_event(
             "start",
             host=self.cfg.host,
--- a/src/cactusmill/serving/requests.py
+++ b/src/cactusmill/serving/requests.py
@@ -44,6 +44,12 @@
 _FIRST_TRY_PART = 0.5
 _BUSY_RETRY_S = 0.3
 _CONDEMNED_RETRY_S = 30.0
+# Part of the objective that a request is held while no endpoint may take it.
+_HOLD_PART = 0.12
+_HOLD_POLL_S = 0.02
+# Beats of all regions have come by then, after a start.
+_YOUNG_S = 1.5
+_YOUNG_HOLD_S = 0.4
 # A reused connection that breaks this soon was closed while it was idle.
 _STALE_WITHIN_S = 0.03
 _MAX_ANSWER_BYTES = 16 * 1024 * 1024
@@ -154,6 +160,8 @@
     refusal = None
     while True:
         step = _next_step(host, job, progress, is_forwarded)
+        if isinstance(step, NoEndpoint) and refusal is None:
+            step = await _wait_for_endpoint(host, job, progress, is_forwarded, step)
         if isinstance(step, Refusal):
             # What an endpoint or another region said is closer to the cause.
             return _final(progress, refusal or step)
@@ -168,6 +176,22 @@
             return _final(progress, refusal)
 
 
+async def _wait_for_endpoint(host, job, progress, is_forwarded, step):
+    """Wait a moment for an endpoint; return the step that is possible then.
+
+    A cold endpoint's next turn may be near, and a process that has just
+    started is about to hear of other regions.
+    """
+    now = host.now()
+    limit_s = job.route.objective_s * _HOLD_PART
+    if now - host.started_at < _YOUNG_S:
+        limit_s = _YOUNG_HOLD_S
+    while isinstance(step, NoEndpoint) and host.now() < now + limit_s:
+        await trio.sleep(_HOLD_POLL_S)
+        step = _next_step(host, job, progress, is_forwarded)
+    return step
+
+
 def _final(progress, refusal):
     if progress.has_begun:
         raise AnswerCutError(refusal.detail)
@@ -349,8 +373,6 @@
     progress.scanner.drop_rest()
     view.note_result(True, now)
     host.pool.drop_idle(endpoint.name)
-    if not is_stale and not isinstance(exc, SilentEndpointError):
-        host.note_death(job, progress, endpoint.name, now)
     progress.tried.add(endpoint.name)
     log_event(
         "endpoint_broke_off",
@@ -360,6 +382,11 @@
         is_stale=is_stale,
         failure_rate=round(view.failure_rate(now), 2),
     )
+    if is_stale or isinstance(exc, SilentEndpointError):
+        return
+    # Answers get lost at endpoints that live; only a death makes a suspect.
+    if not await host.pool.is_alive(endpoint.name, endpoint.address, now):
+        host.note_death(job, progress, endpoint.name, now)
 
 
 async def _take_answer(host, job, sink, progress, choice, answer, work, sent_at):
--- a/tests/serving/test_whole_path.py
+++ b/tests/serving/test_whole_path.py
@@ -444,6 +444,63 @@
     on_site(body, workers=WORKERS)
 
 
+def test_lost_answers_of_a_living_endpoint_make_no_suspects():
+    # An incident: answers were lost by resets, and sound requests were refused
+    # as if they had stopped two endpoints.
+    async def reset(worker, conn, request):
+        await read_body(conn, 10**6)
+        return False
+
+    async def body(site):
+        desk = site.workers["desk-1"]
+        desk.behave = reset
+        for number in range(4):
+            reply = await site.ask("e1", "/order/1", request_id=f"r-{number}")
+            assert reply.status == 502
+        desk.behave = None
+        reply = await site.ask("e1", "/order/1", request_id="r-9")
+        assert reply.status == 200
+
+    on_site(body, workers=WORKERS)
+
+
+def test_request_that_stops_endpoints_is_refused_everywhere():
+    async def body(site):
+        async def die(worker, conn, request):
+            await read_body(conn, 10**6)
+            site.scopes[worker.name].cancel()
+            return False
+
+        for worker in site.workers.values():
+            worker.behave = die
+        for number in range(4):
+            await site.ask("e1", "/chat/1", request_id=f"r-{number}", model="m")
+        digests = [d for d, _ in site.hosts["e1"].fresh_suspects(trio.current_time())]
+        assert len(digests) == 1
+        await site.wait_until(
+            lambda: site.hosts["w1"].suspects.is_condemned(
+                digests[0], site.hosts["w1"].now()
+            ),
+            2.0,
+        )
+
+    engines = [(f"engine-{n}", "east-a", "engines") for n in range(4)]
+    on_site(body, hosts=BOTH, workers=engines)
+
+
+def test_new_process_holds_requests_until_it_hears_of_other_regions():
+    # An incident: after a power loss, hosts of a region without its own
+    # endpoint refused for 1.5 s what other regions would have run.
+    async def body(site):
+        far = site.hosts["w1"]
+        host = await site.add_host("e2", "east-a", 3, seeds=[2])
+        await site.wait_until(lambda: host.catalog.configuration)
+        reply = await site.ask("e2", "/bound/1")
+        assert reply.status == 200 and far.membership.known()
+
+    on_site(body, hosts=BOTH, workers=(("desk-w", "west-a", "desk"),))
+
+
 def test_directory_names_hosts_of_the_callers_region():
     async def body(site):
         now = site.hosts["e1"].now()
