--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements: run as programs, each with ``--help``."""
--- a/src/cactusmill/serving/callers.py
+++ b/src/cactusmill/serving/callers.py
@@ -265,8 +265,7 @@
     if wait_s > 0:
         raise _Refused(
             RateExceeded(
-                detail=f"team {job.team.name} is over its rate of "
-                f"{job.team.rate_tokens_per_s:.0f} tokens/s",
+                detail=host.quotas.explain(job.team, host.membership, now),
                 retry_after_s=min(_MAX_RATE_RETRY_S, max(_MIN_RATE_RETRY_S, wait_s)),
             )
         )
@@ -366,6 +365,9 @@
         endpoint=progress.endpoint if progress else None,
         sends=progress.sends if progress else 0,
         predicted_s=_rounded(progress.first_s) if progress else None,
+        predicted_end_s=_rounded(progress.whole_s) if progress else None,
+        unread_tokens=progress.unread_tokens if progress else None,
+        cost_tokens=job.cost_tokens if job else None,
         version=job.records_version if job else None,
     )
 
--- a/src/cactusmill/serving/quota.py
+++ b/src/cactusmill/serving/quota.py
@@ -51,6 +51,8 @@
         When refused callers come back.
     agreed_part : float
         This host's part of the rate that all hosts could know of.
+    last_part : float
+        The part that decided last.
     worked_out_part, worked_out_at : float
         A later part that waits to be agreed, and when it was worked out, in
         seconds.
@@ -62,6 +64,7 @@
     asked_at: float = 0.0
     agreed_part: float = START_PART
     returns: Returns = attrs.field(factory=Returns)
+    last_part: float = 0.0
     worked_out_part: float = START_PART
     worked_out_at: float = 0.0
 
@@ -161,7 +164,7 @@
             return 0.0
         account = self.account(team.name)
         account.note_demand(cost, now)
-        part = self.part(team, membership, now)
+        part = account.last_part = self.part(team, membership, now)
         rate = team.rate_tokens_per_s * part
         # A request larger than a small part of the burst must still pass.
         burst = max(team.burst_tokens * part, cost)
@@ -176,6 +179,16 @@
         account.tokens -= cost
         return 0.0
 
+    def explain(self, team, membership, now):
+        """Return what decided on a team's last request, as a sentence."""
+        account = self.account(team.name)
+        age_s = max(0.0, now - membership.heard_since())
+        return (
+            f"team {team.name} has {account.tokens:.0f} tokens here; this host uses "
+            f"{account.last_part:.3f} of {team.rate_tokens_per_s:.0f} tokens/s, by "
+            f"demands told up to {age_s:.2f} s ago"
+        )
+
     def give_back(self, team, cost, now):
         """Return the tokens of a request that did not run."""
         if team.rate_tokens_per_s > 0:
--- a/src/cactusmill/serving/requests.py
+++ b/src/cactusmill/serving/requests.py
@@ -85,8 +85,10 @@
         How often it was sent.
     endpoint : str
         Where it was sent last.
-    first_s : float or None
-        What was predicted there, in seconds.
+    first_s, whole_s : float or None
+        When it was predicted to begin and to end there, in seconds.
+    unread_tokens : int
+        Prompt tokens that were expected to be read there.
     """
 
     attempts_left: int
@@ -100,6 +102,8 @@
     sends: int = 0
     endpoint: str = ""
     first_s: float | None = None
+    whole_s: float | None = None
+    unread_tokens: int = 0
 
     @property
     def outcome(self):
@@ -264,6 +268,7 @@
     service = host.service(job.service)
     sent_at = host.now()
     progress.endpoint, progress.first_s = endpoint.name, choice.first_s
+    progress.whole_s, progress.unread_tokens = choice.whole_s, choice.unread_tokens
     if choice.cold_per_s:
         view.pace.note_sent(choice.cold_per_s, choice.users, sent_at)
     work = _Work(view, choice.unread_tokens)
