Rest parts of a rate on demands of the same age; weigh delays of streams more

Cause (search over 150 random histories of kills, cuts and surges): parts followed each host's newest demand; after a restart demand grows everywhere, so parts summed to over one and a cut froze them: 1.09 of what a window may hold. The history found is a test. Idle connections of an endpoint that lives are kept after a lost answer.

--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -111,11 +111,14 @@
                 )
 
     async def _beat_for_ever(self):
-        far_at = seeds_at = self.host.now()
+        far_at = seeds_at = tell_at = self.host.now()
         eager_until = far_at + EAGER_S
         while True:
             now = self.host.now()
             is_eager = now < eager_until
+            if now >= tell_at:
+                tell_at = now + FAR_BEAT_S
+                self.host.quotas.tell(now)
             await self._send_all(self._near(now), self.beat(now, is_near=True))
             if now >= far_at:
                 far_at = now + (0.0 if is_eager else FAR_BEAT_S)
@@ -182,7 +185,7 @@
         members = host.membership.live(now)
         if len(members) > MAX_NOTES:
             members = host.rng.sample(members, MAX_NOTES)
-        demands = sorted(host.quotas.demands(now).items(), key=lambda d: -d[1])
+        demands = sorted(host.quotas.told().items(), key=lambda d: -d[1])
         work = host.placement.own_work() if is_near else {}
         return Beat(
             sender=_note(host.membership.me, host.is_leaving, 0.0),
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -38,7 +38,7 @@
 _CACHE_PART = 0.6
 DEFAULT_MEMORY_TOKENS = 200_000.0
 # Reading shared parts again delays the requests behind as well.
-_REREAD_WEIGHT = 1.5
+_REREAD_WEIGHT = 3.0
 # Part of the shared prompt that the engine preferred by hash is taken to hold
 # though this host has not sent it there yet: others may have.
 _PREFERRED_HOLDS = 0.5
@@ -46,10 +46,10 @@
 _FULL_COST_S = 1.0
 # Time between two events of a stream, until measured.
 _FIRST_EVENT_GAP_S = 0.06
-_GAP_SMOOTHING = 0.05
+_GAP_SMOOTHING = 0.15
 _GAP_FADES_S = 5.0
 # Reading a prompt delays every stream that runs beside it.
-_DELAY_WEIGHT = 0.05
+_DELAY_WEIGHT = 0.4
 # What a stream is expected to end behind its deadline counts this much more.
 _OVERTIME_WEIGHT = 1.0
 
--- a/src/cactusmill/serving/quota.py
+++ b/src/cactusmill/serving/quota.py
@@ -23,8 +23,8 @@
 # the first requests after a pause find tokens.
 _FLOOR_PART = 0.03
 # Part that a process may use until it has had time to hear of others.
-START_PART = 0.1
-START_S = 0.8
+START_PART = 0.2
+START_S = 0.4
 
 
 def team_key(name):
@@ -108,6 +108,8 @@
 
     started_at: float
     zones: int
+    _told: dict = attrs.field(factory=dict)
+    _told_before: dict = attrs.field(factory=dict)
     _accounts: dict = attrs.field(factory=dict)
 
     def account(self, team_name):
@@ -135,8 +137,10 @@
         """
         account = self.account(team.name)
         floor = _FLOOR_PART * team.rate_tokens_per_s
-        mine = max(account.demand_at(now), floor)
         key = team_key(team.name)
+        # Not the newest demand, but the one that others may count on by now:
+        # where demand grows everywhere, newest parts would sum to over one.
+        mine = max(self._told_before.get(key, 0), floor)
         known = membership.known()
         others = sum(max(m.demands.get(key, 0), floor) for m in known)
         part = mine / (mine + others)
@@ -194,15 +198,14 @@
         if team.rate_tokens_per_s > 0:
             self.account(team.name).tokens += cost
 
-    def demands(self, now):
-        """Return the teams' demands on this host, by key.
+    def told(self):
+        """Return the demands that beats tell, by key, in tokens per second."""
+        return self._told
 
-        Returns
-        -------
-        dict of int to int
-            Tokens per second.
-        """
-        return {
+    def tell(self, now):
+        """Take the present demands as those that beats tell from now on."""
+        self._told_before = self._told
+        self._told = {
             team_key(name): demand
             for name, account in self._accounts.items()
             if (demand := int(account.demand_at(now))) > 0
--- a/src/cactusmill/serving/requests.py
+++ b/src/cactusmill/serving/requests.py
@@ -377,7 +377,6 @@
     endpoint, view = choice.endpoint, choice.view
     progress.scanner.drop_rest()
     view.note_result(True, now)
-    host.pool.drop_idle(endpoint.name)
     progress.tried.add(endpoint.name)
     log_event(
         "endpoint_broke_off",
@@ -388,9 +387,12 @@
         failure_rate=round(view.failure_rate(now), 2),
     )
     if is_stale or isinstance(exc, SilentEndpointError):
+        # Others that have been idle may be closed or silent too.
+        host.pool.drop_idle(endpoint.name)
         return
     # Answers get lost at endpoints that live; only a death makes a suspect.
     if not await host.pool.is_alive(endpoint.name, endpoint.address, now):
+        host.pool.drop_idle(endpoint.name)
         host.note_death(job, progress, endpoint.name, now)
 
 
--- a/tests/serving/test_quota.py
+++ b/tests/serving/test_quota.py
@@ -59,7 +59,8 @@
         for sender in range(self.hosts):
             if self.now < self.down_until.get(sender, 0.0):
                 continue
-            demand = self.quotas[sender].demands(self.now).get(team_key("red"), 0)
+            self.quotas[sender].tell(self.now)
+            demand = self.quotas[sender].told().get(team_key("red"), 0)
             for receiver in range(self.hosts):
                 is_cut = self.now < self.parted_until and self.region(
                     sender
@@ -144,9 +145,27 @@
 )
 
 
+def test_restarts_with_a_cut_behind_them_keep_to_the_rate():
+    # Found by a search over 150 histories: parts followed each host's newest
+    # demand, which grows everywhere after a restart, and summed to over one.
+    fleet = Fleet(18)
+    play(
+        fleet,
+        [
+            (3.0, loads(0.5), None),
+            (2.0, loads(2.0), "kill"),
+            (5.0, loads(6.0), "part"),
+            (2.0, loads(2.0), None),
+            (2.0, loads(0.5), "kill"),
+            (5.0, loads(2.0), "kill"),
+        ],
+    )
+    assert fleet.worst() <= 1.0
+
+
 @pytest.mark.histories
 @settings(max_examples=25, deadline=None)
-@given(phases=PHASES, hosts=st.sampled_from([3, 6, 9]))
+@given(phases=PHASES, hosts=st.sampled_from([3, 6, 9, 18]))
 def test_rate_holds_over_all_hosts(phases, hosts):
     fleet = Fleet(hosts)
     play(fleet, [(3.0, loads(0.5), None), *phases])
