--- /dev/null
+++ b/src/cactusmill/internal/calls.py
@@ -0,0 +1,82 @@
+"""Calls to a service of the platform over one connection at a time."""
+
+import attrs
+import trio
+
+from ..errors import ConnectError, ExchangeError, PlatformError
+from .http import client_connection, exchange
+
+_CONNECT_TIMEOUT_S = 1.0
+
+
+@attrs.define(eq=False)
+class ServiceCalls:
+    """A client's connection to one service, opened when needed.
+
+    Attributes
+    ----------
+    address : str
+        ``"IP:PORT"`` of the service.
+    net : Network
+        How to reach it.
+    prepare : callable or None
+        ``prepare(stream)`` is called with each new connection.
+    calls : int
+        Calls made so far; the platform counts each.
+    """
+
+    address: str
+    net: object
+    prepare: object = None
+    calls: int = 0
+    _conn: object = None
+
+    async def get(self, target, timeout_s):
+        """Make one call.
+
+        Parameters
+        ----------
+        target : str
+            Path and query.
+        timeout_s : float
+            Longest time for the whole answer, in seconds.
+
+        Returns
+        -------
+        status : int
+        body : bytes
+
+        Raises
+        ------
+        PlatformError
+            If there is no whole answer in time. The connection is dropped
+            then: one that went silent is never trusted again.
+        """
+        self.calls += 1
+        try:
+            with trio.fail_after(timeout_s):
+                if self._conn is None:
+                    self._conn = await self._open()
+                status, _, body = await exchange(
+                    self._conn, "GET", target, [(b"host", self.address.encode())]
+                )
+                self._conn.h11.start_next_cycle()
+        except (ConnectError, ExchangeError, trio.TooSlowError) as exc:
+            await self.close()
+            raise PlatformError(f"{self.address}: {exc!r}") from exc
+        except BaseException:
+            await self.close()
+            raise
+        return status, body
+
+    async def _open(self):
+        stream = await self.net.connect(self.address, _CONNECT_TIMEOUT_S)
+        if self.prepare is not None:
+            self.prepare(stream)
+        return client_connection(stream)
+
+    async def close(self):
+        """Drop the connection; the next call opens another."""
+        conn, self._conn = self._conn, None
+        if conn is not None:
+            await conn.close()
--- a/src/cactusmill/internal/platform.py
+++ b/src/cactusmill/internal/platform.py
@@ -8,14 +8,12 @@
 import json
 
 import attrs
-import trio
 
-from ..errors import ConnectError, ExchangeError, PlatformError, RecordError
+from ..errors import PlatformError, RecordError
+from .calls import ServiceCalls
 from .configuration import change_from_json
-from .http import client_connection, exchange
 from .net import Network
 
-_CONNECT_TIMEOUT_S = 1.0
 _ANSWER_MARGIN_S = 0.5
 _OK = 200
 
@@ -81,14 +79,20 @@
         ``"IP:PORT"`` of the service.
     net : Network
         How to reach it.
-    calls : int
-        Calls made so far; the platform counts each.
     """
 
     address: str
     net: Network
-    calls: int = 0
-    _conn: object = None
+    _calls: ServiceCalls = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        """Create the connection's holder."""
+        self._calls = ServiceCalls(self.address, self.net)
+
+    @property
+    def calls(self):
+        """Calls made so far; the platform counts each."""
+        return self._calls.calls
 
     async def fetch(self, since, wait_s):
         """Ask for the changes above a version.
@@ -107,33 +111,14 @@
         Raises
         ------
         PlatformError
-            If there is no usable answer shortly after `wait_s`. The
-            connection is dropped then: a watch that went silent is never
-            trusted again.
+            If there is no usable answer shortly after `wait_s`.
         """
-        self.calls += 1
         target = f"/v1/changes?since={since}&wait={wait_s:g}"
-        try:
-            with trio.fail_after(wait_s + _ANSWER_MARGIN_S):
-                if self._conn is None:
-                    stream = await self.net.connect(self.address, _CONNECT_TIMEOUT_S)
-                    self._conn = client_connection(stream)
-                status, _, body = await exchange(
-                    self._conn, "GET", target, [(b"host", self.address.encode())]
-                )
-                self._conn.h11.start_next_cycle()
-        except (ConnectError, ExchangeError, trio.TooSlowError) as exc:
-            await self.close()
-            raise PlatformError(f"{self.address}: {exc!r}") from exc
-        except BaseException:
-            await self.close()
-            raise
+        status, body = await self._calls.get(target, wait_s + _ANSWER_MARGIN_S)
         if status != _OK:
             raise PlatformError(f"{self.address}: status {status}")
         return parse_update(body)
 
     async def close(self):
         """Drop the connection; the next call opens another."""
-        conn, self._conn = self._conn, None
-        if conn is not None:
-            await conn.close()
+        await self._calls.close()
--- a/src/cactusmill/platform/store.py
+++ b/src/cactusmill/platform/store.py
@@ -4,15 +4,13 @@
 import urllib.parse
 
 import attrs
-import trio
 
-from ..errors import ConnectError, ExchangeError, PlatformError, RecordError
-from ..internal.http import client_connection, exchange
+from ..errors import PlatformError, RecordError
+from ..internal.calls import ServiceCalls
 from ..serving.connections import watch_silence
 from ..serving.learning import HistoryLostError, Source
 from .items import change_from_item
 
-_CONNECT_TIMEOUT_S = 1.0
 # Answers take milliseconds, and 60 times that on bad days.
 _ANSWER_TIMEOUT_S = 1.5
 _OK, _GONE = 200, 410
@@ -33,16 +31,17 @@
         How to reach it.
     zones : dict of str to str
         Region of each availability zone.
-    calls : int
-        Calls made so far; the platform counts each.
     """
 
     address: str
     net: object
     zones: dict
-    calls: int = 0
-    _conn: object = None
     _items: dict = attrs.field(factory=dict)
+    _calls: ServiceCalls = attrs.field(init=False)
+
+    def __attrs_post_init__(self):
+        """Create the connection's holder."""
+        self._calls = ServiceCalls(self.address, self.net, watch_silence)
 
     def source(self):
         """Return this client as a source of changes."""
@@ -122,25 +121,8 @@
                 del self._items[key]
 
     async def _call(self, name, query, timeout_s):
-        self.calls += 1
         target = f"/cactusmill/{name}?{urllib.parse.urlencode(query)}"
-        try:
-            with trio.fail_after(timeout_s):
-                if self._conn is None:
-                    stream = await self.net.connect(self.address, _CONNECT_TIMEOUT_S)
-                    watch_silence(stream)
-                    self._conn = client_connection(stream)
-                status, _, body = await exchange(
-                    self._conn, "GET", target, [(b"host", self.address.encode())]
-                )
-                self._conn.h11.start_next_cycle()
-        except (ConnectError, ExchangeError, trio.TooSlowError) as exc:
-            await self.close()
-            raise PlatformError(f"{name}: {exc!r}") from exc
-        except BaseException:
-            # A connection on which an answer was lost returns nothing further.
-            await self.close()
-            raise
+        status, body = await self._calls.get(target, timeout_s)
         if status == _GONE:
             raise HistoryLostError(f"{name}: the history is gone")
         if status != _OK:
@@ -153,12 +135,6 @@
             raise PlatformError(f"{name}: an answer of another shape")
         return page
 
-    async def close(self):
-        """Drop the connection; the next call opens another."""
-        conn, self._conn = self._conn, None
-        if conn is not None:
-            await conn.close()
-
 
 def _member(page, name, kind):
     value = page.get(name)
--- a/src/cactusmill/serving/callers.py
+++ b/src/cactusmill/serving/callers.py
@@ -21,7 +21,8 @@
 from ..internal.http import header, linger, read_body, server_connection
 from ..internal.job import Job, Sink
 from .events import log_event
-from .requests import may_repeat, new_progress, run
+from .progress import may_repeat, new_progress
+from .requests import run
 
 # A body's bytes follow its head; a caller that stalls longer is gone.
 _BODY_TIMEOUT_S = 10.0
--- a/src/cactusmill/serving/host.py
+++ b/src/cactusmill/serving/host.py
@@ -21,8 +21,9 @@
 from .learning import Availability, catch_up_for_ever, learn_for_ever
 from .membership import HostId, Membership
 from .placement import Placement
+from .progress import new_progress
 from .quota import Quotas
-from .requests import new_progress, run
+from .requests import run
 from .returns import Returns
 
 # A host that leaves takes requests of callers that still use its address until
--- a/src/cactusmill/serving/overload.py
+++ b/src/cactusmill/serving/overload.py
@@ -25,6 +25,9 @@
 WHOLE_PART = 1.0
 # There and back between regions, with the hop's own work.
 FAR_WAY_S = 0.2
+# A forward must save this much besides the way, since bytes between regions are
+# dear.
+FAR_GAIN_S = 9.0
 # Callers return after a part of the wait, spread so that they do not return
 # together.
 _MIN_RETRY_S = 0.15
@@ -82,7 +85,10 @@
     room_s = objective_s * OBJECTIVE_PART
     if own is not None and own.work_s > HEAVY_S:
         room_s *= min(1.0, EVENT_GAP_S / own.gap_s)
-    if own is not None and (_is_in_time(own, room_s, deadline_s) or not is_engine):
+    is_sound = own is not None and _is_in_time(own, room_s, deadline_s)
+    if is_sound and not _is_far_better(own, far):
+        return Send(choice=own)
+    if own is not None and not is_engine:
         return Send(choice=own)
     if far is not None:
         member, wait_s = far
@@ -107,6 +113,11 @@
     )
 
 
+def _is_far_better(own, far):
+    """Tell whether another region would begin sooner by more than it costs."""
+    return far is not None and far[1] + FAR_WAY_S + FAR_GAIN_S < own.first_s
+
+
 def _is_in_time(own, room_s, deadline_s):
     """Tell whether an answer would begin and end in time."""
     return own.first_s <= room_s and own.whole_s <= deadline_s * WHOLE_PART
--- /dev/null
+++ b/src/cactusmill/serving/passing.py
@@ -0,0 +1,101 @@
+"""Passing answers on: whole bodies, and streams event by event."""
+
+from ..errors import ExchangeError
+
+_MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Longest silence inside a stream before it goes on elsewhere. Callers leave
+# after two seconds or more.
+STREAM_STALL_S = 1.6
+
+
+def stall_s(job, left_s):
+    """Return the longest silence inside an answer, in seconds.
+
+    Parameters
+    ----------
+    job : Job
+        The request.
+    left_s : float
+        Time until its deadline, in seconds.
+    """
+    if job.is_stream and job.route.resumable:
+        return min(left_s, STREAM_STALL_S)
+    return left_s
+
+
+async def read_body(answer):
+    """Return an answer's whole body.
+
+    Raises
+    ------
+    ExchangeError
+        If it breaks off or is too large.
+    """
+    chunks, size = [], 0
+    while (data := await answer.next_data()) is not None:
+        chunks.append(data)
+        size += len(data)
+        if size > _MAX_ANSWER_BYTES:
+            raise ExchangeError(f"an answer over {_MAX_ANSWER_BYTES} bytes")
+    return b"".join(chunks)
+
+
+async def drain(host, answer):
+    """Read past a body that no caller needs."""
+    try:
+        while await answer.next_data() is not None:
+            pass
+    except ExchangeError:
+        # The head has said all; only the connection is lost.
+        answer.abort()
+        return
+    await answer.release(host.now())
+
+
+async def pass_body(host, sink, progress, answer, body):
+    """Pass a whole body on."""
+    headers = host.dialect.passed_answer_headers(answer.headers)
+    headers = [*headers, (b"content-length", str(len(body)).encode())]
+    progress.has_begun = True
+    await sink.head(answer.status, headers)
+    if body:
+        await sink.data(body)
+    await sink.end()
+
+
+async def pass_stream(host, job, sink, progress, choice, answer, work, sent_at):
+    """Pass a stream's events on as they arrive."""
+    scanner = progress.scanner
+    is_first, event_at = True, host.now()
+    while (data := await answer.next_data()) is not None:
+        whole = scanner.feed(data)
+        if whole and choice is not None and not is_first:
+            now = host.now()
+            choice.view.note_event_gap((now - event_at) / whole.count(b"\n\n"), now)
+            event_at = now
+        if is_first:
+            is_first, event_at = False, host.now()
+            work.begin()
+            if choice is not None:
+                host.placement.note_begun(
+                    choice, host.service(job.service), host.now() - sent_at, host.now()
+                )
+        if whole:
+            await _begin(host, sink, progress, answer)
+            await sink.data(whole)
+    await answer.release(host.now())
+    work.is_whole = True
+    rest = scanner.take_rest()
+    await _begin(host, sink, progress, answer)
+    if rest:
+        await sink.data(rest)
+    await sink.end()
+
+
+async def _begin(host, sink, progress, answer):
+    """Pass the head on, once: a stream that goes on keeps its first head."""
+    if progress.has_begun:
+        return
+    progress.has_begun = True
+    headers = host.dialect.passed_answer_headers(answer.headers)
+    await sink.head(answer.status, headers)
--- /dev/null
+++ b/src/cactusmill/serving/sending.py
@@ -0,0 +1,240 @@
+"""One send of a request to an endpoint of the own region, and its answer."""
+
+import attrs
+import h11
+
+from ..errors import (
+    ConnectError,
+    EndpointFailed,
+    ExchangeError,
+    NoEndpoint,
+    Outcome,
+    Overloaded,
+    SilentEndpointError,
+)
+from .connections import exchange
+from .events import log_event
+from .passing import drain, pass_body, pass_stream, read_body, stall_s
+from .placement import DEFAULT_MEMORY_TOKENS
+from .progress import may_repeat
+
+# A first event later than this many times the prediction, and than the least,
+# is given up where the stream may go on elsewhere.
+_FIRST_EVENT_FACTOR = 4.0
+_MIN_FIRST_EVENT_S = 1.5
+# A repeatable request is tried again elsewhere after this part of its time.
+_FIRST_TRY_PART = 0.5
+_BUSY_RETRY_S = 0.3
+# A reused connection that breaks this soon was closed while it was idle.
+_STALE_WITHIN_S = 0.03
+# Statuses that promise that a request has not run. An endpoint's own failure
+# with one of them does not reach the caller as it is.
+_PROMISES = frozenset({408, 421, 429, 503})
+_RETRIED_STATUS = 500
+
+
+async def send_to_endpoint(host, job, sink, progress, choice):
+    """Send a request to an endpoint.
+
+    Parameters
+    ----------
+    host : EntryHost
+        This process.
+    job : Job
+        The request.
+    sink : Sink
+        Where its answer goes.
+    progress : Progress
+        How far it has come.
+    choice : Choice
+        The endpoint with what was predicted there.
+
+    Returns
+    -------
+    Refusal or None
+        None once the answer is whole.
+    """
+    endpoint, view = choice.endpoint, choice.view
+    service = host.service(job.service)
+    sent_at = host.now()
+    progress.endpoint, progress.first_s = endpoint.name, choice.first_s
+    progress.whole_s, progress.unread_tokens = choice.whole_s, choice.unread_tokens
+    if choice.cold_per_s:
+        view.pace.note_sent(choice.cold_per_s, choice.users, sent_at)
+    work = Work(view, choice.unread_tokens)
+    try:
+        try:
+            conn, was_used = await host.pool.take(
+                endpoint.name, endpoint.address, sent_at
+            )
+        except ConnectError as exc:
+            view.note_unreachable(host.now())
+            host.pool.drop_idle(endpoint.name)
+            progress.tried.add(endpoint.name)
+            log_event("endpoint_unreachable", endpoint=endpoint.name, reason=str(exc))
+            return NoEndpoint(detail=str(exc), retry_after_s=_BUSY_RETRY_S)
+        progress.sends += 1
+        answer = None
+        try:
+            answer = await _exchange(host, job, progress, choice, conn)
+            return await _take_answer(
+                host, job, sink, progress, choice, answer, work, sent_at
+            )
+        except ExchangeError as exc:
+            is_stale = was_used and host.now() - sent_at < _STALE_WITHIN_S
+            await _note_broken(host, job, progress, choice, exc, is_stale)
+            return EndpointFailed(
+                detail=f"the endpoint failed: {exc}", outcome=Outcome.UNKNOWN
+            )
+        finally:
+            if answer is None:
+                host.pool.close(endpoint.name, conn)
+            elif not work.is_whole:
+                answer.abort()
+    finally:
+        work.end()
+        if service.is_engine:
+            view.note_parts(job.parts, service.memory_tokens or DEFAULT_MEMORY_TOKENS)
+
+
+@attrs.define(eq=False)
+class Work:
+    """A request's load on an endpoint, counted while it lasts."""
+
+    view: object
+    prompt_tokens: int
+    is_whole: bool = False
+
+    def __attrs_post_init__(self):
+        self.view.in_flight += 1
+        self.view.prompt_tokens += self.prompt_tokens
+
+    def begin(self):
+        """Count the prompt as read."""
+        self.view.prompt_tokens -= self.prompt_tokens
+        self.prompt_tokens = 0
+
+    def end(self):
+        """Count the request as ended."""
+        self.begin()
+        self.view.in_flight -= 1
+
+
+async def _exchange(host, job, progress, choice, conn):
+    endpoint = choice.endpoint
+    now = host.now()
+    left_s = job.deadline - now
+    head_s = left_s
+    if may_repeat(job.route) and progress.attempts_left > 1:
+        head_s = _patience_s(job, choice, left_s)
+    headers = host.dialect.endpoint_headers(
+        job, endpoint, left_s, progress.scanner.last_id
+    )
+    request = h11.Request(method=job.method, target=job.target, headers=headers)
+    progress.attempts_left -= 1
+    progress.may_have_run_before = progress.may_have_run
+    progress.may_have_run = True
+    return await exchange(
+        host.pool,
+        endpoint.name,
+        conn,
+        request,
+        job.body,
+        job.request_id,
+        host.dialect.read_answer,
+        (head_s, stall_s(job, left_s)),
+    )
+
+
+def _patience_s(job, choice, left_s):
+    """Return how long to wait for an answer that another endpoint may give."""
+    if job.is_stream:
+        return min(
+            left_s, max(_MIN_FIRST_EVENT_S, _FIRST_EVENT_FACTOR * choice.first_s)
+        )
+    return left_s * _FIRST_TRY_PART
+
+
+async def _note_broken(host, job, progress, choice, exc, is_stale):
+    """Take over that an endpoint broke off, and who may have caused it."""
+    now = host.now()
+    endpoint, view = choice.endpoint, choice.view
+    progress.scanner.drop_rest()
+    view.note_result(True, now)
+    progress.tried.add(endpoint.name)
+    log_event(
+        "endpoint_broke_off",
+        request_id=job.request_id,
+        endpoint=endpoint.name,
+        reason=repr(exc),
+        is_stale=is_stale,
+        failure_rate=round(view.failure_rate(now), 2),
+    )
+    if is_stale or isinstance(exc, SilentEndpointError):
+        # Others that have been idle may be closed or silent too.
+        host.pool.drop_idle(endpoint.name)
+        return
+    # Answers get lost at endpoints that live; only a death makes a suspect.
+    if not await host.pool.is_alive(endpoint.name, endpoint.address, now):
+        host.pool.drop_idle(endpoint.name)
+        host.note_death(job, progress, endpoint.name, now)
+
+
+async def _take_answer(host, job, sink, progress, choice, answer, work, sent_at):
+    """Pass an answer on, or return why it cannot be the caller's."""
+    facts, view = answer.facts, choice.view
+    endpoint = choice.endpoint
+    if facts.is_misdirected or facts.is_not_run:
+        progress.may_have_run = progress.may_have_run_before
+        await drain(host, answer)
+        work.is_whole = True
+        progress.tried.add(endpoint.name)
+        if facts.is_misdirected:
+            progress.attempts_left += 1
+            host.note_misdirected(endpoint)
+        else:
+            view.note_result(True, host.now())
+        return Overloaded(
+            detail="the endpoint did not take the request",
+            retry_after_s=_BUSY_RETRY_S * (1 + host.rng.random()),
+        )
+    is_success = 200 <= answer.status < 300
+    if is_success and not facts.is_signed:
+        raise ExchangeError("a success without the endpoint's signature")
+    if not is_success:
+        return await _take_failure(host, job, sink, progress, view, answer, work)
+    if job.is_stream:
+        await pass_stream(host, job, sink, progress, choice, answer, work, sent_at)
+    else:
+        body = await read_body(answer)
+        work.begin()
+        host.placement.note_begun(
+            choice, host.service(job.service), host.now() - sent_at, host.now()
+        )
+        await answer.release(host.now())
+        work.is_whole = True
+        await pass_body(host, sink, progress, answer, body)
+    host.suspects.clear(progress.digest)
+    return None
+
+
+async def _take_failure(host, job, sink, progress, view, answer, work):
+    """Pass an endpoint's own failure on, or return it for another try."""
+    body = await read_body(answer)
+    await answer.release(host.now())
+    work.is_whole = True
+    is_fault = answer.status >= _RETRIED_STATUS
+    view.note_result(is_fault, host.now())
+    is_last = progress.attempts_left <= 0 or not may_repeat(job.route)
+    if is_fault and not is_last and host.retry_budget(job.service).credit >= 1.0:
+        # A random failure of a sound endpoint; it may serve the next try.
+        return EndpointFailed(
+            detail=f"the endpoint answered {answer.status}", outcome=Outcome.UNKNOWN
+        )
+    if progress.has_begun or answer.status in _PROMISES:
+        progress.attempts_left = 0
+        return EndpointFailed(
+            detail=f"the endpoint answered {answer.status}", outcome=Outcome.UNKNOWN
+        )
+    await pass_body(host, sink, progress, answer, body)
+    return None
--- a/tests/serving/test_at_most_once.py
+++ b/tests/serving/test_at_most_once.py
@@ -10,8 +10,9 @@
 import pytest
 import trio
 
+from cactusmill.errors import Outcome, Overloaded
 from cactusmill.internal.http import header, read_body
-from cactusmill.serving import requests
+from cactusmill.serving import progress, requests, sending
 from standins.site import configuration, not_executed, running_site
 
 PROMISES = {408, 421, 429, 503}
@@ -172,16 +173,16 @@
 @pytest.mark.histories
 def test_histories_see_false_promises(monkeypatch):
     monkeypatch.setattr(
-        requests.Progress,
+        progress.Progress,
         "outcome",
-        property(lambda self: requests.Outcome.NOT_RUN),
+        property(lambda self: Outcome.NOT_RUN),
     )
     monkeypatch.setattr(requests, "_final", lambda progress, refusal: refusal)
 
     def forgiving(*, detail, outcome=None, **more):
-        return requests.Overloaded(detail=detail, **more)
+        return Overloaded(detail=detail, **more)
 
-    monkeypatch.setattr(requests, "EndpointFailed", forgiving)
+    monkeypatch.setattr(sending, "EndpointFailed", forgiving)
     with pytest.raises(AssertionError):
         for seed in range(1, 5):
             check_once(*trio.run(play, seed, "order"))
