--- a/src/cactusmill/internal/metrics.py
+++ b/src/cactusmill/internal/metrics.py
@@ -18,6 +18,7 @@
     requests: Counter = attrs.field(init=False)
     first_byte: Histogram = attrs.field(init=False)
     gauges: Gauge = attrs.field(init=False)
+    events: Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         """Create the metrics in the registry."""
@@ -36,6 +37,12 @@
             "cactusmill_state", "Sizes and versions by name.", registry=self.registry
         )
 
+        self.events = Gauge(
+            "cactusmill_events",
+            "Events since the start, as in the log lines.",
+            registry=self.registry,
+        )
+
     def note_request(self, route, result, first_byte_s):
         """Count a request.
 
@@ -52,13 +59,15 @@
         if first_byte_s is not None:
             self.first_byte.observe({"route": route}, first_byte_s)
 
-    def render(self, values):
+    def render(self, values, events=None):
         """Return the page for scrapers.
 
         Parameters
         ----------
         values : dict of str to float
             Present value of each gauge.
+        events : dict of str to int or None
+            How often each event happened.
 
         Returns
         -------
@@ -66,4 +75,6 @@
         """
         for name, value in values.items():
             self.gauges.set({"name": name}, value)
+        for name, count in (events or {}).items():
+            self.events.set({"event": name}, count)
         return render(self.registry, ["text/plain"])[0]
--- a/src/cactusmill/platform/store.py
+++ b/src/cactusmill/platform/store.py
@@ -50,6 +50,7 @@
             wait_for_changes=self.wait_for_changes,
             export=self.export,
             read_export=self.read_export,
+            count_calls=lambda: self._calls.calls,
         )
 
     def export(self):
--- a/src/cactusmill/serving/budgets.py
+++ b/src/cactusmill/serving/budgets.py
@@ -78,6 +78,10 @@
             )
         return self._budgets[service]
 
+    def credit(self):
+        """Return the retries that all services' budgets hold now."""
+        return sum(b.credit for b in self._budgets.values())
+
 
 def cold_users(endpoint_name, host_names):
     """Return the hosts of a region that may use a cold endpoint.
--- a/src/cactusmill/serving/events.py
+++ b/src/cactusmill/serving/events.py
@@ -1,7 +1,12 @@
-"""Log lines as data: one event a decision."""
+"""Log lines as data: one event a decision, counted as well."""
+
+import collections
 
 from absl import logging
 
+# How often each event of this process happened, also if its line was dropped.
+counts = collections.Counter()
+
 
 def log_event(event, **fields):
     """Log one event as a JSON line.
@@ -13,4 +18,5 @@
     **fields
         What decided it, with ages in seconds and versions as numbers.
     """
+    counts[event] += 1
     logging.info(event, extra={"fields": fields})
--- a/src/cactusmill/serving/host.py
+++ b/src/cactusmill/serving/host.py
@@ -301,6 +301,7 @@
             "configuration_version": configuration.version if configuration else 0,
             "revision": self.catalog.revision,
             "platform_answer_age_seconds": now - self.availability.answered_at,
+            "platform_calls": self.source.count_calls(),
             "members_live": len(self.membership.live(now)),
             "members_silent": len(self.membership.silent(now)),
             "endpoints_listed": len(listed),
@@ -308,6 +309,8 @@
             "endpoint_connections_opened": self.pool.opened,
             "caller_connections": len(self.caller_connections),
             "requests_running": len(self.busy_connections),
+            "endpoints_down": self.placement.count_down(now),
+            "retries_left": self.retries.credit(),
         }
 
     # The life of the process.
--- a/src/cactusmill/serving/learning.py
+++ b/src/cactusmill/serving/learning.py
@@ -53,12 +53,15 @@
         host.
     read_export : callable
         ``read_export(data)`` returns the changes in another host's export.
+    count_calls : callable
+        ``count_calls()`` returns the calls made so far.
     """
 
     list_all: object
     wait_for_changes: object
     export: object
     read_export: object
+    count_calls: object
 
 
 @attrs.define(eq=False)
--- a/src/cactusmill/serving/pages.py
+++ b/src/cactusmill/serving/pages.py
@@ -1,6 +1,7 @@
 """Pages that operators and scrapers read from a host."""
 
 from ..internal.operators import TEXT, Page
+from . import events
 
 METRICS_PATH = "/metrics"
 HEALTH_PATH = "/healthz"
@@ -23,7 +24,7 @@
     path = target.partition("?")[0]
     now = host.now()
     if path == METRICS_PATH:
-        return Page(200, host.metrics.render(host.gauges(now)), TEXT)
+        return Page(200, host.metrics.render(host.gauges(now), events.counts), TEXT)
     if path == HEALTH_PATH:
         return Page(200 if host.is_ready(now) else 503, b"{}")
     return Page(404, b"{}")
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -118,6 +118,10 @@
         if started is not None and started != endpoint.started_ms:
             self.view(endpoint.name).forget_parts()
 
+    def count_down(self, now):
+        """Return how many endpoints get nothing since they were unreachable."""
+        return sum(now < v.down_until for v in self._views.values())
+
     def own_work(self):
         """Return this host's requests and prompt tokens, by endpoint key."""
         return {
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -104,7 +104,8 @@
         listen["directory"], "/cactusmill/resolve?name=api.example&region=east"
     )
     assert json.loads(body)["addresses"] == [listen["front"]]
-    assert b"cactusmill_state" in get(f"{IP}:7610", "/metrics")[1]
+    page = get(f"{IP}:7610", "/metrics")[1]
+    assert b"cactusmill_state" in page and b"cactusmill_events" in page
     data = json.loads(settings.read_text())
     settings.write_text(json.dumps({**data, "seeds": ["127.0.2.9:1"]}))
     assert wait_for(process, "reload")["seeds"] == ["127.0.2.9"]
