--- a/src/cactusmill/serving/callers.py
+++ b/src/cactusmill/serving/callers.py
@@ -118,12 +118,14 @@
     refusal = MalformedRequest(status_code=status, detail=problem)
     log_event("request_malformed", status=status, reason=problem)
     if conn.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-        await _send_refusal(host, conn, refusal, "", closes=True)
+        answer = host.dialect.refusal_answer(refusal, "")
+        await _send_refusal(conn, answer, closes=True)
     await linger(conn)
 
 
-async def _send_refusal(host, conn, refusal, request_id, closes):
-    status, headers, body = host.dialect.refusal_answer(refusal, request_id)
+async def _send_refusal(conn, answer, closes):
+    """Send a refusal as the dialect has rendered it."""
+    status, headers, body = answer
     if closes:
         headers = [*headers, (b"connection", b"close")]
     response = h11.Response(status_code=status, headers=headers)
@@ -134,7 +136,7 @@
     """Answer one request and log the decision."""
     head = caller.head
     route = progress = job = None
-    refusal, failure = None, None
+    refusal, failure, answer = None, None, None
     try:
         await _wait_for_configuration(host)
         route, team = _authorize(host, head)
@@ -150,13 +152,15 @@
         failure = exc
     if job is not None and progress is not None and not progress.may_have_run:
         host.give_back(job)
+    if refusal is not None:
+        answer = host.dialect.refusal_answer(refusal, head.request_id)
+        caller.status = answer[0]
     _log_request(host, caller, route, job, progress, refusal, failure)
     if failure is not None:
         raise failure
     if refusal is not None:
         caller.closes = host.is_leaving or _wants_close(event)
-        caller.status = refusal.status
-        await _send_refusal(host, caller.conn, refusal, head.request_id, caller.closes)
+        await _send_refusal(caller.conn, answer, caller.closes)
 
 
 class _Refused(Exception):
@@ -357,7 +361,7 @@
         route=route.name if route else None,
         team=job.team_name if job else None,
         outcome=name,
-        status=refusal.status if refusal else caller.status,
+        status=caller.status,
         detail=refusal.detail if refusal else str(failure or ""),
         not_run=refusal.outcome is Outcome.NOT_RUN if refusal else None,
         retry_after_s=_rounded(refusal.retry_after_s) if refusal else None,
--- a/src/cactusmill/serving/elsewhere.py
+++ b/src/cactusmill/serving/elsewhere.py
@@ -12,8 +12,8 @@
 from .events import log_event
 from .forwarding import forward
 from .passing import pass_body, pass_stream, read_body, stall_s
+from .progress import BUSY_RETRY_S
 
-_BUSY_RETRY_S = 0.3
 # There and back between regions.
 _WAY_MARGIN_S = 0.2
 
@@ -86,10 +86,12 @@
     except ConnectError as exc:
         progress.may_have_run = was_run_before
         progress.sends -= 1
-        return NoEndpoint(detail=str(exc), retry_after_s=_BUSY_RETRY_S)
+        return NoEndpoint(detail=str(exc), retry_after_s=BUSY_RETRY_S)
     except (ExchangeError, LinkClosedError) as exc:
         progress.scanner.drop_rest()
-        progress.attempts_left -= answer is None
+        if answer is None:
+            # With an answer, its attempt has been counted above.
+            progress.attempts_left -= 1
         log_event(
             "forward_broke_off",
             request_id=job.request_id,
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -88,6 +88,7 @@
     _sock: object = None
     _sequence: int = 0
     _newcomers: list = attrs.field(factory=list)
+    _silent: set = attrs.field(factory=set)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Beat and listen until cancelled."""
@@ -103,6 +104,7 @@
         while True:
             await trio.sleep(_HOUSEKEEPING_S)
             now = self.host.now()
+            self._log_silent(now)
             for member in self.host.membership.forget(now):
                 log_event(
                     "host_forgotten",
@@ -110,6 +112,15 @@
                     silent_s=round(now - member.heard_at, 2),
                 )
 
+    def _log_silent(self, now):
+        """Log hosts that have fallen silent, and those that are back."""
+        silent = {m.id.name for m in self.host.membership.silent(now)}
+        for name in sorted(silent - self._silent):
+            log_event("host_silent", host=name)
+        for name in sorted(self._silent - silent):
+            log_event("host_heard_again_or_gone", host=name)
+        self._silent = silent
+
     async def _beat_for_ever(self):
         far_at = seeds_at = tell_at = self.host.now()
         eager_until = far_at + EAGER_S
--- a/src/cactusmill/serving/overload.py
+++ b/src/cactusmill/serving/overload.py
@@ -39,14 +39,28 @@
 
 @attrs.frozen(kw_only=True)
 class Send:
-    """Send the request to an endpoint of the own region."""
+    """Send the request to an endpoint of the own region.
+
+    Attributes
+    ----------
+    choice : Choice
+        The endpoint with what was predicted there.
+    """
 
     choice: object
 
 
 @attrs.frozen(kw_only=True)
 class ForwardTo:
-    """Have a host of another region run it."""
+    """Have a host of another region run it.
+
+    Attributes
+    ----------
+    member : Member
+        The host.
+    wait_s : float
+        The wait that its region tells, in seconds.
+    """
 
     member: object
     wait_s: float
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -6,6 +6,10 @@
 from ..internal.suspects import request_digest
 from .answers import EventScanner
 
+# An endpoint that rejects or cannot be reached is worth another try after about
+# one answer's time.
+BUSY_RETRY_S = 0.3
+
 
 @attrs.define(eq=False)
 class Progress:
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -16,7 +16,7 @@
 from .events import log_event
 from .passing import drain, pass_body, pass_stream, read_body, stall_s
 from .placement import DEFAULT_MEMORY_TOKENS
-from .progress import may_repeat
+from .progress import BUSY_RETRY_S, may_repeat
 
 # A first event later than this many times the prediction, and than the least,
 # is given up where the stream may go on elsewhere.
@@ -24,7 +24,6 @@
 _MIN_FIRST_EVENT_S = 1.5
 # A repeatable request is tried again elsewhere after this part of its time.
 _FIRST_TRY_PART = 0.5
-_BUSY_RETRY_S = 0.3
 # A reused connection that breaks this soon was closed while it was idle.
 _STALE_WITHIN_S = 0.03
 # Statuses that promise that a request has not run. An endpoint's own failure
@@ -72,7 +71,7 @@
             host.pool.drop_idle(endpoint.name)
             progress.tried.add(endpoint.name)
             log_event("endpoint_unreachable", endpoint=endpoint.name, reason=str(exc))
-            return NoEndpoint(detail=str(exc), retry_after_s=_BUSY_RETRY_S)
+            return NoEndpoint(detail=str(exc), retry_after_s=BUSY_RETRY_S)
         progress.sends += 1
         answer = None
         try:
@@ -196,7 +195,7 @@
             view.note_result(True, host.now())
         return Overloaded(
             detail="the endpoint did not take the request",
-            retry_after_s=_BUSY_RETRY_S * (1 + host.rng.random()),
+            retry_after_s=BUSY_RETRY_S * (1 + host.rng.random()),
         )
     is_success = 200 <= answer.status < 300
     if is_success and not facts.is_signed:
--- /dev/null
+++ b/tests/serving/test_events.py
@@ -0,0 +1,66 @@
+"""Every log event is documented, and each decision writes its line."""
+
+import json
+import pathlib
+import re
+
+import pytest
+import trio
+from absl import logging
+
+from standins.site import running_site
+
+ROOT = pathlib.Path(__file__).parents[2]
+EVENT = re.compile(r'log_event\(\s*"(\w+)"')
+
+
+def test_each_event_stands_in_the_page_of_log_lines():
+    page = (ROOT / "docs" / "LOGS.md").read_text(encoding="utf-8")
+    found = {
+        event
+        for path in (ROOT / "src" / "cactusmill").rglob("*.py")
+        for event in EVENT.findall(path.read_text(encoding="utf-8"))
+    }
+    assert len(found) > 25
+    assert not [event for event in sorted(found) if f"`{event}`" not in page]
+
+
+@pytest.fixture
+def lines(monkeypatch):
+    collected = []
+
+    def info(event, extra):
+        collected.append({"event": event, **extra["fields"]})
+
+    monkeypatch.setattr(logging, "info", info)
+    return collected
+
+
+def test_a_request_and_what_changes_belief_write_their_lines(lines):
+    async def main():
+        workers = (("desk-1", "east-a", "desk"),)
+        async with running_site(workers=workers) as site:
+            await site.ask("e1", "/look/1", request_id="good")
+            await site.ask("e1", "/look/1", request_id="bad", key="wrong")
+            site.store.put("op/evacuate/east-a", {})
+            host = site.hosts["e1"]
+            await site.wait_until(lambda: host.catalog.is_evacuated("east-a"))
+            await site.ask("e1", "/look/1", request_id="none")
+
+    trio.run(main)
+    events = {line["event"] for line in lines}
+    assert {
+        "start",
+        "configuration_in_force",
+        "endpoint_listed",
+        "evacuation",
+        "request",
+    } <= events
+    by_id = {x["request_id"]: x for x in lines if x["event"] == "request"}
+    good, bad, none = by_id["good"], by_id["bad"], by_id["none"]
+    assert good["outcome"] == "answered" and good["endpoint"] == "desk-1"
+    assert good["version"] == 1 and good["predicted_s"] > 0
+    assert bad["outcome"] == "UnknownKey" and bad["status"] == 401
+    assert none["outcome"] == "NoEndpoint" and none["status"] == 503
+    assert none["not_run"] and none["retry_after_s"] > 0
+    assert "wrong" not in json.dumps(lines)
