--- a/src/cactusmill/platform/dialect.py
+++ b/src/cactusmill/platform/dialect.py
@@ -25,6 +25,10 @@
         b"expect",
     }
 )
+# Reach the endpoint even if a caller lists them as its connection's own.
+_NEEDED_HEADERS = frozenset(
+    {b"request-id", b"model", b"token-usage", b"prompt-prefix", b"last-event-id"}
+)
 # Engines take urgent requests first: 0 before 9.
 _LAST_RANK = 9
 
@@ -91,12 +95,24 @@
         path=event.target.decode("latin-1").partition("?")[0],
         secret=secret,
         budget_s=None if budget_ms is None else budget_ms / 1000,
-        passed=[(k, v) for k, v in end_to_end(headers) if k not in _OWN_HEADERS]
-        + [(k, v) for k, v in headers if k == b"host"],
+        passed=_passed(headers),
         **_facts(headers),
     )
 
 
+def _passed(headers):
+    """Return the headers of a caller that an endpoint may see."""
+    listed = {
+        name.strip().lower()
+        for key, value in headers
+        if key == b"connection"
+        for name in value.split(b",")
+    }
+    dropped = _OWN_HEADERS | (listed - _NEEDED_HEADERS)
+    passed = [(k, v) for k, v in end_to_end(headers) if k not in dropped]
+    return passed + [(k, v) for k, v in headers if k == b"host"]
+
+
 def head_of_forwarded(headers):
     """Read the headers that another host passed on."""
     return CallerHead(
--- /dev/null
+++ b/tests/platform/test_dialect.py
@@ -0,0 +1,79 @@
+"""Heads of messages as the platform writes them."""
+
+import h11
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from cactusmill.errors import EndpointFailed, Outcome, Overloaded, RequestSuspected
+from cactusmill.platform import dialect
+
+
+def head(*headers):
+    return dialect.read_head(
+        h11.Request(
+            method="POST",
+            target="/a/b?c=d",
+            headers=[("host", "API.example:80"), ("request-id", "r-1"), *headers],
+        )
+    )
+
+
+def test_facts_of_a_prompt():
+    found = head(
+        ("model", "m"),
+        ("token-usage", "1460,80"),
+        ("prompt-prefix", "5c:800,91:410,e4:250"),
+        ("length-hint", "40"),
+        ("deadline-ms", "5000"),
+        ("authorization", "Token secret"),
+    )
+    assert found.host == "api.example" and found.path == "/a/b"
+    assert found.secret == b"secret" and found.budget_s == 5.0
+    assert found.size_tokens == 1540 and found.output_tokens == 40
+    assert found.parts == (("5c", 800), ("91", 410), ("e4", 250))
+
+
+@pytest.mark.parametrize("text", ["x", "1", "1,", ",", "a,b", "1,2,3"])
+def test_unreadable_sizes_count_as_not_stated(text):
+    assert head(("token-usage", text)).size_tokens is None
+
+
+def test_headers_of_the_connection_alone_stay_behind():
+    found = head(
+        ("connection", "x-hop, request-id, keep-alive"),
+        ("x-hop", "1"),
+        ("x-end", "2"),
+        ("keep-alive", "timeout=5"),
+        ("pin-ms", "4000"),
+        ("kv-from", "10.0.0.1:1/x"),
+        ("tenant", "forged"),
+    )
+    names = [name for name, _ in found.passed]
+    assert sorted(names) == [b"host", b"request-id", b"x-end"]
+
+
+@given(st.binary(max_size=40))
+def test_any_header_value_is_read(value):
+    try:
+        h11.Request(method="GET", target="/", headers=[("host", "x"), ("a", value)])
+    except h11.LocalProtocolError:
+        return
+    for name in ("token-usage", "prompt-prefix", "deadline-ms", "authorization"):
+        head((name, value))
+    dialect.read_answer(200, [(b"keep-alive", value), (b"instance-load", value)])
+
+
+@pytest.mark.parametrize(
+    ("refusal", "status"),
+    [
+        (Overloaded(detail="x", outcome=Outcome.NOT_RUN), 503),
+        (Overloaded(detail="x", outcome=Outcome.UNKNOWN), 502),
+        (EndpointFailed(detail="x", outcome=Outcome.UNKNOWN), 502),
+        (EndpointFailed(detail="x", outcome=Outcome.NOT_RUN), 503),
+        (RequestSuspected(detail="x", outcome=Outcome.NOT_RUN), 503),
+        (RequestSuspected(detail="x", outcome=Outcome.UNKNOWN), 502),
+    ],
+)
+def test_status_promises_just_what_is_known(refusal, status):
+    assert dialect.refusal_answer(refusal, "r")[0] == status
