Name nobody while all hosts of a name's homes are leaving

All configured regions are ranked now; while hosts of the best are leaving nobody else is named, so that callers keep their addresses for the second until a restart. Regions that are lost are stood in for as before. The test fails without it.

--- a/src/cactusmill/serving/host.py
+++ b/src/cactusmill/serving/host.py
@@ -287,10 +287,24 @@
         return [f"{h.ip}:{port}" for h in near]
 
     def _stand_ins(self, name, hosts):
-        """Return hosts of the regions that may run most routes under a name."""
+        """Return hosts of the regions that may run most routes under a name.
+
+        Where those regions' hosts are all leaving, others take their place
+        within seconds; until then callers keep the addresses that they have,
+        so that no body is sent outside its homes. Where they are lost, hosts of
+        any region serve what they may.
+        """
         bound = [r.regions for r in self.catalog.routes_of(name) if r.regions]
-        count = {h.region: sum(h.region in regions for regions in bound) for h in hosts}
-        return [h for h in hosts if count[h.region] == max(count.values())]
+        count = {
+            region: sum(region in regions for regions in bound)
+            for region in {*self.cfg.zones.values(), *(h.region for h in hosts)}
+        }
+        homes = {region for region in count if count[region] == max(count.values())}
+        named = [h for h in hosts if h.region in homes]
+        leaving = {m.id.region for m in self.membership.known() if m.is_leaving}
+        if self.is_leaving:
+            leaving.add(self.cfg.region)
+        return named if named or homes & leaving else hosts
 
     def gauges(self, now):
         """Return sizes, ages and versions by name, for metrics."""
--- a/tests/serving/test_whole_path.py
+++ b/tests/serving/test_whole_path.py
@@ -5,6 +5,7 @@
 import trio
 
 from cactusmill.internal.http import client_connection, header, read_body
+from cactusmill.platform.entrance import answer
 from standins.site import (
     KEY,
     ask_on,
@@ -541,6 +542,28 @@
     on_site(body, hosts=(*BOTH, ("n1", "north-a")), published=bound)
 
 
+def test_directory_names_nobody_rather_than_hosts_outside_the_homes():
+    # Found by a hunt: all hosts of both homes were leaving at once, and callers
+    # were named the hosts of the third region.
+    async def body(site):
+        for name in ("e1", "w1"):
+            site.hosts[name].is_leaving = True
+        last = site.hosts["n1"]
+        await site.wait_until(lambda: not last.membership.serving(last.now()), 2.0)
+        assert not last.hosts_for_callers("api.example", "east", last.now())
+        assert answer(last, "/cactusmill/resolve?name=api.example&region=east")[0] == (
+            503
+        )
+        named = last.hosts_for_callers("api.example", "north", last.now())
+        assert named == [last.cfg.callers]
+
+    bound = configuration()
+    for route in bound["routes"]:
+        if route["name"] == "bound":
+            route["allowed_regions"] = ["east", "west"]
+    on_site(body, hosts=(*BOTH, ("n1", "north-a")), published=bound)
+
+
 def test_killed_host_is_named_no_more():
     async def body(site):
         site.scopes["w1"].cancel()
