Let a leaving host end the requests that others forwarded to it

The test fails without it. Ruled out: the grace time (the host ended 5.6 s before it), the endpoint (its run was cut by the connection's end).

--- a/src/cactusmill/serving/host.py
+++ b/src/cactusmill/serving/host.py
@@ -107,6 +107,7 @@
     left_at: float = float("inf")
     caller_connections: set = attrs.field(factory=set)
     busy_connections: set = attrs.field(factory=set)
+    forwards_running: int = 0
     catalog: Catalog = attrs.field(factory=Catalog)
     availability: Availability = attrs.field(factory=Availability)
     suspects: Suspects = attrs.field(factory=Suspects)
@@ -124,7 +125,6 @@
     _deaths: dict = attrs.field(factory=dict)
     _fresh_suspects: dict = attrs.field(factory=dict)
     _accepting: trio.CancelScope = attrs.field(factory=trio.CancelScope)
-    _forwards: int = 0
 
     def __attrs_post_init__(self):
         """Create the parts that depend on the settings."""
@@ -323,6 +323,7 @@
             "endpoint_connections_opened": self.pool.opened,
             "caller_connections": len(self.caller_connections),
             "requests_running": len(self.busy_connections),
+            "forwards_running": self.forwards_running,
             "endpoints_down": self.placement.count_down(now),
             "retries_left": self.retries.credit(),
         }
@@ -395,7 +396,7 @@
         for conn in self.caller_connections - self.busy_connections:
             await conn.close()
         ends_at = self.left_at + self.cfg.grace_s - _END_MARGIN_S
-        while self.now() < ends_at and (self.busy_connections or self._forwards):
+        while self.now() < ends_at and (self.busy_connections or self.forwards_running):
             await trio.sleep(_POLL_S)
 
 
@@ -410,7 +411,11 @@
     job = attrs.evolve(job, service=choose_service(job.route, host.rng))
     progress = new_progress(job, attempts)
     progress.scanner.last_id = last_event_id
-    refusal = await run(host, job, sink, progress, is_forwarded=True)
+    host.forwards_running += 1
+    try:
+        refusal = await run(host, job, sink, progress, is_forwarded=True)
+    finally:
+        host.forwards_running -= 1
     log_event(
         "forwarded_request",
         request_id=job.request_id,
--- a/tests/serving/test_whole_path.py
+++ b/tests/serving/test_whole_path.py
@@ -599,6 +599,27 @@
     on_site(body, workers=WORKERS)
 
 
+def test_leaving_host_ends_the_requests_that_others_forwarded():
+    # Found by a hunt: a host that left counted its own callers only, and cut
+    # the streams that it ran for hosts of another region.
+    async def body(site):
+        engine, far = site.workers["engine-w"], site.hosts["w1"]
+        engine.event_gap_s, engine.events = 0.05, 54
+        replies = []
+
+        async def ask():
+            replies.append(await site.ask("e1", "/chat/1", model="m", budget_ms=5000))
+
+        site.nursery.start_soon(ask)
+        await site.wait_until(lambda: engine.runs)
+        await far.shut_down()
+        await site.wait_until(lambda: replies, 5.0)
+        assert replies[0].is_whole
+        assert replies[0].body == b"".join(event(n) for n in range(1, 55))
+
+    on_site(body, hosts=BOTH, workers=(("engine-w", "west-a", "engines"),))
+
+
 def test_deadline_gives_a_final_answer_at_once():
     async def body(site):
         site.workers["desk-1"].work_s = 5.0
