Remove what nothing uses; one way to keep an idle connection

Read as a newcomer: the host's traffic counter, the time of the configuration, the list of evacuated zones and the fresh-connection switch had no reader; the pace at which engines read prompts was said to be measured, but nothing ever wrote it, so it is a constant now, as it was in fact.

--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -125,14 +125,11 @@
     ----------
     configuration : Configuration or None
         None until the first one is known.
-    configured_at : float
-        When the configuration in force was learned, in seconds.
     revision : int
         Highest revision that was applied.
     """
 
     configuration: Configuration | None = None
-    configured_at: float = 0.0
     revision: int = 0
     _endpoints: dict = attrs.field(factory=dict)
     _removed: dict = attrs.field(factory=dict)
@@ -158,18 +155,18 @@
         self.revision = max(self.revision, change.revision)
         match change:
             case ConfigurationPublished():
-                return self._take_configuration(change.configuration, now)
+                return self._take_configuration(change.configuration)
             case EndpointPublished():
                 return self._take_endpoint(change, now)
             case EvacuationPublished():
                 return self._take_evacuation(change)
         return False
 
-    def _take_configuration(self, configuration, now):
+    def _take_configuration(self, configuration):
         held = self.configuration
         if held is not None and configuration.version <= held.version:
             return False
-        self.configuration, self.configured_at = configuration, now
+        self.configuration = configuration
         routes = {}
         for route in configuration.routes:
             routes.setdefault(route.host, []).append(route)
@@ -249,10 +246,6 @@
         """Tell whether a zone's endpoints are to get nothing."""
         return self._evacuations.get(zone, (0, False))[1]
 
-    def evacuated_zones(self):
-        """Return the zones whose endpoints are to get nothing."""
-        return sorted(z for z, (_, is_on) in self._evacuations.items() if is_on)
-
     def listed_for(self, service):
         """Return the listed endpoints of a service.
 
--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -109,7 +109,7 @@
         share = max(1, int(max_connections * _CONNECTION_PART / hosts))
         return self._in_use.get(name, 0) < share
 
-    async def take(self, name, address, now, is_fresh=False):
+    async def take(self, name, address, now):
         """Return a connection and whether it was used before.
 
         Raises
@@ -118,7 +118,7 @@
             If none could be opened; the endpoint has received nothing.
         """
         idle = self._idle.get(name, ())
-        while idle and not is_fresh:
+        while idle:
             entry = idle.pop()
             if now < entry.until and _is_quiet(entry.conn.stream):
                 self._count(name, 1)
@@ -141,10 +141,13 @@
             return False
         watch_silence(stream)
         self.opened += 1
-        entry = _Idle(client_connection(stream), now + _DEFAULT_IDLE_S * _IDLE_PART)
-        self._idle.setdefault(name, collections.deque()).append(entry)
+        self._put_idle(name, client_connection(stream), _DEFAULT_IDLE_S, now)
         return True
 
+    def _put_idle(self, name, conn, idle_s, now):
+        until = now + min(_MAX_IDLE_S, idle_s * _IDLE_PART)
+        self._idle.setdefault(name, collections.deque()).append(_Idle(conn, until))
+
     def _count(self, name, step):
         self._in_use[name] = self._in_use.get(name, 0) + step
 
@@ -167,8 +170,7 @@
         self._count(name, -1)
         conn.h11.start_next_cycle()
         idle_s = _DEFAULT_IDLE_S if facts.idle_s is None else facts.idle_s
-        until = now + min(_MAX_IDLE_S, idle_s * _IDLE_PART)
-        self._idle.setdefault(name, collections.deque()).append(_Idle(conn, until))
+        self._put_idle(name, conn, idle_s, now)
 
     def drop_idle(self, name):
         """Close the idle connections to an endpoint."""
--- a/src/cactusmill/serving/host.py
+++ b/src/cactusmill/serving/host.py
@@ -6,7 +6,6 @@
 import attrs
 import trio
 
-from ..internal.link import Traffic
 from ..internal.metrics import Metrics
 from ..internal.net import TCP
 from ..internal.suspects import Suspects
@@ -112,7 +111,6 @@
     availability: Availability = attrs.field(factory=Availability)
     suspects: Suspects = attrs.field(factory=Suspects)
     metrics: Metrics = attrs.field(factory=Metrics)
-    traffic: Traffic = attrs.field(factory=Traffic)
     membership: Membership = attrs.field(init=False)
     placement: Placement = attrs.field(init=False)
     quotas: Quotas = attrs.field(init=False)
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -14,8 +14,8 @@
 from .budgets import cold_users
 from .endpoint_view import FIRST_EVENT_GAP_S, EndpointView
 
-# Prompt tokens that an engine reads per second, until measured.
-FIRST_PACE_TOKENS_PER_S = 70_000.0
+# Prompt tokens that an engine reads per second; each endpoint's bias corrects it.
+PACE_TOKENS_PER_S = 70_000.0
 # Time to the first event of an empty prompt, until corrected by the bias.
 FIRST_EVENT_S = 0.06
 # A plain service's answer takes this long, until measured.
@@ -99,7 +99,6 @@
     host_name: str
     started_at: float = float("-inf")
     _views: dict = attrs.field(factory=dict)
-    _pace: dict = attrs.field(factory=dict)
     _answer_s: dict = attrs.field(factory=dict)
     _started: dict = attrs.field(factory=dict)
 
@@ -205,7 +204,7 @@
             score = (
                 choice.first_s
                 + _FAILURE_COST_S * view.failure_rate(now)
-                + _REREAD_WEIGHT * choice.unread_tokens / self.pace(service.name)
+                + _REREAD_WEIGHT * choice.unread_tokens / PACE_TOKENS_PER_S
                 + _DELAY_WEIGHT * choice.delay_s
                 + _OVERTIME_WEIGHT * max(0.0, now + choice.whole_s - job.deadline)
             )
@@ -254,8 +253,8 @@
             unread = unread_tokens(job, view, is_preferred)
             events = job.output_tokens / service.event_tokens
             rest_s = events * view.event_gap_s(now)
-            delay_s = in_flight * unread / self.pace(service.name)
-            raw_s = FIRST_EVENT_S + (queued + unread) / self.pace(service.name)
+            delay_s = in_flight * unread / PACE_TOKENS_PER_S
+            raw_s = FIRST_EVENT_S + (queued + unread) / PACE_TOKENS_PER_S
         else:
             unread, rest_s, delay_s = 0, 0.0, 0.0
             took_s = self._answer_s.get(service.name, FIRST_SERVICE_S)
@@ -271,14 +270,10 @@
             unread_tokens=unread,
             whole_s=first_s + rest_s,
             gap_s=view.event_gap_s(now),
-            work_s=unread / self.pace(service.name),
+            work_s=unread / PACE_TOKENS_PER_S,
             delay_s=delay_s,
         )
 
-    def pace(self, service_name):
-        """Return the prompt tokens that a service's engines read per second."""
-        return self._pace.get(service_name, FIRST_PACE_TOKENS_PER_S)
-
     def note_begun(self, choice, service, took_s, now):
         """Take over how long an answer took to begin."""
         choice.view.note_result(False, now)
@@ -314,7 +309,7 @@
             if now < view.down_until or self._cold(entry, service, sharers, now)[0]:
                 continue
             in_flight, queued = self._work_at(view, near, now)
-            wait_s = FIRST_EVENT_S + queued / self.pace(service.name)
+            wait_s = FIRST_EVENT_S + queued / PACE_TOKENS_PER_S
             if not service.is_engine:
                 took_s = self._answer_s.get(service.name, FIRST_SERVICE_S)
                 wait_s = took_s * max(0.0, in_flight / entry.endpoint.capacity)
