Log when, and on what belief about its warm-up, a request was sent

The lines request and forwarded_request name the time of the send, the entry's revision and the hosts that shared the warm-up rate; a gauge counts the endpoints taken for warming, since the lines of a busy host are cut first.

--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -393,6 +393,11 @@
         predicted_s=_round_to_ms(progress.ttft_s) if progress else None,
         predicted_end_s=_round_to_ms(progress.total_s) if progress else None,
         unread_tokens=progress.uncached_tokens if progress else None,
+        sent_s=_round_to_ms(progress.sent_at - caller.began_at)
+        if progress and progress.sent_at is not None
+        else None,
+        entry_revision=progress.entry_revision if progress else None,
+        warmup_hosts=progress.warmup_hosts if progress else None,
         gap_s=_round_to_ms(progress.max_event_gap_s) if progress else None,
         cost_tokens=req.cost_tokens if req else None,
         version=req.records_version if req else None,
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -401,6 +401,11 @@
             "requests_running": len(self.busy_connections),
             "forwards_running": self.forwards_running,
             "endpoints_down": self.placement.count_unreachable(now),
+            "endpoints_warming": self.placement.count_warming(
+                self.catalog, configuration.services.values(), now
+            )
+            if configuration
+            else 0,
             "retries_left": self.retry_budgets.credit(),
         }
 
@@ -498,6 +503,7 @@
     progress = new_progress(req, attempts)
     progress.scanner.last_id = last_event_id
     host.forwards_running += 1
+    began_at = host.now()
     try:
         refusal = await run_request(host, req, sink, progress, is_forwarded=True)
     finally:
@@ -508,5 +514,11 @@
         outcome=refusal.type_name if refusal else "answered",
         endpoint=progress.endpoint,
         sends=progress.sends,
+        took_s=round(host.now() - began_at, 3),
+        sent_s=None
+        if progress.sent_at is None
+        else round(progress.sent_at - began_at, 3),
+        entry_revision=progress.entry_revision,
+        warmup_hosts=progress.warmup_hosts,
     )
     return refusal
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -101,6 +101,8 @@
         up; 0 if it is warm.
     sharing_hosts : int
         Number of hosts that share the warm-up rate, at least 1.
+    entry_revision : int
+        Revision of the endpoint's entry.
     failure_cost_s : float
         Expected cost of a failure or rejection (the endpoint's failure rate times
         the cost of a failure), as an equivalent wait in seconds.
@@ -117,6 +119,7 @@
     stream_delay_s: float = 0.0
     warmup_rate_per_s: float = 0.0
     sharing_hosts: int = 1
+    entry_revision: int = 0
     failure_cost_s: float = 0.0
 
 
@@ -279,6 +282,7 @@
                 choice,
                 warmup_rate_per_s=warmup_rate_per_s,
                 sharing_hosts=max(1, sharing_hosts),
+                entry_revision=entry.revision,
             )
             score = (
                 choice.ttft_s
@@ -329,6 +333,29 @@
         """
         return [self.host_name] + [m.id.name for m in membership.region_members()]
 
+    def _is_warming(self, entry, service, now):
+        """Return whether an endpoint accepts only its service's warm-up rate."""
+        until = entry.learned_at + entry.endpoint.warmup_left_s
+        return service.warmup_rate_per_s > 0 and now < until
+
+    def count_warming(self, catalog, services, now):
+        """Return how many of the region's endpoints are taken for warming.
+
+        Parameters
+        ----------
+        catalog : Catalog
+            Configuration and endpoints in force.
+        services : iterable of Service
+            The services.
+        now : float
+            Current time, in seconds.
+        """
+        return sum(
+            self._is_warming(entry, service, now)
+            for service in services
+            for entry in self.eligible_endpoints(catalog, service.name, now)
+        )
+
     def _warmup_share(self, entry, service, host_names, now):
         """Return the warm-up rate of an endpoint and the number of hosts sharing it.
 
@@ -336,8 +363,7 @@
         send: it is not among the hosts that `warmup_hosts` selects, or has just
         started and does not know the other hosts yet.
         """
-        is_warming = now < entry.learned_at + entry.endpoint.warmup_left_s
-        if not is_warming or service.warmup_rate_per_s <= 0:
+        if not self._is_warming(entry, service, now):
             return 0.0, 1
         if now - self.started_at < WARMUP_HOLDOFF_S:
             return service.warmup_rate_per_s, 0
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -42,6 +42,13 @@
         seconds, of the latest attempt.
     uncached_tokens : int
         Predicted uncached prompt tokens of the latest attempt.
+    sent_at : float or None
+        When the latest attempt was sent, in seconds.
+    entry_revision : int
+        Revision of the endpoint's entry that decided the latest attempt.
+    warmup_hosts : int
+        Hosts that shared the endpoint's warm-up rate in the latest attempt; 0 if this
+        host took it for warm.
     max_event_gap_s : float or None
         Longest time between two chunks of a stream, in seconds.
     """
@@ -59,6 +66,9 @@
     ttft_s: float | None = None
     total_s: float | None = None
     uncached_tokens: int = 0
+    sent_at: float | None = None
+    entry_revision: int = 0
+    warmup_hosts: int = 0
     max_event_gap_s: float | None = None
 
     @property
--- a/tests/serving/test_placement.py
+++ b/tests/serving/test_placement.py
@@ -204,6 +204,19 @@
     assert choose(host, req(), now=5.0) is None
 
 
+def test_warming_endpoints_are_counted(host):
+    placement, catalog, _ = host
+    assert placement.count_warming(catalog, [ENGINE], 1.0) == 0
+    change = EndpointChange(
+        revision=9,
+        name="e1",
+        endpoint=attrs.evolve(catalog.listed()[0].endpoint, warmup_left_s=2.0),
+    )
+    catalog.apply(change, 1.0)
+    assert placement.count_warming(catalog, [ENGINE], 2.9) == 1
+    assert placement.count_warming(catalog, [ENGINE], 3.1) == 0
+
+
 def times_sent_to_warming(hosts, started_at, seconds=3.0):
     """Return when hosts with pending requests send to one warming endpoint."""
     sent = []
