--- /dev/null
+++ b/tests/serving/test_source_sync.py
@@ -0,0 +1,198 @@
+"""What hosts conclude from published changes, whatever the order and delay of news."""
+
+import attrs
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from cactusmill.records import CallerLimits, Endpoint, Service
+from cactusmill.serving.catalog import (
+    Configuration,
+    ConfigurationChange,
+    EndpointChange,
+    EvacuationChange,
+)
+from cactusmill.serving.gateway_host import GatewayHost, HostSettings
+from cactusmill.serving.source_sync import apply_changes
+from standins.loopback import ZONES
+
+from .test_membership import host_id
+from .test_placement import req
+
+WARMUP_S, WARMUP_RATE_PER_S, WARMUP_OVERAGE, WARMUP_SLACK = 3.0, 3.3, 1.5, 3.0
+SERVICE = Service(
+    name="engines",
+    is_engine=True,
+    warmup_s=WARMUP_S,
+    warmup_rate_per_s=WARMUP_RATE_PER_S,
+)
+ENDPOINT = Endpoint(
+    name="e1",
+    zone="east-a",
+    region="east",
+    address="127.0.0.1:1",
+    serves=("engines",),
+    capacity=128,
+)
+# Time from a heartbeat of an endpoint until every host has applied it.
+HEARTBEAT_S = 1.2
+
+
+def entry(revision, warmup_left_s=0.0):
+    endpoint = attrs.evolve(ENDPOINT, warmup_left_s=warmup_left_s)
+    return EndpointChange(revision=revision, name="e1", endpoint=endpoint)
+
+
+def evacuation(revision, is_evacuated):
+    return EvacuationChange(revision=revision, zone="east-a", is_evacuated=is_evacuated)
+
+
+@attrs.define
+class Clock:
+    now: float = 0.0
+
+
+def new_host(name, clock, others=()):
+    """Return a host that knows the service and other hosts of its region."""
+    cfg = HostSettings(
+        host=name,
+        ip="127.0.0.1",
+        zone="east-a",
+        region="east",
+        callers="127.0.0.1:1",
+        peers="127.0.0.1:2",
+        seeds=(),
+        zones=ZONES,
+    )
+    host = GatewayHost(cfg, None, None, now=lambda: clock.now)
+    for other in others:
+        host.membership.record_host(host_id(other), False, 0.0, clock.now)
+    configuration = Configuration(
+        version=1,
+        routes=(),
+        teams={},
+        team_by_key={},
+        services={"engines": SERVICE},
+        limits=CallerLimits(),
+    )
+    change = ConfigurationChange(revision=1, configuration=configuration)
+    apply_changes(host, [change])
+    return host
+
+
+def new_hosts(count, clock):
+    names = [f"h{number}" for number in range(count)]
+    return [new_host(n, clock, others=set(names) - {n}) for n in names]
+
+
+def send_if_possible(host, now):
+    """Send one of many waiting requests; return whether an endpoint took it."""
+    listed = host.placement.eligible_endpoints(host.catalog, "engines", now)
+    choice = host.placement.choose(req(), SERVICE, listed, host.membership, now)
+    if choice is None:
+        return False
+    if choice.warmup_rate_per_s:
+        choice.view.pacer.record_sent(
+            choice.warmup_rate_per_s, choice.sharing_hosts, now
+        )
+    return True
+
+
+def times_sent(hosts, clock, news, until):
+    """Return when hosts with many waiting requests send to the endpoint.
+
+    Parameters
+    ----------
+    hosts : list of GatewayHost
+    clock : Clock
+    news : list of (float, GatewayHost, change)
+        When which host applies which change, in seconds.
+    until : float
+        End, in seconds.
+    """
+    sent = []
+    news = sorted(news, key=lambda n: n[0])
+    while clock.now < until:
+        while news and news[0][0] <= clock.now:
+            _, host, change = news.pop(0)
+            apply_changes(host, [change])
+        sent += [clock.now for host in hosts if send_if_possible(host, clock.now)]
+        clock.now += 0.02
+    return sent
+
+
+def assert_within_warmup_rate(sent, cold_until):
+    while_cold = [at for at in sent if at < cold_until]
+    for start in while_cold:
+        inside = sum(start <= at < start + 1.0 for at in while_cold)
+        assert inside <= WARMUP_RATE_PER_S * WARMUP_OVERAGE + WARMUP_SLACK
+
+
+def test_zone_reopened_before_news_of_its_cold_endpoint_does_not_flood_it():
+    # Incident inc-9b16: the endpoint became cold while the store was away, and hosts
+    # learned of the end of the evacuation 0.3 s before they learned of that.
+    clock = Clock()
+    hosts = new_hosts(2, clock)
+    for host in hosts:
+        apply_changes(host, [entry(1), evacuation(2, True)])
+    clock.now = 10.0
+    news = [
+        (10.0, hosts[0], evacuation(3, False)),
+        (10.2, hosts[1], evacuation(3, False)),
+        (10.3, hosts[0], entry(4, warmup_left_s=0.95)),
+        (10.4, hosts[1], entry(4, warmup_left_s=0.95)),
+    ]
+    sent = times_sent(hosts, clock, news, until=11.5)
+    assert sent
+    assert_within_warmup_rate(sent, cold_until=11.2)
+
+
+reopenings = given(
+    learn_s=st.lists(st.floats(0, 1.5), min_size=1, max_size=4),
+    publish_s=st.floats(-2, 4),
+    cold_s=st.floats(0, WARMUP_S),
+    delay_s=st.floats(0, 1),
+)
+
+
+def replay_reopening(learn_s, publish_s, cold_s, delay_s):
+    """Replay a zone's return at 10 s, with an endpoint that became cold before.
+
+    Parameters
+    ----------
+    learn_s : list of float
+        When each host learns of the return, in seconds after it.
+    publish_s : float
+        When the endpoint's entry says for the first time that it is cold, in seconds
+        after the return.
+    cold_s : float
+        How long it has been cold at the return, in seconds.
+    delay_s : float
+        Time from a publication until the hosts learn of it, in seconds.
+    """
+    clock = Clock()
+    hosts = new_hosts(len(learn_s), clock)
+    for host in hosts:
+        apply_changes(host, [entry(1), evacuation(2, True)])
+    cold_until = 10.0 - cold_s + WARMUP_S
+    news = [
+        (10.0 + s, h, evacuation(50, False))
+        for s, h in zip(learn_s, hosts, strict=True)
+    ]
+    at, revision = 10.0 + max(publish_s, -cold_s), 3
+    while at < cold_until + HEARTBEAT_S:
+        change = entry(
+            revision if at < 10.0 else 50 + revision, max(0.0, cold_until - at)
+        )
+        news += [(at + delay_s, host, change) for host in hosts]
+        at, revision = at + HEARTBEAT_S, revision + 1
+    clock.now = 7.0
+    sent = times_sent(hosts, clock, news, until=cold_until + 0.1)
+    assert_within_warmup_rate(sent, cold_until)
+
+
+@reopenings
+@settings(deadline=None)
+def test_reopened_zone_keeps_to_the_warmup_rate_in_any_order_of_news(
+    learn_s, publish_s, cold_s, delay_s
+):
+    replay_reopening(learn_s, publish_s, cold_s, delay_s)
