Do not take endpoints of a reopened zone for warm by entries from before its reopening

Cause: whether an endpoint is warm was read from its newest known entry, however old. The endpoint became cold while the store was away and could not publish it; the operators' call that ended the evacuation got through first. Until the endpoint's next heartbeat (up to 1.2 s and the way) every host of the region sent without a pace.

Ruled out: hosts that did not know each other (both divided by 2 as soon as they had the entry).

An entry that is older than the end of its zone's evacuation no longer shows that the endpoint is warm: it counts as warming until a newer entry comes or its service's warm-up time has passed since the host learned of the end, which covers the whole of it, since it began before. The listed tests failed before (29 and 51 requests in a second) and pass now; without the mark the search finds the flood again. Ends that only a listing shows count too, and are logged.

--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -94,12 +94,41 @@
         When this host first applied the entry, in seconds.
     removed_at : float or None
         When this host applied its removal, in seconds; None before.
+    reopened_at : float
+        When this host learned that an evacuation of its zone had ended after the
+        entry was published, in seconds; minus infinity if none has.
     """
 
     endpoint: Endpoint
     revision: int
     learned_at: float
     removed_at: float | None = None
+    reopened_at: float = float("-inf")
+
+    def warming_until(self, warmup_s):
+        """Return the time until which the endpoint may be warming up, in seconds.
+
+        Endpoints may become cold during an evacuation of their zone, and what they
+        publish then may reach the source after the end of the evacuation does. An
+        entry from before that end does not show that the endpoint is warm.
+
+        Parameters
+        ----------
+        warmup_s : float
+            Warm-up time of its service, in seconds.
+        """
+        return max(
+            self.learned_at + self.endpoint.warmup_left_s, self.reopened_at + warmup_s
+        )
+
+
+@attrs.frozen
+class _Evacuation:
+    """Newest evacuation of a zone, or its end, with the time when it was learned."""
+
+    revision: int
+    is_evacuated: bool
+    learned_at: float
 
 
 def key_digest(secret):
@@ -117,6 +146,12 @@
     return hashlib.sha256(secret).hexdigest()
 
 
+def _mark_reopened(listed, evacuation):
+    """Record the end of an evacuation if the entry was published before it."""
+    if listed.revision <= evacuation.revision:
+        listed.reopened_at = evacuation.learned_at
+
+
 @attrs.define(eq=False)
 class Catalog:
     """Configuration, endpoints and evacuations in force on this host.
@@ -158,7 +193,7 @@
             case EndpointChange():
                 return self._apply_endpoint(change, now)
             case EvacuationChange():
-                return self._apply_evacuation(change)
+                return self._apply_evacuation(change, now)
         return False
 
     def mark_synced_to(self, revision):
@@ -187,9 +222,11 @@
             return False
         if change.endpoint is not None:
             self._removed.pop(change.name, None)
-            self._endpoints[change.name] = ListedEndpoint(
-                change.endpoint, change.revision, now
-            )
+            listed = ListedEndpoint(change.endpoint, change.revision, now)
+            self._endpoints[change.name] = listed
+            evacuation = self._evacuations.get(change.endpoint.zone)
+            if evacuation is not None and not evacuation.is_evacuated:
+                _mark_reopened(listed, evacuation)
         elif current is not None:
             current.revision = change.revision
             current.removed_at = now
@@ -203,12 +240,20 @@
             self._removed.pop(next(iter(self._removed)))
         self._removed[name] = revision
 
-    def _apply_evacuation(self, change):
-        revision, is_evacuated = self._evacuations.get(change.zone, (0, False))
-        if change.revision <= revision:
+    def _apply_evacuation(self, change, now):
+        known = self._evacuations.get(change.zone)
+        if known is not None and change.revision <= known.revision:
             return False
-        self._evacuations[change.zone] = (change.revision, change.is_evacuated)
-        return change.is_evacuated != is_evacuated
+        self._set_evacuation(change, now)
+        return change.is_evacuated != (known is not None and known.is_evacuated)
+
+    def _set_evacuation(self, change, now):
+        evacuation = _Evacuation(change.revision, change.is_evacuated, now)
+        self._evacuations[change.zone] = evacuation
+        if not change.is_evacuated:
+            for listed in self._endpoints.values():
+                if listed.endpoint.zone == change.zone:
+                    _mark_reopened(listed, evacuation)
 
     def _index_by_service(self):
         names = {}
@@ -230,14 +275,24 @@
             Revision of the log before the listing began; later entries stay.
         now : float
             Current time, in seconds.
+
+        Returns
+        -------
+        list of EvacuationChange
+            The ends of evacuations that this applied.
         """
         for name, listed in list(self._endpoints.items()):
             is_absent = name not in names and listed.revision <= revision
             if is_absent and listed.removed_at is None:
                 listed.removed_at = now
-        for zone, (known_revision, is_evacuated) in list(self._evacuations.items()):
-            if is_evacuated and zone not in zones and known_revision <= revision:
-                self._evacuations[zone] = (revision, False)
+        ended = [
+            EvacuationChange(revision=revision, zone=zone, is_evacuated=False)
+            for zone, known in self._evacuations.items()
+            if known.is_evacuated and zone not in zones and known.revision <= revision
+        ]
+        for change in ended:
+            self._set_evacuation(change, now)
+        return ended
 
     def forget_removed(self, before):
         """Delete endpoints removed before a time in seconds, keeping revisions."""
@@ -249,7 +304,8 @@
 
     def is_evacuated(self, zone):
         """Return whether a zone is evacuated, so that its endpoints get no requests."""
-        return self._evacuations.get(zone, (0, False))[1]
+        known = self._evacuations.get(zone)
+        return known is not None and known.is_evacuated
 
     def listed_for(self, service):
         """Return the listed endpoints of a service.
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -334,9 +334,9 @@
         return [self.host_name] + [m.id.name for m in membership.region_members()]
 
     def _is_warming(self, entry, service, now):
-        """Return whether an endpoint accepts only its service's warm-up rate."""
-        until = entry.learned_at + entry.endpoint.warmup_left_s
-        return service.warmup_rate_per_s > 0 and now < until
+        """Return whether an endpoint may accept only its service's warm-up rate."""
+        is_limited = service.warmup_rate_per_s > 0
+        return is_limited and now < entry.warming_until(service.warmup_s)
 
     def count_warming(self, catalog, services, now):
         """Return how many of the region's endpoints are taken for warming.
--- a/src/cactusmill/serving/source_sync.py
+++ b/src/cactusmill/serving/source_sync.py
@@ -259,7 +259,8 @@
     apply_changes(host, changes)
     names = {c.name for c in changes if isinstance(c, EndpointChange)}
     zones = {c.zone for c in changes if isinstance(c, EvacuationChange)}
-    host.catalog.keep_only(names, zones, revision, host.now())
+    for change in host.catalog.keep_only(names, zones, revision, host.now()):
+        _log_change(change)
 
 
 def apply_changes(host, changes):
--- a/tests/serving/test_source_sync.py
+++ b/tests/serving/test_source_sync.py
@@ -1,10 +1,12 @@
 """What hosts conclude from published changes, whatever the order and delay of news."""
 
 import attrs
+import pytest
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
 from cactusmill.records import CallerLimits, Endpoint, Service
+from cactusmill.serving import catalog as catalog_module
 from cactusmill.serving.catalog import (
     Configuration,
     ConfigurationChange,
@@ -196,3 +198,37 @@
     learn_s, publish_s, cold_s, delay_s
 ):
     replay_reopening(learn_s, publish_s, cold_s, delay_s)
+
+
+def test_reopened_zone_is_flooded_if_entries_from_before_its_end_are_believed(
+    monkeypatch,
+):
+    monkeypatch.setattr(catalog_module, "_mark_reopened", lambda *_: None)
+    with pytest.raises(AssertionError):
+        replay_reopening(learn_s=[0.0], publish_s=0.0, cold_s=0.0, delay_s=1.0)
+
+
+def is_paced(host, now):
+    listed = host.placement.eligible_endpoints(host.catalog, "engines", now)
+    choice = host.placement.choose(req(), SERVICE, listed, host.membership, now)
+    return choice.warmup_rate_per_s > 0
+
+
+def test_end_of_an_evacuation_that_only_a_listing_shows_counts():
+    clock = Clock(20.0)
+    host = new_host("h1", clock)
+    host.placement.started_at = 0.0
+    apply_changes(host, [entry(2), evacuation(3, True)])
+    ended = host.catalog.keep_only({"e1"}, set(), 3, clock.now)
+    assert ended == [evacuation(3, False)]
+    assert is_paced(host, 20.1) and not is_paced(host, 20.1 + WARMUP_S)
+
+
+def test_old_entry_that_arrives_after_the_end_of_an_evacuation_does_not_count_as_warm():
+    clock = Clock(20.0)
+    host = new_host("h1", clock)
+    host.placement.started_at = 0.0
+    apply_changes(host, [evacuation(3, False), entry(2)])
+    assert is_paced(host, 20.1) and not is_paced(host, 20.1 + WARMUP_S)
+    apply_changes(host, [entry(4)])
+    assert not is_paced(host, 20.2)
