Count requests from just before the news of a warm-up towards its rate

An endpoint may become cold at any moment, and its entry says so up to a heartbeat later.

The pacer now also hears of requests that were sent while the endpoint was taken for warm, and leaves a window of the rate, one second, after the last of them.

--- a/src/cactusmill/serving/budgets.py
+++ b/src/cactusmill/serving/budgets.py
@@ -18,6 +18,8 @@
 _MAX_EARNED_CREDIT = 5.0
 # At most this many hosts send to a warming endpoint, one request at a time each.
 _MAX_WARMUP_HOSTS = 3
+# Time in which an endpoint counts the requests towards its warm-up rate.
+_WARMUP_WINDOW_S = 1.0
 
 
 @attrs.define
@@ -127,3 +129,11 @@
             Current time, in seconds.
         """
         self.next_at = now + hosts / rate_per_s
+
+    def record_unpaced(self, now):
+        """Record a request to the endpoint while it was taken for warm.
+
+        If it turns out to warm up, the requests of the last moments count towards
+        its rate.
+        """
+        self.next_at = now + _WARMUP_WINDOW_S
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -122,6 +122,13 @@
     entry_revision: int = 0
     failure_cost_s: float = 0.0
 
+    def record_sent(self, now):
+        """Count a request that is sent to the endpoint towards its warm-up rate."""
+        if self.warmup_rate_per_s:
+            self.view.pacer.record_sent(self.warmup_rate_per_s, self.sharing_hosts, now)
+        else:
+            self.view.pacer.record_unpaced(now)
+
 
 @attrs.define(eq=False)
 class Placement:
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -62,8 +62,7 @@
     progress.total_s, progress.uncached_tokens = choice.total_s, choice.uncached_tokens
     progress.sent_at, progress.entry_revision = sent_at, choice.entry_revision
     progress.warmup_hosts = choice.sharing_hosts if choice.warmup_rate_per_s else 0
-    if choice.warmup_rate_per_s:
-        view.pacer.record_sent(choice.warmup_rate_per_s, choice.sharing_hosts, sent_at)
+    choice.record_sent(sent_at)
     load = InFlightLoad(view, choice.uncached_tokens)
     try:
         try:
--- a/tests/serving/test_source_sync.py
+++ b/tests/serving/test_source_sync.py
@@ -92,10 +92,7 @@
     choice = host.placement.choose(req(), SERVICE, listed, host.membership, now)
     if choice is None:
         return False
-    if choice.warmup_rate_per_s:
-        choice.view.pacer.record_sent(
-            choice.warmup_rate_per_s, choice.sharing_hosts, now
-        )
+    choice.record_sent(now)
     return True
 
 
@@ -148,6 +145,17 @@
     assert_within_warmup_rate(sent, cold_until=11.2)
 
 
+def test_requests_sent_before_news_of_the_warm_up_count_towards_its_rate():
+    clock = Clock(10.0)
+    hosts = new_hosts(2, clock)
+    news = [(10.0, host, entry(1)) for host in hosts]
+    news += [(10.05, host, entry(2, warmup_left_s=2.0)) for host in hosts]
+    sent = times_sent(hosts, clock, news, until=12.0)
+    assert sum(at < 10.05 for at in sent) == 6
+    assert sum(at > 10.05 for at in sent) >= 2
+    assert_within_warmup_rate(sent, cold_until=12.0)
+
+
 reopenings = given(
     learn_s=st.lists(st.floats(0, 1.5), min_size=1, max_size=4),
     publish_s=st.floats(-2, 4),
