Take an endpoint that was unreachable for warming until its entry is renewed

A failed connection, a crash that is found after a broken exchange and the first connection after a failure now put the entry in doubt, as the end of an evacuation does. The doubt ends with a newer entry, or after the service's warm-up time. An endpoint that was only cut off is paced for that long as well: what was out of reach can't be told from what started again.

--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -94,23 +94,24 @@
         When this host first applied the entry, in seconds.
     removed_at : float or None
         When this host applied its removal, in seconds; None before.
-    reopened_at : float
-        When this host learned that an evacuation of its zone had ended after the
-        entry was published, in seconds; minus infinity if none has.
+    doubted_at : float
+        When this host last observed something that may have made the endpoint cold
+        after the entry was published, in seconds; minus infinity if nothing has.
     """
 
     endpoint: Endpoint
     revision: int
     learned_at: float
     removed_at: float | None = None
-    reopened_at: float = float("-inf")
+    doubted_at: float = float("-inf")
 
     def warming_until(self, warmup_s):
         """Return the time until which the endpoint may be warming up, in seconds.
 
-        Endpoints may become cold during an evacuation of their zone, and what they
-        publish then may reach the source after the end of the evacuation does. An
-        entry from before that end does not show that the endpoint is warm.
+        An entry does not show that the endpoint is warm after something that may have
+        made it cold: the end of an evacuation of its zone, during which it may become
+        cold, or its return after it was unreachable, since it may have restarted. What
+        it publishes may reach the source only later.
 
         Parameters
         ----------
@@ -118,9 +119,13 @@
             Warm-up time of its service, in seconds.
         """
         return max(
-            self.learned_at + self.endpoint.warmup_left_s, self.reopened_at + warmup_s
+            self.learned_at + self.endpoint.warmup_left_s, self.doubted_at + warmup_s
         )
 
+    def doubt(self, now):
+        """Record that the endpoint may have become cold unknown to its entry."""
+        self.doubted_at = max(self.doubted_at, now)
+
 
 @attrs.frozen
 class _Evacuation:
@@ -146,10 +151,10 @@
     return hashlib.sha256(secret).hexdigest()
 
 
-def _mark_reopened(listed, evacuation):
-    """Record the end of an evacuation if the entry was published before it."""
+def _doubt_if_older(listed, evacuation):
+    """Doubt an entry that was published before the end of an evacuation."""
     if listed.revision <= evacuation.revision:
-        listed.reopened_at = evacuation.learned_at
+        listed.doubt(evacuation.learned_at)
 
 
 @attrs.define(eq=False)
@@ -226,7 +231,7 @@
             self._endpoints[change.name] = listed
             evacuation = self._evacuations.get(change.endpoint.zone)
             if evacuation is not None and not evacuation.is_evacuated:
-                _mark_reopened(listed, evacuation)
+                _doubt_if_older(listed, evacuation)
         elif current is not None:
             current.revision = change.revision
             current.removed_at = now
@@ -253,7 +258,7 @@
         if not change.is_evacuated:
             for listed in self._endpoints.values():
                 if listed.endpoint.zone == change.zone:
-                    _mark_reopened(listed, evacuation)
+                    _doubt_if_older(listed, evacuation)
 
     def _index_by_service(self):
         names = {}
--- a/src/cactusmill/serving/endpoint_view.py
+++ b/src/cactusmill/serving/endpoint_view.py
@@ -74,6 +74,11 @@
         self._failures += 1
         self.backoff_until = now + backoff_s
 
+    @property
+    def was_unreachable(self):
+        """Whether connections have failed since the last success."""
+        return self._failures > 0
+
     def record_result(self, is_failure, now):
         """Update the failure rate; a success also ends the backoff."""
         rate = self.failure_rate(now)
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -101,8 +101,8 @@
         up; 0 if it is warm.
     sharing_hosts : int
         Number of hosts that share the warm-up rate, at least 1.
-    entry_revision : int
-        Revision of the endpoint's entry.
+    entry : ListedEndpoint
+        The endpoint's entry in the catalog.
     failure_cost_s : float
         Expected cost of a failure or rejection (the endpoint's failure rate times
         the cost of a failure), as an equivalent wait in seconds.
@@ -119,7 +119,7 @@
     stream_delay_s: float = 0.0
     warmup_rate_per_s: float = 0.0
     sharing_hosts: int = 1
-    entry_revision: int = 0
+    entry: object = None
     failure_cost_s: float = 0.0
 
     def record_sent(self, now):
@@ -168,6 +168,16 @@
                 del self._views[name]
                 self._endpoint_started_ms.pop(name, None)
 
+    def record_unreachable(self, entry, now):
+        """Avoid an endpoint for a while after a failed connection."""
+        self.view(entry.endpoint.name).record_unreachable(now)
+        entry.doubt(now)
+
+    def record_connected(self, entry, now):
+        """Record a new connection to an endpoint, which may have restarted before."""
+        if self.view(entry.endpoint.name).was_unreachable:
+            entry.doubt(now)
+
     def update_endpoint(self, endpoint):
         """Clear the cached segments of an endpoint whose entry has a new start time.
 
@@ -289,7 +299,7 @@
                 choice,
                 warmup_rate_per_s=warmup_rate_per_s,
                 sharing_hosts=max(1, sharing_hosts),
-                entry_revision=entry.revision,
+                entry=entry,
             )
             score = (
                 choice.ttft_s
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -60,7 +60,7 @@
     sent_at = host.now()
     progress.endpoint, progress.ttft_s = endpoint.name, choice.ttft_s
     progress.total_s, progress.uncached_tokens = choice.total_s, choice.uncached_tokens
-    progress.sent_at, progress.entry_revision = sent_at, choice.entry_revision
+    progress.sent_at, progress.entry_revision = sent_at, choice.entry.revision
     progress.warmup_hosts = choice.sharing_hosts if choice.warmup_rate_per_s else 0
     choice.record_sent(sent_at)
     load = InFlightLoad(view, choice.uncached_tokens)
@@ -70,11 +70,13 @@
                 endpoint.name, endpoint.address, sent_at
             )
         except ConnectError as exc:
-            view.record_unreachable(host.now())
+            host.placement.record_unreachable(choice.entry, host.now())
             host.pool.close_idle(endpoint.name)
             progress.tried.add(endpoint.name)
             log_event("endpoint_unreachable", endpoint=endpoint.name, reason=str(exc))
             return NoEndpoint(detail=str(exc), retry_after_s=BUSY_RETRY_S)
+        if not was_used:
+            host.placement.record_connected(choice.entry, host.now())
         progress.sends += 1
         response = None
         try:
@@ -192,6 +194,7 @@
     # A live endpoint may lose a response; only a crash makes the request a suspect.
     if not await host.pool.is_alive(endpoint.name, endpoint.address, now):
         host.pool.close_idle(endpoint.name)
+        choice.entry.doubt(now)
         host.record_crash(req, progress, endpoint.name, now)
 
 
--- a/tests/serving/test_source_sync.py
+++ b/tests/serving/test_source_sync.py
@@ -211,15 +211,13 @@
 def test_reopened_zone_is_flooded_if_entries_from_before_its_end_are_believed(
     monkeypatch,
 ):
-    monkeypatch.setattr(catalog_module, "_mark_reopened", lambda *_: None)
+    monkeypatch.setattr(catalog_module, "_doubt_if_older", lambda *_: None)
     with pytest.raises(AssertionError):
         replay_reopening(learn_s=[0.0], publish_s=0.0, cold_s=0.0, delay_s=1.0)
 
 
 def is_paced(host, now):
-    listed = host.placement.eligible_endpoints(host.catalog, "engines", now)
-    choice = host.placement.choose(req(), SERVICE, listed, host.membership, now)
-    return choice.warmup_rate_per_s > 0
+    return host.placement.count_warming(host.catalog, [SERVICE], now) == 1
 
 
 def test_end_of_an_evacuation_that_only_a_listing_shows_counts():
@@ -240,3 +238,41 @@
     assert is_paced(host, 20.1) and not is_paced(host, 20.1 + WARMUP_S)
     apply_changes(host, [entry(4)])
     assert not is_paced(host, 20.2)
+
+
+def replay_lost_endpoint(host_count, lost, news):
+    """Replay an endpoint that is unreachable from 10 to 11 s and returns cold.
+
+    Parameters
+    ----------
+    host_count : int
+        Hosts that share the endpoint.
+    lost : list of int
+        Hosts whose attempts fail meanwhile; the others make none.
+    news : list of (float, change)
+        What all hosts learn, and when.
+    """
+    clock = Clock(10.0)
+    hosts = new_hosts(host_count, clock)
+    for host in hosts:
+        apply_changes(host, [entry(1)])
+    for number in lost:
+        listed = hosts[number].catalog.listed()[0]
+        hosts[number].placement.record_unreachable(listed, clock.now)
+    clock.now = 11.0
+    for number in lost:
+        listed = hosts[number].catalog.listed()[0]
+        hosts[number].placement.record_connected(listed, clock.now)
+    news = [(at, host, change) for at, change in news for host in hosts]
+    return times_sent(hosts, clock, news, until=14.0)
+
+
+def test_endpoint_that_was_unreachable_is_not_flooded_on_its_return():
+    sent = replay_lost_endpoint(2, lost=[0, 1], news=[])
+    assert sent
+    assert_within_warmup_rate(sent, cold_until=14.0)
+
+
+def test_new_entry_of_a_returned_endpoint_says_whether_it_is_warm():
+    sent = replay_lost_endpoint(2, lost=[0, 1], news=[(11.5, entry(2))])
+    assert sum(at > 11.5 for at in sent) > 100
