Tell the region's other hosts which entries are in doubt

What may have made an endpoint cold is observed by some hosts only: a failed connection by those that tried, the end of an evacuation not by a process that starts after it, whose listing shows no trace of one.

Heartbeats inside a region name the entries that the sender doubts, by revision and age. Only own observations are passed on, so doubts cannot keep each other alive. A host of an older build skips the field.

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -180,6 +180,13 @@
   6: required list<ServiceWait> waits
 }
 
+// An entry, by its revision, whose endpoint may have become cold since it was
+// published, and the time since the sender last observed a reason for that.
+struct EntryDoubt {
+  1: required i64 entry_revision
+  2: required i32 age_ms
+}
+
 // A heartbeat of gossip. Sent as one datagram, several times a second within a region
 // and less often to other regions: the sender, the hosts that it knows and the state
 // that hosts share.
@@ -200,6 +207,7 @@
   12: optional i32 source_age_ms
   // True while the source does not respond to the sender.
   13: optional bool source_failing
+  14: optional list<EntryDoubt> doubts
 }
 
 union Frame {
--- a/src/cactusmill/internal/wire/ttypes.py
+++ b/src/cactusmill/internal/wire/ttypes.py
@@ -2469,6 +2469,90 @@
         return not (self == other)
 
 
+class EntryDoubt(object):
+    """
+    Attributes:
+     - entry_revision
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'entry_revision',
+        'age_ms',
+    )
+
+
+    def __init__(self, entry_revision=None, age_ms=None,):
+        self.entry_revision = entry_revision
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.entry_revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EntryDoubt')
+        if self.entry_revision is not None:
+            oprot.writeFieldBegin('entry_revision', TType.I64, 1)
+            oprot.writeI64(self.entry_revision)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.entry_revision is None:
+            raise TProtocolException(message='Required field entry_revision is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Beat(object):
     """
     Attributes:
@@ -2484,6 +2568,7 @@
      - regions
      - source_age_ms
      - source_failing
+     - doubts
 
     """
 
@@ -2500,10 +2585,11 @@
         'regions',
         'source_age_ms',
         'source_failing',
+        'doubts',
     )
 
 
-    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, suspects=None, regions=None, source_age_ms=None, source_failing=None,):
+    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, suspects=None, regions=None, source_age_ms=None, source_failing=None, doubts=None,):
         self.sender = sender
         self.sequence = sequence
         self.ready = ready
@@ -2516,6 +2602,7 @@
         self.regions = regions
         self.source_age_ms = source_age_ms
         self.source_failing = source_failing
+        self.doubts = doubts
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2617,6 +2704,17 @@
                     self.source_failing = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 14:
+                if ftype == TType.LIST:
+                    self.doubts = []
+                    (_etype96, _size93) = iprot.readListBegin()
+                    for _i97 in range(_size93):
+                        _elem98 = EntryDoubt()
+                        _elem98.read(iprot)
+                        self.doubts.append(_elem98)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2650,36 +2748,36 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter93 in self.members:
-                iter93.write(oprot)
+            for iter99 in self.members:
+                iter99.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter94 in self.demands:
-                iter94.write(oprot)
+            for iter100 in self.demands:
+                iter100.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter95 in self.work:
-                iter95.write(oprot)
+            for iter101 in self.work:
+                iter101.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.suspects is not None:
             oprot.writeFieldBegin('suspects', TType.LIST, 10)
             oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter96 in self.suspects:
-                iter96.write(oprot)
+            for iter102 in self.suspects:
+                iter102.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.regions is not None:
             oprot.writeFieldBegin('regions', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.regions))
-            for iter97 in self.regions:
-                iter97.write(oprot)
+            for iter103 in self.regions:
+                iter103.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.source_age_ms is not None:
@@ -2690,6 +2788,13 @@
             oprot.writeFieldBegin('source_failing', TType.BOOL, 13)
             oprot.writeBool(self.source_failing)
             oprot.writeFieldEnd()
+        if self.doubts is not None:
+            oprot.writeFieldBegin('doubts', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.doubts))
+            for iter104 in self.doubts:
+                iter104.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3160,6 +3265,12 @@
     (5, TType.LIST, 'demands', (TType.STRUCT, [TeamDemand, None], False), None, ),  # 5
     (6, TType.LIST, 'waits', (TType.STRUCT, [ServiceWait, None], False), None, ),  # 6
 )
+all_structs.append(EntryDoubt)
+EntryDoubt.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'entry_revision', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
 all_structs.append(Beat)
 Beat.thrift_spec = (
     None,  # 0
@@ -3176,6 +3287,7 @@
     (11, TType.LIST, 'regions', (TType.STRUCT, [RegionSummary, None], False), None, ),  # 11
     (12, TType.I32, 'source_age_ms', None, None, ),  # 12
     (13, TType.BOOL, 'source_failing', None, None, ),  # 13
+    (14, TType.LIST, 'doubts', (TType.STRUCT, [EntryDoubt, None], False), None, ),  # 14
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -97,6 +97,8 @@
     doubted_at : float
         When this host last observed something that may have made the endpoint cold
         after the entry was published, in seconds; minus infinity if nothing has.
+    peers_doubted_at : float
+        The same for what other hosts of the region observed, in seconds.
     """
 
     endpoint: Endpoint
@@ -104,6 +106,7 @@
     learned_at: float
     removed_at: float | None = None
     doubted_at: float = float("-inf")
+    peers_doubted_at: float = float("-inf")
 
     def warming_until(self, warmup_s):
         """Return the time until which the endpoint may be warming up, in seconds.
@@ -119,7 +122,9 @@
             Warm-up time of its service, in seconds.
         """
         return max(
-            self.learned_at + self.endpoint.warmup_left_s, self.doubted_at + warmup_s
+            self.learned_at + self.endpoint.warmup_left_s,
+            self.doubted_at + warmup_s,
+            self.peers_doubted_at + warmup_s,
         )
 
     def doubt(self, now):
@@ -325,6 +330,38 @@
         """Return all listed endpoints, including removed ones that are still kept."""
         return list(self._endpoints.values())
 
+    def doubts(self, now):
+        """Return the entries that this host doubts, the latest doubt first.
+
+        A doubt lasts for the longest warm-up time of all services.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        list of ListedEndpoint
+        """
+        services = self.configuration.services.values() if self.configuration else ()
+        since = now - max((s.warmup_s for s in services), default=0.0)
+        doubted = [e for e in self._endpoints.values() if e.doubted_at > since]
+        return sorted(doubted, key=lambda e: -e.doubted_at)
+
+    def merge_doubts(self, doubted_at):
+        """Apply doubts of other hosts about entries that this host still has.
+
+        Parameters
+        ----------
+        doubted_at : dict of int to float
+            When another host doubted an entry, in seconds, by revision.
+        """
+        for listed in self._endpoints.values():
+            at = doubted_at.get(listed.revision)
+            if at is not None:
+                listed.peers_doubted_at = max(listed.peers_doubted_at, at)
+
     def route_for(self, host, path):
         """Return the route with the longest matching prefix, or None."""
         for route in self._routes_by_host.get(host, ()):
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -6,7 +6,8 @@
 - the demand of each team, in tokens requested per second;
 - the sender's requests in flight at each endpoint and their prompt tokens;
 - the shortest predicted wait of each service in a region;
-- crash suspects: digests of requests that were running when an endpoint crashed.
+- crash suspects: digests of requests that were running when an endpoint crashed;
+- doubts: entries of endpoints that may have become cold since they were published.
 
 Hosts of one region exchange demands and loads individually, and pass on the totals of
 other regions. Hosts of other regions receive the totals of the sender's region. A
@@ -24,6 +25,7 @@
 from ..internal.wire.ttypes import (
     Beat,
     EndpointWork,
+    EntryDoubt,
     Frame,
     MemberNote,
     RegionSummary,
@@ -67,6 +69,7 @@
 MAX_ENDPOINT_LOADS = 40
 MAX_WAITS = 8
 MAX_SUSPECTS = 8
+MAX_DOUBTS = 40
 _MAX_I32 = 2**31 - 1
 _MAX_DATAGRAM_BYTES = 64 * 1024
 _MAINTENANCE_INTERVAL_S = 0.5
@@ -299,8 +302,10 @@
                 for key, (in_flight, tokens) in local_load
             ]
             regions = host.membership.regions() if with_regions else []
+            doubts = host.catalog.doubts(now)[:MAX_DOUBTS]
         else:
             regions = [self._own_totals(now)]
+            doubts = []
         source = host.source_health
         return Beat(
             sender=_member_entry(host.membership.own_id, host.is_leaving, 0.0),
@@ -325,6 +330,11 @@
             if source.failing_since is not None or source.responded_at == float("-inf")
             else int((now - source.responded_at) * 1000),
             source_failing=source.failing_since is not None,
+            doubts=[
+                EntryDoubt(entry.revision, int((now - entry.doubted_at) * 1000))
+                for entry in doubts
+            ]
+            or None,
         )
 
     def _select_entries(self, now, max_others):
@@ -430,5 +440,12 @@
             host.source_health.remote_failure_at = now
         for summary in heartbeat.regions or ():
             host.membership.record_region(_read_summary(summary, now))
+        if heartbeat.doubts:
+            host.catalog.merge_doubts(
+                {
+                    d.entry_revision: now - max(0, d.age_ms) / 1000
+                    for d in heartbeat.doubts
+                }
+            )
         for suspect in heartbeat.suspects or ():
             host.merge_suspect(suspect.digest, suspect.deaths, now)
--- a/tests/serving/test_source_sync.py
+++ b/tests/serving/test_source_sync.py
@@ -259,20 +259,50 @@
     for number in lost:
         listed = hosts[number].catalog.listed()[0]
         hosts[number].placement.record_unreachable(listed, clock.now)
+    clock.now = 10.1
+    exchange_heartbeats(hosts, clock.now)
     clock.now = 11.0
     for number in lost:
         listed = hosts[number].catalog.listed()[0]
         hosts[number].placement.record_connected(listed, clock.now)
+    exchange_heartbeats(hosts, clock.now)
     news = [(at, host, change) for at, change in news for host in hosts]
     return times_sent(hosts, clock, news, until=14.0)
 
 
+def exchange_heartbeats(hosts, now):
+    for sender in hosts:
+        heartbeat = sender.gossip.build_heartbeat(now, is_same_region=True)
+        for receiver in hosts:
+            receiver.gossip.apply_heartbeat(heartbeat, now)
+
+
 def test_endpoint_that_was_unreachable_is_not_flooded_on_its_return():
     sent = replay_lost_endpoint(2, lost=[0, 1], news=[])
     assert sent
     assert_within_warmup_rate(sent, cold_until=14.0)
 
 
+def test_hosts_hear_of_an_endpoint_that_was_unreachable_for_another_host():
+    sent = replay_lost_endpoint(3, lost=[1], news=[])
+    assert sent
+    assert_within_warmup_rate(sent, cold_until=14.0)
+
+
 def test_new_entry_of_a_returned_endpoint_says_whether_it_is_warm():
     sent = replay_lost_endpoint(2, lost=[0, 1], news=[(11.5, entry(2))])
     assert sum(at > 11.5 for at in sent) > 100
+
+
+def test_new_host_hears_of_a_zone_that_was_reopened_before_it_started():
+    clock = Clock(10.0)
+    hosts = new_hosts(2, clock)
+    apply_changes(hosts[0], [entry(1), evacuation(2, True), evacuation(3, False)])
+    clock.now = 10.5
+    # The listing of a new process does not show that there was an evacuation.
+    apply_changes(hosts[1], [entry(1)])
+    exchange_heartbeats(hosts, clock.now)
+    sent = times_sent(hosts, clock, [], until=13.0)
+    assert sent
+    assert_within_warmup_rate(sent, cold_until=13.0)
+    assert is_paced(hosts[1], 12.9) and not is_paced(hosts[1], 13.1)
