Doubt entries only for ends of evacuations that a host saw itself

A process that starts while the store is away gets all items from another host, also tombstones of evacuations that ended long ago. The new test failed before.

Only the change from evacuated to not evacuated counts now.

--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -134,11 +134,22 @@
 
 @attrs.frozen
 class _Evacuation:
-    """Newest evacuation of a zone, or its end, with the time when it was learned."""
+    """Newest evacuation of a zone, or its end.
+
+    Attributes
+    ----------
+    revision : int
+        Revision of its start or end.
+    is_evacuated : bool
+        Whether the zone is evacuated.
+    reopened_at : float
+        When this host saw the end, in seconds; minus infinity if it has not, as a
+        process that started later.
+    """
 
     revision: int
     is_evacuated: bool
-    learned_at: float
+    reopened_at: float = float("-inf")
 
 
 def key_digest(secret):
@@ -159,7 +170,7 @@
 def _doubt_if_older(listed, evacuation):
     """Doubt an entry that was published before the end of an evacuation."""
     if listed.revision <= evacuation.revision:
-        listed.doubt(evacuation.learned_at)
+        listed.doubt(evacuation.reopened_at)
 
 
 @attrs.define(eq=False)
@@ -235,7 +246,7 @@
             listed = ListedEndpoint(change.endpoint, change.revision, now)
             self._endpoints[change.name] = listed
             evacuation = self._evacuations.get(change.endpoint.zone)
-            if evacuation is not None and not evacuation.is_evacuated:
+            if evacuation is not None:
                 _doubt_if_older(listed, evacuation)
         elif current is not None:
             current.revision = change.revision
@@ -254,16 +265,18 @@
         known = self._evacuations.get(change.zone)
         if known is not None and change.revision <= known.revision:
             return False
+        was_evacuated = self.is_evacuated(change.zone)
         self._set_evacuation(change, now)
-        return change.is_evacuated != (known is not None and known.is_evacuated)
+        return change.is_evacuated != was_evacuated
 
     def _set_evacuation(self, change, now):
-        evacuation = _Evacuation(change.revision, change.is_evacuated, now)
+        evacuation = _Evacuation(change.revision, change.is_evacuated)
+        if self.is_evacuated(change.zone) and not change.is_evacuated:
+            evacuation = attrs.evolve(evacuation, reopened_at=now)
         self._evacuations[change.zone] = evacuation
-        if not change.is_evacuated:
-            for listed in self._endpoints.values():
-                if listed.endpoint.zone == change.zone:
-                    _doubt_if_older(listed, evacuation)
+        for listed in self._endpoints.values():
+            if listed.endpoint.zone == change.zone:
+                _doubt_if_older(listed, evacuation)
 
     def _index_by_service(self):
         names = {}
--- a/tests/serving/test_source_sync.py
+++ b/tests/serving/test_source_sync.py
@@ -234,12 +234,19 @@
     clock = Clock(20.0)
     host = new_host("h1", clock)
     host.placement.started_at = 0.0
-    apply_changes(host, [evacuation(3, False), entry(2)])
+    apply_changes(host, [evacuation(2, True), evacuation(3, False), entry(1)])
     assert is_paced(host, 20.1) and not is_paced(host, 20.1 + WARMUP_S)
     apply_changes(host, [entry(4)])
     assert not is_paced(host, 20.2)
 
 
+def test_end_of_an_earlier_evacuation_raises_no_doubt_in_a_new_process():
+    # An export of another host contains ends of evacuations of any age.
+    host = new_host("h1", Clock(20.0))
+    apply_changes(host, [evacuation(3, False), entry(2)])
+    assert not is_paced(host, 20.1) and not host.catalog.doubts(20.1)
+
+
 def replay_lost_endpoint(host_count, lost, news):
     """Replay an endpoint that is unreachable from 10 to 11 s and returns cold.
 
