--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -207,6 +207,7 @@
   12: optional i32 source_age_ms
   // True while the source does not respond to the sender.
   13: optional bool source_failing
+  // What the sender itself observed, not what other hosts reported. Absent if none.
   14: optional list<EntryDoubt> doubts
 }
 
--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -168,7 +168,7 @@
 
 
 def _doubt_if_older(listed, evacuation):
-    """Doubt an entry that was published before the end of an evacuation."""
+    """Doubt an entry that was published before an end that this host saw."""
     if listed.revision <= evacuation.revision:
         listed.doubt(evacuation.reopened_at)
 
