Tell a refused connection from other failures again

With trio 0.35 the cause of a failed connection is a group of the errors of all attempts, no longer the single error, so ConnectRefusedError was never raised over TCP: a crashed endpoint could not be told from one that is cut off, and the product's own interface counted no crash suspects outside of simulated networks.

--- a/src/cactusmill/internal/net.py
+++ b/src/cactusmill/internal/net.py
@@ -44,11 +44,18 @@
         with trio.fail_after(timeout_s):
             return await trio.open_tcp_stream(ip, port)
     except (OSError, trio.TooSlowError) as exc:
-        if isinstance(exc.__cause__, ConnectionRefusedError):
+        if _is_refused(exc):
             raise ConnectRefusedError(f"{address} refuses connections") from exc
         raise ConnectError(f"no connection to {address}: {exc}") from exc
 
 
+def _is_refused(exc):
+    """Return whether all attempts behind an error of `open_tcp_stream` were refused."""
+    cause = exc.__cause__
+    causes = cause.exceptions if isinstance(cause, BaseExceptionGroup) else [cause]
+    return all(isinstance(c, ConnectionRefusedError) for c in causes)
+
+
 async def _serve_tcp(
     address, handler, handler_nursery=None, task_status=trio.TASK_STATUS_IGNORED
 ):
