Pace what refused a connection only, and report reopened zones, not entries in doubt

Every failed connection put an entry in doubt, also a time-out; and doubts were told to the region.

Now a refusal alone makes an entry count for old: nothing listens, so what listens later has started anew. It is not told to others.

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -180,11 +180,12 @@
   6: required list<ServiceWait> waits
 }
 
-// An entry, by its revision, whose endpoint may have become cold since it was
-// published, and the time since the sender last observed a reason for that.
-struct EntryDoubt {
-  1: required i64 entry_revision
-  2: required i32 age_ms
+// A zone whose evacuation ended, the revision of the end and the time since a host saw
+// it.
+struct ZoneReopening {
+  1: required string zone
+  2: required i64 revision
+  3: required i32 age_ms
 }
 
 // A heartbeat of gossip. Sent as one datagram, several times a second within a region
@@ -207,8 +208,8 @@
   12: optional i32 source_age_ms
   // True while the source does not respond to the sender.
   13: optional bool source_failing
-  // What the sender itself observed, not what other hosts reported. Absent if none.
-  14: optional list<EntryDoubt> doubts
+  // Zones that reopened within a warm-up time. Absent if none.
+  14: optional list<ZoneReopening> reopened
 }
 
 union Frame {
--- a/src/cactusmill/internal/wire/ttypes.py
+++ b/src/cactusmill/internal/wire/ttypes.py
@@ -2469,22 +2469,25 @@
         return not (self == other)
 
 
-class EntryDoubt(object):
+class ZoneReopening(object):
     """
     Attributes:
-     - entry_revision
+     - zone
+     - revision
      - age_ms
 
     """
 
     __slots__ = (
-        'entry_revision',
+        'zone',
+        'revision',
         'age_ms',
     )
 
 
-    def __init__(self, entry_revision=None, age_ms=None,):
-        self.entry_revision = entry_revision
+    def __init__(self, zone=None, revision=None, age_ms=None,):
+        self.zone = zone
+        self.revision = revision
         self.age_ms = age_ms
 
     def read(self, iprot):
@@ -2497,11 +2500,16 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.I64:
-                    self.entry_revision = iprot.readI64()
+                if ftype == TType.STRING:
+                    self.zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
+                if ftype == TType.I64:
+                    self.revision = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
                 if ftype == TType.I32:
                     self.age_ms = iprot.readI32()
                 else:
@@ -2515,21 +2523,27 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('EntryDoubt')
-        if self.entry_revision is not None:
-            oprot.writeFieldBegin('entry_revision', TType.I64, 1)
-            oprot.writeI64(self.entry_revision)
+        oprot.writeStructBegin('ZoneReopening')
+        if self.zone is not None:
+            oprot.writeFieldBegin('zone', TType.STRING, 1)
+            oprot.writeString(self.zone.encode('utf-8') if sys.version_info[0] == 2 else self.zone)
+            oprot.writeFieldEnd()
+        if self.revision is not None:
+            oprot.writeFieldBegin('revision', TType.I64, 2)
+            oprot.writeI64(self.revision)
             oprot.writeFieldEnd()
         if self.age_ms is not None:
-            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
             oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.entry_revision is None:
-            raise TProtocolException(message='Required field entry_revision is unset!')
+        if self.zone is None:
+            raise TProtocolException(message='Required field zone is unset!')
+        if self.revision is None:
+            raise TProtocolException(message='Required field revision is unset!')
         if self.age_ms is None:
             raise TProtocolException(message='Required field age_ms is unset!')
         return
@@ -2568,7 +2582,7 @@
      - regions
      - source_age_ms
      - source_failing
-     - doubts
+     - reopened
 
     """
 
@@ -2585,11 +2599,11 @@
         'regions',
         'source_age_ms',
         'source_failing',
-        'doubts',
+        'reopened',
     )
 
 
-    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, suspects=None, regions=None, source_age_ms=None, source_failing=None, doubts=None,):
+    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, suspects=None, regions=None, source_age_ms=None, source_failing=None, reopened=None,):
         self.sender = sender
         self.sequence = sequence
         self.ready = ready
@@ -2602,7 +2616,7 @@
         self.regions = regions
         self.source_age_ms = source_age_ms
         self.source_failing = source_failing
-        self.doubts = doubts
+        self.reopened = reopened
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2706,12 +2720,12 @@
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.LIST:
-                    self.doubts = []
+                    self.reopened = []
                     (_etype96, _size93) = iprot.readListBegin()
                     for _i97 in range(_size93):
-                        _elem98 = EntryDoubt()
+                        _elem98 = ZoneReopening()
                         _elem98.read(iprot)
-                        self.doubts.append(_elem98)
+                        self.reopened.append(_elem98)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2788,10 +2802,10 @@
             oprot.writeFieldBegin('source_failing', TType.BOOL, 13)
             oprot.writeBool(self.source_failing)
             oprot.writeFieldEnd()
-        if self.doubts is not None:
-            oprot.writeFieldBegin('doubts', TType.LIST, 14)
-            oprot.writeListBegin(TType.STRUCT, len(self.doubts))
-            for iter104 in self.doubts:
+        if self.reopened is not None:
+            oprot.writeFieldBegin('reopened', TType.LIST, 14)
+            oprot.writeListBegin(TType.STRUCT, len(self.reopened))
+            for iter104 in self.reopened:
                 iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
@@ -3265,11 +3279,12 @@
     (5, TType.LIST, 'demands', (TType.STRUCT, [TeamDemand, None], False), None, ),  # 5
     (6, TType.LIST, 'waits', (TType.STRUCT, [ServiceWait, None], False), None, ),  # 6
 )
-all_structs.append(EntryDoubt)
-EntryDoubt.thrift_spec = (
+all_structs.append(ZoneReopening)
+ZoneReopening.thrift_spec = (
     None,  # 0
-    (1, TType.I64, 'entry_revision', None, None, ),  # 1
-    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (1, TType.STRING, 'zone', 'UTF8', None, ),  # 1
+    (2, TType.I64, 'revision', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
 )
 all_structs.append(Beat)
 Beat.thrift_spec = (
@@ -3287,7 +3302,7 @@
     (11, TType.LIST, 'regions', (TType.STRUCT, [RegionSummary, None], False), None, ),  # 11
     (12, TType.I32, 'source_age_ms', None, None, ),  # 12
     (13, TType.BOOL, 'source_failing', None, None, ),  # 13
-    (14, TType.LIST, 'doubts', (TType.STRUCT, [EntryDoubt, None], False), None, ),  # 14
+    (14, TType.LIST, 'reopened', (TType.STRUCT, [ZoneReopening, None], False), None, ),  # 14
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -94,27 +94,27 @@
         When this host first applied the entry, in seconds.
     removed_at : float or None
         When this host applied its removal, in seconds; None before.
-    doubted_at : float
-        When this host last observed something that may have made the endpoint cold
-        after the entry was published, in seconds; minus infinity if nothing has.
-    peers_doubted_at : float
-        The same for what other hosts of the region observed, in seconds.
+    reopened_at : float
+        When a host saw that an evacuation of its zone had ended after the entry was
+        published, in seconds; minus infinity if none has.
+    refused_at : float
+        When it last refused a connection of this host, or accepted one for the first
+        time after that, in seconds; minus infinity if it has not.
     """
 
     endpoint: Endpoint
     revision: int
     learned_at: float
     removed_at: float | None = None
-    doubted_at: float = float("-inf")
-    peers_doubted_at: float = float("-inf")
+    reopened_at: float = float("-inf")
+    refused_at: float = float("-inf")
 
     def warming_until(self, warmup_s):
         """Return the time until which the endpoint may be warming up, in seconds.
 
         An entry does not show that the endpoint is warm after something that may have
-        made it cold: the end of an evacuation of its zone, during which it may become
-        cold, or its return after it was unreachable, since it may have restarted. What
-        it publishes may reach the source only later.
+        made it cold: an evacuation of its zone, or a restart, before which it refuses
+        connections. What it publishes may reach the source only later.
 
         Parameters
         ----------
@@ -123,14 +123,9 @@
         """
         return max(
             self.learned_at + self.endpoint.warmup_left_s,
-            self.doubted_at + warmup_s,
-            self.peers_doubted_at + warmup_s,
+            max(self.reopened_at, self.refused_at) + warmup_s,
         )
 
-    def doubt(self, now):
-        """Record that the endpoint may have become cold unknown to its entry."""
-        self.doubted_at = max(self.doubted_at, now)
-
 
 @attrs.frozen
 class _Evacuation:
@@ -143,8 +138,8 @@
     is_evacuated : bool
         Whether the zone is evacuated.
     reopened_at : float
-        When this host saw the end, in seconds; minus infinity if it has not, as a
-        process that started later.
+        When this host saw the end or else, if it started later, when another host
+        did, in seconds; minus infinity if unknown.
     """
 
     revision: int
@@ -167,10 +162,10 @@
     return hashlib.sha256(secret).hexdigest()
 
 
-def _doubt_if_older(listed, evacuation):
-    """Doubt an entry that was published before an end that this host saw."""
+def _mark_reopened(listed, evacuation):
+    """Record the end of an evacuation if the entry was published before it."""
     if listed.revision <= evacuation.revision:
-        listed.doubt(evacuation.reopened_at)
+        listed.reopened_at = evacuation.reopened_at
 
 
 @attrs.define(eq=False)
@@ -247,7 +242,7 @@
             self._endpoints[change.name] = listed
             evacuation = self._evacuations.get(change.endpoint.zone)
             if evacuation is not None:
-                _doubt_if_older(listed, evacuation)
+                _mark_reopened(listed, evacuation)
         elif current is not None:
             current.revision = change.revision
             current.removed_at = now
@@ -266,17 +261,65 @@
         if known is not None and change.revision <= known.revision:
             return False
         was_evacuated = self.is_evacuated(change.zone)
-        self._set_evacuation(change, now)
+        self._record_evacuation(change, now)
         return change.is_evacuated != was_evacuated
 
-    def _set_evacuation(self, change, now):
-        evacuation = _Evacuation(change.revision, change.is_evacuated)
-        if self.is_evacuated(change.zone) and not change.is_evacuated:
-            evacuation = attrs.evolve(evacuation, reopened_at=now)
-        self._evacuations[change.zone] = evacuation
+    def _record_evacuation(self, change, now):
+        is_end = self.is_evacuated(change.zone) and not change.is_evacuated
+        reopened_at = now if is_end else float("-inf")
+        self._set_evacuation(
+            change.zone, _Evacuation(change.revision, change.is_evacuated, reopened_at)
+        )
+
+    def _set_evacuation(self, zone, evacuation):
+        self._evacuations[zone] = evacuation
         for listed in self._endpoints.values():
-            if listed.endpoint.zone == change.zone:
-                _doubt_if_older(listed, evacuation)
+            if listed.endpoint.zone == zone:
+                _mark_reopened(listed, evacuation)
+
+    def reopenings(self, now):
+        """Return the zones whose endpoints may still warm up after an evacuation.
+
+        Parameters
+        ----------
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        list of (str, int, float)
+            Zone, revision of the evacuation's end, and when a host saw it, in seconds.
+        """
+        services = self.configuration.services.values() if self.configuration else ()
+        since = now - max((s.warmup_s for s in services), default=0.0)
+        return [
+            (zone, known.revision, known.reopened_at)
+            for zone, known in self._evacuations.items()
+            if known.reopened_at > since
+        ]
+
+    def merge_reopening(self, zone, revision, reopened_at):
+        """Apply the end of an evacuation that another host saw and this one did not.
+
+        An end that this host saw itself, or has yet to see, is left as it is.
+
+        Parameters
+        ----------
+        zone : str
+            The zone.
+        revision : int
+            Revision of the end.
+        reopened_at : float
+            When the other host saw it, in seconds.
+        """
+        known = self._evacuations.get(zone)
+        if known is not None and (
+            known.is_evacuated
+            or known.revision > revision
+            or (known.revision == revision and known.reopened_at > float("-inf"))
+        ):
+            return
+        self._set_evacuation(zone, _Evacuation(revision, False, reopened_at))
 
     def _index_by_service(self):
         names = {}
@@ -314,7 +357,7 @@
             if known.is_evacuated and zone not in zones and known.revision <= revision
         ]
         for change in ended:
-            self._set_evacuation(change, now)
+            self._record_evacuation(change, now)
         return ended
 
     def forget_removed(self, before):
@@ -343,38 +386,6 @@
         """Return all listed endpoints, including removed ones that are still kept."""
         return list(self._endpoints.values())
 
-    def doubts(self, now):
-        """Return the entries that this host doubts, the latest doubt first.
-
-        A doubt lasts for the longest warm-up time of all services.
-
-        Parameters
-        ----------
-        now : float
-            Current time, in seconds.
-
-        Returns
-        -------
-        list of ListedEndpoint
-        """
-        services = self.configuration.services.values() if self.configuration else ()
-        since = now - max((s.warmup_s for s in services), default=0.0)
-        doubted = [e for e in self._endpoints.values() if e.doubted_at > since]
-        return sorted(doubted, key=lambda e: -e.doubted_at)
-
-    def merge_doubts(self, doubted_at):
-        """Apply doubts of other hosts about entries that this host still has.
-
-        Parameters
-        ----------
-        doubted_at : dict of int to float
-            When another host doubted an entry, in seconds, by revision.
-        """
-        for listed in self._endpoints.values():
-            at = doubted_at.get(listed.revision)
-            if at is not None:
-                listed.peers_doubted_at = max(listed.peers_doubted_at, at)
-
     def route_for(self, host, path):
         """Return the route with the longest matching prefix, or None."""
         for route in self._routes_by_host.get(host, ()):
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -7,7 +7,7 @@
 - the sender's requests in flight at each endpoint and their prompt tokens;
 - the shortest predicted wait of each service in a region;
 - crash suspects: digests of requests that were running when an endpoint crashed;
-- doubts: entries of endpoints that may have become cold since they were published.
+- zones whose evacuation ended recently, so that their endpoints may be cold.
 
 Hosts of one region exchange demands and loads individually, and pass on the totals of
 other regions. Hosts of other regions receive the totals of the sender's region. A
@@ -25,13 +25,13 @@
 from ..internal.wire.ttypes import (
     Beat,
     EndpointWork,
-    EntryDoubt,
     Frame,
     MemberNote,
     RegionSummary,
     ServiceWait,
     Suspect,
     TeamDemand,
+    ZoneReopening,
 )
 from .events import log_event
 from .membership import HostId, RegionTotals
@@ -69,7 +69,7 @@
 MAX_ENDPOINT_LOADS = 40
 MAX_WAITS = 8
 MAX_SUSPECTS = 8
-MAX_DOUBTS = 40
+MAX_REOPENINGS = 8
 _MAX_I32 = 2**31 - 1
 _MAX_DATAGRAM_BYTES = 64 * 1024
 _MAINTENANCE_INTERVAL_S = 0.5
@@ -302,10 +302,8 @@
                 for key, (in_flight, tokens) in local_load
             ]
             regions = host.membership.regions() if with_regions else []
-            doubts = host.catalog.doubts(now)[:MAX_DOUBTS]
         else:
             regions = [self._own_totals(now)]
-            doubts = []
         source = host.source_health
         return Beat(
             sender=_member_entry(host.membership.own_id, host.is_leaving, 0.0),
@@ -330,10 +328,10 @@
             if source.failing_since is not None or source.responded_at == float("-inf")
             else int((now - source.responded_at) * 1000),
             source_failing=source.failing_since is not None,
-            doubts=[
-                EntryDoubt(entry.revision, int((now - entry.doubted_at) * 1000))
-                for entry in doubts
-            ]
+            reopened=[
+                ZoneReopening(zone, revision, int((now - reopened_at) * 1000))
+                for zone, revision, reopened_at in host.catalog.reopenings(now)
+            ][:MAX_REOPENINGS]
             or None,
         )
 
@@ -440,12 +438,8 @@
             host.source_health.remote_failure_at = now
         for summary in heartbeat.regions or ():
             host.membership.record_region(_read_summary(summary, now))
-        if heartbeat.doubts:
-            host.catalog.merge_doubts(
-                {
-                    d.entry_revision: now - max(0, d.age_ms) / 1000
-                    for d in heartbeat.doubts
-                }
-            )
+        for zone in heartbeat.reopened or ():
+            reopened_at = now - max(0, zone.age_ms) / 1000
+            host.catalog.merge_reopening(zone.zone, zone.revision, reopened_at)
         for suspect in heartbeat.suspects or ():
             host.merge_suspect(suspect.digest, suspect.deaths, now)
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -168,15 +168,28 @@
                 del self._views[name]
                 self._endpoint_started_ms.pop(name, None)
 
-    def record_unreachable(self, entry, now):
-        """Avoid an endpoint for a while after a failed connection."""
+    def record_unreachable(self, entry, is_refused, now):
+        """Avoid an endpoint for a while after a failed connection.
+
+        Parameters
+        ----------
+        entry : ListedEndpoint
+            The endpoint's entry.
+        is_refused : bool
+            True if nothing accepts connections at its address, so that it has ended
+            and may start again. Other failures may be those of the network.
+        now : float
+            Current time, in seconds.
+        """
         self.view(entry.endpoint.name).record_unreachable(now)
-        entry.doubt(now)
+        if is_refused:
+            entry.refused_at = now
 
     def record_connected(self, entry, now):
         """Record a new connection to an endpoint, which may have restarted before."""
-        if self.view(entry.endpoint.name).was_unreachable:
-            entry.doubt(now)
+        is_first = self.view(entry.endpoint.name).was_unreachable
+        if is_first and entry.refused_at > float("-inf"):
+            entry.refused_at = now
 
     def update_endpoint(self, endpoint):
         """Clear the cached segments of an endpoint whose entry has a new start time.
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -5,6 +5,7 @@
 
 from ..errors import (
     ConnectError,
+    ConnectRefusedError,
     EndpointFailed,
     ExchangeError,
     NoEndpoint,
@@ -70,7 +71,8 @@
                 endpoint.name, endpoint.address, sent_at
             )
         except ConnectError as exc:
-            host.placement.record_unreachable(choice.entry, host.now())
+            is_refused = isinstance(exc, ConnectRefusedError)
+            host.placement.record_unreachable(choice.entry, is_refused, host.now())
             host.pool.close_idle(endpoint.name)
             progress.tried.add(endpoint.name)
             log_event("endpoint_unreachable", endpoint=endpoint.name, reason=str(exc))
@@ -194,7 +196,6 @@
     # A live endpoint may lose a response; only a crash makes the request a suspect.
     if not await host.pool.is_alive(endpoint.name, endpoint.address, now):
         host.pool.close_idle(endpoint.name)
-        choice.entry.doubt(now)
         host.record_crash(req, progress, endpoint.name, now)
 
 
