--- a/tests/serving/test_source_sync.py
+++ b/tests/serving/test_source_sync.py
@@ -35,7 +35,7 @@
     serves=("engines",),
     capacity=128,
 )
-# Time from a heartbeat of an endpoint until every host has applied it.
+# Interval of an endpoint's heartbeats; each publishes a new entry while it warms up.
 HEARTBEAT_S = 1.2
 
 
@@ -53,7 +53,7 @@
     now: float = 0.0
 
 
-def new_host(name, clock, others=()):
+def new_host(name, clock, others=(), dialect=None, routes=()):
     """Return a host that knows the service and other hosts of its region."""
     cfg = HostSettings(
         host=name,
@@ -65,12 +65,12 @@
         seeds=(),
         zones=ZONES,
     )
-    host = GatewayHost(cfg, None, None, now=lambda: clock.now)
+    host = GatewayHost(cfg, dialect, None, now=lambda: clock.now)
     for other in others:
         host.membership.record_host(host_id(other), False, 0.0, clock.now)
     configuration = Configuration(
         version=1,
-        routes=(),
+        routes=routes,
         teams={},
         team_by_key={},
         services={"engines": SERVICE},
