Log how a response's body was framed and how much of it was received

The lines of requests could not tell a response that ended with its connection from one that ended with its last chunk, nor whether it ended inside an event, so none of the three hypotheses could be told from the others. Lines of requests, of endpoints and of links that broke off now have framing, body_bytes and partial_event_bytes.

--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -16,6 +16,7 @@
     SilentEndpointError,
     TruncatedAnswerError,
 )
+from ..internal.framing import ReceivedBody, response_framing
 from ..internal.http import Connection, client_connection
 from .responses import EndpointResponse
 
@@ -250,17 +251,23 @@
     if head is None:
         raise SilentEndpointError(f"no answer within {ttfb_timeout_s:.2f} s")
     response, metadata = head
+    headers = list(response.headers)
+    received = ReceivedBody(
+        response_framing(request.method, response.status_code, headers)
+    )
 
     async def next_data():
         try:
             with trio.fail_after(stall_timeout_s):
-                return await conn.next_data()
+                data = await conn.next_data()
         except trio.TooSlowError as exc:
             raise SilentEndpointError(
                 f"no progress for {stall_timeout_s:.2f} s"
             ) from exc
         except h11.RemoteProtocolError as exc:
             raise TruncatedAnswerError(str(exc)) from exc
+        received.size += len(data or b"")
+        return data
 
     async def release(now):
         if conn.is_partly_sent:
@@ -270,7 +277,8 @@
 
     return EndpointResponse(
         status=response.status_code,
-        headers=list(response.headers),
+        headers=headers,
+        received=received,
         metadata=metadata,
         next_data=next_data,
         release=release,
--- a/src/cactusmill/serving/cross_region.py
+++ b/src/cactusmill/serving/cross_region.py
@@ -42,6 +42,7 @@
     member = step.member
     progress.endpoint, progress.ttft_s = member.id.name, step.reported_wait_s
     progress.tried_remote_hosts.add(member.id.name)
+    progress.received, progress.partial_event_bytes = None, 0
     left_s = req.deadline - host.now()
     response, is_complete = None, False
     may_have_run_before = progress.may_have_run
@@ -73,6 +74,7 @@
             )
             return refusal
         progress.attempts_left -= 1
+        progress.received = response.received
         if req.is_stream and 200 <= response.status < 300:
             await relay_stream(
                 host, req, sink, progress, None, response, _REMOTE_LOAD, host.now()
@@ -88,6 +90,7 @@
         progress.sends -= 1
         return NoEndpoint(detail=str(exc), retry_after_s=BUSY_RETRY_S)
     except (ExchangeError, LinkClosedError) as exc:
+        progress.partial_event_bytes = progress.scanner.partial_event_bytes
         progress.scanner.discard_partial_event()
         if response is None:
             # Once a response has begun, its attempt has been counted above.
@@ -97,6 +100,7 @@
             request_id=req.request_id,
             host=member.id.name,
             reason=repr(exc),
+            **progress.body_fields(),
         )
         return EndpointFailed(
             detail=f"another region failed: {exc}", outcome=Outcome.UNKNOWN
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -20,6 +20,7 @@
     SilentEndpointError,
     TruncatedAnswerError,
 )
+from ..internal.framing import Framing, ReceivedBody
 from ..internal.link import Link
 from ..internal.request import Request, Sink
 from ..internal.wire.ttypes import (
@@ -169,8 +170,12 @@
         await host.links.release(member.id.ip, link, host.now())
         return _refusal(head)
 
+    received = ReceivedBody(Framing.LINK)
+
     async def next_data():
-        return await _next_data(link, stall_timeout_s)
+        data = await _next_data(link, stall_timeout_s)
+        received.size += len(data or b"")
+        return data
 
     async def release(now):
         await host.links.release(member.id.ip, link, now)
@@ -178,6 +183,7 @@
     return EndpointResponse(
         status=head.status,
         headers=_headers_from_wire(head.headers),
+        received=received,
         metadata=None,
         next_data=next_data,
         release=release,
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -520,5 +520,6 @@
         else round(progress.sent_at - began_at, 3),
         entry_revision=progress.entry_revision,
         warmup_hosts=progress.warmup_hosts,
+        **progress.body_fields(),
     )
     return refusal
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -51,6 +51,10 @@
         host took it for warm.
     max_event_gap_s : float or None
         Longest time between two chunks of a stream, in seconds.
+    received : ReceivedBody or None
+        Body of the latest response; None before a response.
+    partial_event_bytes : int
+        Bytes after the last complete event when the latest response ended.
     """
 
     attempts_left: int
@@ -70,6 +74,16 @@
     entry_revision: int = 0
     warmup_hosts: int = 0
     max_event_gap_s: float | None = None
+    received: object = None
+    partial_event_bytes: int = 0
+
+    def body_fields(self):
+        """Return the fields of log lines that tell how the latest response ended."""
+        return {
+            "framing": self.received.framing.value if self.received else None,
+            "body_bytes": self.received.size if self.received else 0,
+            "partial_event_bytes": self.partial_event_bytes,
+        }
 
     @property
     def outcome(self):
--- a/src/cactusmill/serving/response_relay.py
+++ b/src/cactusmill/serving/response_relay.py
@@ -94,6 +94,7 @@
             await sink.data(complete_events)
     await response.release(host.now())
     load.is_complete = True
+    progress.partial_event_bytes = scanner.partial_event_bytes
     remainder = scanner.take_remainder()
     await _send_head(host, sink, progress, response)
     if remainder:
--- a/src/cactusmill/serving/responses.py
+++ b/src/cactusmill/serving/responses.py
@@ -13,6 +13,8 @@
         HTTP status.
     headers : list of (bytes, bytes)
         Headers as received.
+    received : ReceivedBody
+        Framing of the body, and the bytes received so far.
     metadata : ResponseMetadata or None
         Metadata in an endpoint's headers; None if another host relayed it.
     next_data : callable
@@ -27,6 +29,7 @@
 
     status: int
     headers: list
+    received: object
     metadata: object
     next_data: object
     release: object
@@ -49,6 +52,11 @@
         self.last_id = ""
         self._remainder = b""
 
+    @property
+    def partial_event_bytes(self):
+        """Bytes received of an event that is not complete."""
+        return len(self._remainder)
+
     def feed(self, data):
         """Add data and return the bytes up to the end of the last complete event.
 
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -62,6 +62,7 @@
     progress.endpoint, progress.ttft_s = endpoint.name, choice.ttft_s
     progress.total_s, progress.uncached_tokens = choice.total_s, choice.uncached_tokens
     progress.sent_at, progress.entry_revision = sent_at, choice.entry.revision
+    progress.received, progress.partial_event_bytes = None, 0
     progress.warmup_hosts = choice.sharing_hosts if choice.warmup_rate_per_s else 0
     choice.record_sent(sent_at)
     load = InFlightLoad(view, choice.uncached_tokens)
@@ -83,6 +84,7 @@
         response = None
         try:
             response = await _exchange(host, req, progress, choice, conn)
+            progress.received = response.received
             return await _handle_response(
                 host, req, sink, progress, choice, response, load, sent_at
             )
@@ -178,6 +180,7 @@
     """Record an interrupted exchange; suspect the request if the endpoint crashed."""
     now = host.now()
     endpoint, view = choice.endpoint, choice.view
+    progress.partial_event_bytes = progress.scanner.partial_event_bytes
     progress.scanner.discard_partial_event()
     view.record_result(True, now)
     progress.tried.add(endpoint.name)
@@ -188,6 +191,7 @@
         reason=repr(exc),
         is_stale=is_stale,
         failure_rate=round(view.failure_rate(now), 2),
+        **progress.body_fields(),
     )
     if is_stale or isinstance(exc, SilentEndpointError):
         # Other idle connections may be closed or unresponsive as well.
