Failing tests of ORDER: broken-off answers that are framed as complete

All but one show the users' symptom: an endpoint's answer ends with its connection, the connection closes or is reset before the answer is whole, and the caller gets the terminator of a complete response.

--- a/standins/engine.py
+++ b/standins/engine.py
@@ -70,7 +70,9 @@
     next_fault : callable
         Called for each request; returns None or the fault to inject:
         "truncate", "silent" (never respond), "cross" (send an earlier request's
-        response) or "late".
+        response), "late", "unframed" (a complete stream without a length or chunks,
+        which ends with its connection) or "torn" (the same, but the connection
+        closes inside an event).
     is_leaving : bool
         Whether it refuses new requests, as during a shutdown.
     fence : int
@@ -214,7 +216,9 @@
         self._previous = self._headers(head), answer_words(prompt, count)
         if fault == "truncate":
             words = words[: count // 2]
-        if request.get("stream"):
+        if fault in {"unframed", "torn"}:
+            await self._send_unframed(conn, headers, request, words, fault == "torn")
+        elif request.get("stream"):
             include = request.get("stream_options", {}).get("include_usage")
             await self._send_stream(
                 conn, headers, request, words, usage if include else None
@@ -285,6 +289,17 @@
             await conn.send(h11.Data(data=_encode_event(request["model"], None, usage)))
         await conn.send(h11.Data(data=b"data: [DONE]\n\n"), h11.EndOfMessage())
 
+    async def _send_unframed(self, conn, headers, request, words, is_torn):
+        """Send a stream that ends with its connection; a torn one ends too early."""
+        events = [_encode_event(request["model"], word) for word in words]
+        body = b"".join([*events, b"data: [DONE]\n\n"])
+        if is_torn:
+            body = b"".join(events[: len(events) // 2]) + events[-1][:20]
+        headers = [*headers, (b"content-type", b"text/event-stream")]
+        lines = [b"HTTP/1.1 200 OK", *(b"%s: %s" % pair for pair in headers)]
+        await conn.stream.send_all(b"\r\n".join(lines) + b"\r\n\r\n" + body)
+        await conn.close()
+
 
 def _encode_event(model, word, usage=None):
     chunk = {
--- a/standins/simulation.py
+++ b/standins/simulation.py
@@ -250,13 +250,17 @@
         )
         return json.loads(reply.body)["identifiers"]
 
-    async def chat(self, host, team, text, *, max_tokens=8, timeout_s=30.0):
+    async def chat(
+        self, host, team, text, *, max_tokens=8, timeout_s=30.0, stream=False
+    ):
         """Send a chat completion request and return the reply."""
         body = {
             "model": "povzetek-7b",
             "max_tokens": max_tokens,
             "messages": [{"role": "user", "content": text}],
         }
+        if stream:
+            body["stream"] = True
         return await self.call(
             host,
             "POST",
--- /dev/null
+++ b/tests/serving/test_connections.py
@@ -0,0 +1,93 @@
+"""Exchanges of requests and responses with endpoints over TCP."""
+
+import socket
+
+import h11
+import trio
+
+from cactusmill.errors import ExchangeError
+from cactusmill.internal.framing import Framing
+from cactusmill.internal.http import client_connection
+from cactusmill.platform.dialect import DIALECT
+from cactusmill.serving.connections import ConnectionPool, exchange
+from standins.raw_responses import Ending, encode_response, end_connection
+
+CHUNKS = [b"enrolled in ", b"the circle of 12 readers"]
+SIGNED = [(b"response-signature", b"s"), (b"request-id", b"r-1")]
+_SMALL_BUFFER = 4096
+
+
+async def tcp_pair():
+    """Return both ends of a TCP connection with small buffers."""
+    listener = socket.socket()
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, _SMALL_BUFFER)
+    listener.bind(("127.0.0.1", 0))
+    listener.listen()
+    client = await trio.open_tcp_stream(*listener.getsockname())
+    client.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, _SMALL_BUFFER)
+    accepted, _ = listener.accept()
+    listener.close()
+    accepted.setblocking(False)
+    return client, trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
+
+
+def receive_answer(answer, request_body, limit_s=2.0):
+    """Return the body of an exchange, and whether it was taken for complete.
+
+    Parameters
+    ----------
+    answer : callable
+        ``await answer(stream)`` plays the endpoint.
+    request_body : bytes
+        Body of the request.
+    limit_s : float
+        Limit of the head and of each pause, in seconds.
+    """
+
+    async def main():
+        client, endpoint = await tcp_pair()
+        pool = ConnectionPool(net=None)
+        pool._count("desk", 1)
+        request = h11.Request(
+            method="POST",
+            target="/order/1",
+            headers=[("host", "x"), ("content-length", str(len(request_body)))],
+        )
+        chunks = []
+        is_complete = False
+        with trio.fail_after(10):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(answer, endpoint)
+                try:
+                    response = await exchange(
+                        pool,
+                        "desk",
+                        client_connection(client),
+                        request,
+                        request_body,
+                        "r-1",
+                        DIALECT.read_response_head,
+                        (limit_s, limit_s),
+                    )
+                    while (data := await response.next_data()) is not None:
+                        chunks.append(data)
+                    is_complete = True
+                except ExchangeError:
+                    pass
+                nursery.cancel_scope.cancel()
+        return b"".join(chunks), is_complete
+
+    return trio.run(main)
+
+
+def test_answer_without_length_reset_while_the_request_is_sent_is_not_complete():
+    """The send takes the error of the socket, so that the next read sees a close."""
+
+    async def reset_early(stream):
+        await stream.receive_some(100)
+        head, body = encode_response(Framing.CLOSE, CHUNKS, SIGNED)
+        await stream.send_all(head + body[:12])
+        await end_connection(stream, Ending.RESET)
+
+    for _ in range(50):
+        assert not receive_answer(reset_early, b"x" * 1_000_000)[1]
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -65,6 +65,32 @@
     assert counts["own"] > 50
 
 
+def stream_with_fault(fault):
+    """Return whether a stream reached its caller as complete, and its body."""
+
+    async def scenario(sim):
+        await sim.start()
+        await trio.sleep(6)
+        for engine in sim.engines.values():
+            engine.next_fault = lambda: fault
+        try:
+            reply = await sim.chat("osrednja-1", TEAM, "question", stream=True)
+        except CallFailedError:
+            return False, b""
+        return reply.status == 200, reply.body
+
+    return run_simulation(scenario, 1)
+
+
+def test_stream_without_length_that_ends_inside_an_event_is_not_complete():
+    assert not stream_with_fault("torn")[0]
+
+
+def test_stream_without_length_reaches_its_caller():
+    is_complete, body = stream_with_fault("unframed")
+    assert is_complete and body.endswith(b"data: [DONE]\n\n")
+
+
 def test_check_detects_responses_to_other_requests(monkeypatch):
     real = attempts.receive_head
 
