Find the ends of events whose lines end with CRLF or CR

Callers of a stream whose lines end with CRLF or CR, as the standard of event streams allows, got nothing before the whole stream had arrived: the scanner knew LF only (test_whole_streams_of_every_framing_reach_the_caller_as_they_arrive failed for six of nine cases). The scanner has moved to a module that both products use.

--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -4,7 +4,7 @@
 
 from ..errors import Outcome
 from ..internal.crash_suspects import request_digest
-from .responses import EventScanner
+from ..internal.event_stream import EventScanner
 
 # Retry time at an endpoint that rejects requests or cannot be reached: about the
 # duration of one response.
--- a/src/cactusmill/serving/response_relay.py
+++ b/src/cactusmill/serving/response_relay.py
@@ -1,6 +1,7 @@
 """Relay of responses to callers: complete bodies, and streams event by event."""
 
 from ..errors import ExchangeError
+from ..internal.event_stream import count_events
 
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Longest time without data before a stream is resumed at another endpoint. Callers
@@ -78,9 +79,7 @@
             gap_s = now - event_at
             progress.max_event_gap_s = max(progress.max_event_gap_s or 0.0, gap_s)
             if choice is not None:
-                choice.view.record_event_gap(
-                    gap_s / complete_events.count(b"\n\n"), now
-                )
+                choice.view.record_event_gap(gap_s / count_events(complete_events), now)
             event_at = now
         if is_first:
             is_first, event_at = False, host.now()
