Do not take a stream that ends inside an event for complete

A stream now ends only after a whole event, whatever its framing says; one without a length that closes before any event has broken off too. It is resumed where its route allows it, else the caller's connection closes without a terminator. The same check stands on the product's own interface, in the decoded and in the raw relay; there a chat completion without a length must also end with its last event. Responses to requests for a stream that are no event stream are relayed as bodies, so that whole ones are not given up; they cannot continue a stream that has begun.

--- a/src/cactusmill/internal/attempts.py
+++ b/src/cactusmill/internal/attempts.py
@@ -18,10 +18,13 @@
     NoEndpoint,
     Outcome,
     SilentEndpointError,
+    TruncatedAnswerError,
 )
 from .at_most_once import LEAVING_HEADER
 from .chat import UsageMeter
 from .endpoints import STALL_LIMIT_S, receive_data, receive_head, send_request
+from .event_stream import check_last_event, is_event_stream, last_bytes
+from .framing import Framing, response_framing
 from .http import end_to_end_headers, header, is_chunked
 
 # The endpoint's number of requests in progress, from all hosts.
@@ -188,10 +191,15 @@
     try:
         await sink.head(exchange.status, end_to_end_headers(exchange.headers))
         caller_stream = _chunked_caller_stream(sink, exchange)
+        has_events = req.is_stream and is_event_stream(exchange.headers)
         if caller_stream is not None:
-            await _relay_raw(host, sink, progress, endpoint, exchange, caller_stream)
+            await _relay_raw(
+                host, sink, progress, endpoint, exchange, caller_stream, has_events
+            )
         else:
-            await _relay_decoded(host, sink, progress, endpoint, exchange)
+            await _relay_decoded(
+                host, req, sink, progress, endpoint, exchange, has_events
+            )
     except ExchangeError as exc:
         await _record_if_crashed(host, req, progress, endpoint, exchange, exc)
         raise AnswerCutError(f"the endpoint failed during its response: {exc}") from exc
@@ -207,11 +215,18 @@
     return sink.chunked_stream() if is_socket else None
 
 
-async def _relay_raw(host, sink, progress, endpoint, exchange, caller_stream):
+async def _relay_raw(
+    host, sink, progress, endpoint, exchange, caller_stream, has_events
+):
     buffered, _ = exchange.conn.h11.trailing_data
     on_data = progress.meter.feed if progress.meter is not None else None
     is_reusable = await host.body_relay.relay(
-        exchange.conn.stream, caller_stream, buffered, on_data, STALL_LIMIT_S
+        exchange.conn.stream,
+        caller_stream,
+        buffered,
+        on_data,
+        STALL_LIMIT_S,
+        has_events,
     )
     sink.end_chunked()
     if is_reusable:
@@ -220,15 +235,30 @@
         await exchange.conn.close()
 
 
-async def _relay_decoded(host, sink, progress, endpoint, exchange):
+async def _relay_decoded(host, req, sink, progress, endpoint, exchange, has_events):
+    tail = b""
     while (data := await receive_data(exchange)) is not None:
+        tail = last_bytes(tail, data)
         if progress.meter is not None:
             progress.meter.feed(data)
         await sink.data(data)
+    if has_events:
+        _check_end(req, progress, exchange, tail)
     await sink.end()
     await host.pool.release(endpoint, exchange, host.now())
 
 
+def _check_end(req, progress, exchange, tail):
+    """Raise `TruncatedAnswerError` if a stream whose last bytes are given broke off."""
+    method = req.method.encode()
+    framing = response_framing(method, exchange.status, exchange.headers)
+    check_last_event(tail, framing)
+    if framing is Framing.CLOSE and not (
+        progress.meter is None or progress.meter.has_last_event
+    ):
+        raise TruncatedAnswerError("the connection closed before the last event")
+
+
 async def _record_if_crashed(host, req, progress, endpoint, exchange, exc):
     """Count and report a crash of a request's endpoint, if it has crashed.
 
--- a/src/cactusmill/internal/chat.py
+++ b/src/cactusmill/internal/chat.py
@@ -21,6 +21,8 @@
 _USAGE_MARK = b'"usage"'
 # The last event of a stream, "data: [DONE]", carries no token.
 _EVENTS_WITHOUT_TOKEN = 1
+_LAST_EVENT = b"[DONE]"
+_MAX_LAST_EVENT_BYTES = 32
 
 
 @attrs.frozen
@@ -110,11 +112,19 @@
     is_stream: bool
     _events: int = 0
     _tail: bytes = b""
+    _last_bytes: bytes = b""
+
+    @property
+    def has_last_event(self):
+        """Whether the stream ended with the event that ends each stream."""
+        return self._last_bytes.rstrip().endswith(_LAST_EVENT)
 
     def feed(self, chunk):
         """Count the tokens in the next chunk of the response."""
         if self.is_stream:
             self._events += chunk.count(_EVENT_MARK)
+            last_bytes = self._last_bytes + chunk[-_MAX_LAST_EVENT_BYTES:]
+            self._last_bytes = last_bytes[-_MAX_LAST_EVENT_BYTES:]
             if _USAGE_MARK in chunk:
                 self._tail = chunk
         else:
--- a/src/cactusmill/internal/event_stream.py
+++ b/src/cactusmill/internal/event_stream.py
@@ -2,12 +2,66 @@
 
 import re
 
+from ..errors import TruncatedAnswerError
+from .framing import Framing
+from .http import header
+
+_MEDIA_TYPE = "text/event-stream"
 # An event ends with a blank line. Lines end with LF, CRLF or CR.
 _EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 _MAX_END_BYTES = 3
 _ID_FIELD = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
 
 
+def is_event_stream(headers):
+    """Return whether a response to a request for a stream is an event stream.
+
+    One without a content type is taken for one.
+    """
+    media_type = header(headers, b"content-type", _MEDIA_TYPE).partition(";")[0]
+    return media_type.strip().lower() == _MEDIA_TYPE
+
+
+def ends_event(tail):
+    """Return whether a stream whose last bytes are `tail` ends with a whole event."""
+    return tail.endswith(_EVENT_ENDS)
+
+
+def last_bytes(tail, data):
+    """Return the last bytes of a stream for `ends_event`, after some more data.
+
+    Parameters
+    ----------
+    tail : bytes
+        The last bytes before it; empty at the beginning.
+    data : bytes
+        The next bytes.
+    """
+    return (tail + data[-_MAX_END_BYTES:])[-_MAX_END_BYTES:]
+
+
+def check_last_event(tail, framing):
+    """Check that a stream that has ended was not broken off before.
+
+    Parameters
+    ----------
+    tail : bytes
+        The last bytes of the stream; empty if it had none.
+    framing : Framing
+        What marked its end.
+
+    Raises
+    ------
+    TruncatedAnswerError
+        If the last event is not whole, whatever the framing says, or if the end of
+        the connection alone marked the end and there was no event.
+    """
+    if tail and not ends_event(tail):
+        raise TruncatedAnswerError("the stream ended inside an event")
+    if not tail and framing is Framing.CLOSE:
+        raise TruncatedAnswerError("the connection closed before the first event")
+
+
 def count_events(data):
     """Return the number of events in bytes that end with a whole event."""
     return max(1, sum(data.count(end) for end in _EVENT_ENDS))
@@ -59,12 +113,6 @@
             self.last_id = ids[-1].strip().decode("latin-1")
         return complete_events
 
-    def take_remainder(self):
-        """Return and clear the bytes after the last complete event."""
-        remainder = bytes(self._received)
-        self._received.clear()
-        return remainder
-
     def discard_partial_event(self):
         """Discard the bytes of a truncated event."""
         self._received.clear()
--- a/src/cactusmill/internal/relay.py
+++ b/src/cactusmill/internal/relay.py
@@ -17,6 +17,8 @@
     SilentEndpointError,
     TruncatedAnswerError,
 )
+from .event_stream import check_last_event, last_bytes
+from .framing import Framing
 
 # With at least this many transfers, the relay sleeps between its polls, so that one
 # poll serves several transfers.
@@ -25,14 +27,21 @@
 _READ_BYTES = 64 * 1024
 _MAX_LINE_BYTES = 4096
 _MAX_READY = 512
-_LINE_END_BYTES = 2
 
 
 @attrs.define
 class ChunkScanner:
-    """Incremental search for the end of a body in chunked transfer coding."""
+    """Incremental search for the end of a body in chunked transfer coding.
 
+    Attributes
+    ----------
+    tail : bytes
+        The last bytes of the decoded body, for `check_last_event`.
+    """
+
+    tail: bytes = b""
     _skip: int = 0
+    _is_in_chunk: bool = False
     _line: bytes = b""
     _in_trailer: bool = False
 
@@ -58,6 +67,7 @@
         while True:
             if self._skip:
                 skipped = min(self._skip, size - at)
+                self.tail = last_bytes(self.tail, data[at : at + skipped])
                 at += skipped
                 self._skip -= skipped
             if at == size:
@@ -74,7 +84,14 @@
                 if not line:
                     return at
                 continue
+            if self._is_in_chunk:
+                # The end of the line that ends a chunk's data.
+                if line:
+                    raise TruncatedAnswerError("a chunk is longer than its size")
+                self._is_in_chunk = False
+                continue
             self._skip = self._chunk_bytes(line)
+            self._is_in_chunk = self._skip > 0
 
     def _chunk_bytes(self, line):
         try:
@@ -83,8 +100,7 @@
             raise TruncatedAnswerError(f"{line[:20]!r} is no chunk size") from exc
         if size == 0:
             self._in_trailer = True
-            return 0
-        return size + _LINE_END_BYTES
+        return size
 
 
 @attrs.define(eq=False)
@@ -97,6 +113,8 @@
         File descriptors of the endpoint's and the caller's socket.
     scanner : ChunkScanner
         Finds the end of the body.
+    has_events : bool
+        Whether the body is an event stream.
     on_data : callable or None
         ``on_data(data)`` is called with each piece of the body.
     steps : int
@@ -116,6 +134,7 @@
     source: int
     target: int
     scanner: ChunkScanner
+    has_events: bool
     on_data: object
     steps: int = 0
     unsent: bytes = b""
@@ -141,6 +160,8 @@
         self.steps += 1
         try:
             end = self.scanner.feed(data)
+            if end is not None and self.has_events:
+                check_last_event(self.scanner.tail, Framing.CHUNKED)
         except TruncatedAnswerError as exc:
             return self._stop(exc)
         if end is not None:
@@ -189,7 +210,9 @@
         if self._transfers.pop(fd, None) is not None:
             self._epoll.unregister(fd)
 
-    async def relay(self, source, target, prefix, on_data, stall_limit_s):
+    async def relay(
+        self, source, target, prefix, on_data, stall_limit_s, has_events=False
+    ):
         """Relay a body to its end.
 
         Parameters
@@ -202,6 +225,9 @@
             ``on_data(data)`` is called with each piece of the body.
         stall_limit_s : float
             Longest time without progress, in seconds.
+        has_events : bool
+            Whether the body is an event stream. The end of one that ends inside an
+            event is not relayed.
 
         Returns
         -------
@@ -217,7 +243,11 @@
             If the caller's connection failed or stalled.
         """
         transfer = BodyTransfer(
-            source.socket.fileno(), target.socket.fileno(), ChunkScanner(), on_data
+            source.socket.fileno(),
+            target.socket.fileno(),
+            ChunkScanner(),
+            has_events,
+            on_data,
         )
         if prefix:
             transfer.forward(prefix)
--- a/src/cactusmill/serving/cross_region.py
+++ b/src/cactusmill/serving/cross_region.py
@@ -12,7 +12,13 @@
 from .events import log_event
 from .forwarding import forward
 from .progress import BUSY_RETRY_S
-from .response_relay import read_body, relay_body, relay_stream, stall_timeout_s
+from .response_relay import (
+    has_events,
+    read_body,
+    relay_body,
+    relay_stream,
+    stall_timeout_s,
+)
 
 # Round trip between regions, added to the stall timeout.
 _RTT_MARGIN_S = 0.2
@@ -75,7 +81,7 @@
             return refusal
         progress.attempts_left -= 1
         progress.received = response.received
-        if req.is_stream and 200 <= response.status < 300:
+        if has_events(req, progress, response):
             await relay_stream(
                 host, req, sink, progress, None, response, _REMOTE_LOAD, host.now()
             )
--- a/src/cactusmill/serving/response_relay.py
+++ b/src/cactusmill/serving/response_relay.py
@@ -1,7 +1,12 @@
 """Relay of responses to callers: complete bodies, and streams event by event."""
 
 from ..errors import ExchangeError
-from ..internal.event_stream import count_events
+from ..internal.event_stream import (
+    check_last_event,
+    count_events,
+    is_event_stream,
+    last_bytes,
+)
 
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
 # Longest time without data before a stream is resumed at another endpoint. Callers
@@ -53,6 +58,22 @@
     await response.release(host.now())
 
 
+def has_events(req, progress, response):
+    """Return whether a response is relayed event by event, rather than as a body.
+
+    Raises
+    ------
+    ExchangeError
+        If a body cannot be relayed, since events were relayed before.
+    """
+    is_success = 200 <= response.status < 300
+    if req.is_stream and is_success and is_event_stream(response.headers):
+        return True
+    if progress.has_response_started:
+        raise ExchangeError("the response cannot continue the stream")
+    return False
+
+
 async def relay_body(host, sink, progress, response, body):
     """Relay a response with its complete body."""
     headers = host.dialect.filter_response_headers(response.headers)
@@ -69,10 +90,16 @@
 
     `choice` is None for a stream of another host, which records times and load
     itself.
+
+    Raises
+    ------
+    ExchangeError
+        If the stream breaks off.
     """
     scanner = progress.scanner
-    is_first, event_at = True, host.now()
+    is_first, event_at, tail = True, host.now(), b""
     while (data := await response.next_data()) is not None:
+        tail = last_bytes(tail, data)
         complete_events = scanner.feed(data)
         if complete_events and not is_first:
             now = host.now()
@@ -91,13 +118,10 @@
         if complete_events:
             await _send_head(host, sink, progress, response)
             await sink.data(complete_events)
+    check_last_event(tail, response.received.framing)
     await response.release(host.now())
     load.is_complete = True
-    progress.partial_event_bytes = scanner.partial_event_bytes
-    remainder = scanner.take_remainder()
     await _send_head(host, sink, progress, response)
-    if remainder:
-        await sink.data(remainder)
     await sink.end()
 
 
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -17,7 +17,14 @@
 from .events import log_event
 from .placement import DEFAULT_KV_CACHE_TOKENS
 from .progress import BUSY_RETRY_S, may_repeat
-from .response_relay import drain, read_body, relay_body, relay_stream, stall_timeout_s
+from .response_relay import (
+    drain,
+    has_events,
+    read_body,
+    relay_body,
+    relay_stream,
+    stall_timeout_s,
+)
 
 # An attempt at a stream that another endpoint may serve is given up if the first event
 # takes longer than this many times the prediction, and longer than the minimum.
@@ -228,7 +235,7 @@
         return await _handle_error_response(
             host, req, sink, progress, view, response, load
         )
-    if req.is_stream:
+    if has_events(req, progress, response):
         await relay_stream(host, req, sink, progress, choice, response, load, sent_at)
     else:
         body = await read_body(response)
--- a/tests/internal/test_relay.py
+++ b/tests/internal/test_relay.py
@@ -59,7 +59,7 @@
     return client, trio.SocketStream(trio.socket.from_stdlib_socket(accepted))
 
 
-def run_relay(scenario, stall_limit_s=5.0):
+def run_relay(scenario, stall_limit_s=5.0, has_events=False):
     """Run a scenario with the endpoint's and the caller's sockets of a relay.
 
     Returns
@@ -79,7 +79,9 @@
             nursery.start_soon(hub.run)
             nursery.start_soon(scenario, endpoint, caller)
             try:
-                clean = await hub.relay(source, target, b"", seen.append, stall_limit_s)
+                clean = await hub.relay(
+                    source, target, b"", seen.append, stall_limit_s, has_events
+                )
             except Exception as exc:
                 clean = exc
             nursery.cancel_scope.cancel()
@@ -119,6 +121,28 @@
     assert isinstance(run_relay(scenario)[0], TruncatedAnswerError)
 
 
+def test_stream_that_ends_inside_an_event_is_not_complete():
+    received = []
+
+    async def scenario(endpoint, caller):
+        await endpoint.send_all(chunked([b"data: a\n\n", b"data: b\n"]))
+        await endpoint.aclose()
+        with trio.move_on_after(0.2):
+            while data := await caller.receive_some():
+                received.append(data)
+
+    result, _ = run_relay(scenario, has_events=True)
+    assert isinstance(result, TruncatedAnswerError)
+    assert not b"".join(received).endswith(b"0\r\n\r\n")
+
+
+def test_stream_that_ends_between_events_is_complete():
+    async def scenario(endpoint, caller):
+        await endpoint.send_all(chunked([b"data: a\n", b"\n", b"data: b\r\n\r\n"]))
+
+    assert run_relay(scenario, has_events=True)[0] is True
+
+
 def test_stalled_endpoint_times_out():
     async def scenario(endpoint, caller):
         await endpoint.send_all(b"3\r\nown\r\n")
--- a/tests/serving/test_answer_ends.py
+++ b/tests/serving/test_answer_ends.py
@@ -5,6 +5,7 @@
 
 from cactusmill.internal.framing import Framing
 from cactusmill.internal.http import header, read_body
+from cactusmill.serving import response_relay
 from standins.loopback import event, running_deployment
 from standins.raw_responses import (
     EVENT_STREAM,
@@ -207,3 +208,22 @@
         assert reply.is_complete
 
     on_deployment(scenario, endpoints=(("desk-1", "east-a", "desk"),))
+
+
+@pytest.mark.parametrize("framing", [Framing.CLOSE, Framing.CHUNKED, Framing.LENGTH])
+def test_whole_body_in_place_of_a_stream_reaches_the_caller(framing):
+    async def scenario(deployment):
+        deployment.endpoints["engine-1"].handler = answer_with(
+            framing, BODY, headers=[(b"content-type", b"application/json")]
+        )
+        reply = await deployment.send_request("e1", "/draft/1", model="m")
+        assert (reply.status, reply.body) == (200, b"".join(BODY))
+        assert reply.is_complete
+
+    on_deployment(scenario, endpoints=ENGINE)
+
+
+def test_check_detects_streams_that_end_inside_an_event(monkeypatch):
+    monkeypatch.setattr(response_relay, "check_last_event", lambda tail, framing: None)
+    with pytest.raises(BaseExceptionGroup):
+        test_stream_that_ends_inside_an_event_is_not_complete(Framing.CLOSE, b"id: 4")
