Do not take a reset for the end of an answer after a failed send

An answer without a length that was reset on its way could reach its caller as complete. A socket reports a reset once.

A connection remembers that it failed; no bytes after that are a failure, not an end.

--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -45,11 +45,14 @@
         State machine of the protocol.
     is_partly_sent : bool
         True while only a part of a message has been sent.
+    is_broken : bool
+        True once sending or receiving has failed.
     """
 
     stream: trio.abc.Stream
     h11: h11.Connection
     is_partly_sent: bool = False
+    is_broken: bool = False
 
     def reset_cycle(self, max_head_bytes):
         """Start a server's next message cycle after a body was sent without ``h11``.
@@ -89,11 +92,22 @@
             await self.receive()
 
     async def receive(self):
-        """Pass the next received bytes, or the end of the stream, to ``h11``."""
+        """Pass the next received bytes, or the end of the stream, to ``h11``.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection has failed.
+        """
         try:
             data = await self.stream.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            self.is_broken = True
             raise ExchangeError("the connection broke while receiving") from exc
+        if not data and self.is_broken:
+            # A socket reports a reset once. After a send has failed with it, receiving
+            # looks as if the other end had closed the connection.
+            raise ExchangeError("the connection broke while sending")
         self.h11.receive_data(data)
 
     async def next_data(self):
@@ -114,11 +128,21 @@
             If the connection fails.
         """
         data = b"".join(self.h11.send(event) or b"" for event in events)
-        if not data:
-            return
+        if data:
+            await self.send_bytes(data)
+
+    async def send_bytes(self, data):
+        """Send bytes that ``h11`` has encoded.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection fails.
+        """
         try:
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            self.is_broken = True
             raise ExchangeError("the connection broke while sending") from exc
 
     async def close(self):
--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -305,8 +305,8 @@
     conn.is_partly_sent = True
     # An endpoint that rejects a request early may reset the connection while the
     # rest is sent. The outcome is read from its response, if there is one.
-    with contextlib.suppress(trio.BrokenResourceError, trio.ClosedResourceError):
-        await conn.stream.send_all(data)
+    with contextlib.suppress(ExchangeError):
+        await conn.send_bytes(data)
         conn.is_partly_sent = False
 
 
--- a/tests/serving/test_connections.py
+++ b/tests/serving/test_connections.py
@@ -2,7 +2,9 @@
 
 import socket
 
+import attrs
 import h11
+import pytest
 import trio
 
 from cactusmill.errors import ExchangeError
@@ -80,6 +82,55 @@
     return trio.run(main)
 
 
+@attrs.define
+class ScriptedStream(trio.abc.Stream):
+    """A connection that gives its error to whoever sends, as a socket does."""
+
+    received: list
+
+    async def send_all(self, data):
+        await trio.sleep(0)
+        raise trio.BrokenResourceError
+
+    async def wait_send_all_might_not_block(self):
+        pass
+
+    async def receive_some(self, max_bytes=None):
+        await trio.sleep(0.01)
+        return self.received.pop(0) if self.received else b""
+
+    async def aclose(self):
+        pass
+
+
+@pytest.mark.parametrize("body", [b"", b"x" * 100_000])
+def test_close_after_a_failed_send_is_no_end(body):
+    head, data = encode_response(Framing.CLOSE, CHUNKS, SIGNED)
+    request = h11.Request(
+        method="POST",
+        target="/order/1",
+        headers=[("host", "x"), ("content-length", str(len(body)))],
+    )
+
+    async def main():
+        conn = client_connection(ScriptedStream([head + data[:12]]))
+        response = await exchange(
+            ConnectionPool(net=None),
+            "desk",
+            conn,
+            request,
+            body,
+            "r-1",
+            DIALECT.read_response_head,
+            (2.0, 2.0),
+        )
+        while await response.next_data() is not None:
+            pass
+
+    with pytest.raises(ExchangeError):
+        trio.run(main)
+
+
 def test_answer_without_length_reset_while_the_request_is_sent_is_not_complete():
     """The send takes the error of the socket, so that the next read sees a close."""
 
