Reset the connection of an HTTP/1.0 caller whose answer broke off

From the head of such a response to its end the socket is set to reset when it is closed, also by the end of the process.

--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -5,6 +5,8 @@
 """
 
 import contextlib
+import socket
+import struct
 
 import attrs
 import h11
@@ -19,6 +21,7 @@
 RECEIVE_BYTES = 64 * 1024
 LINGER_S = 1.0
 _LINGER_BYTES = 1024 * 1024
+_LINGER = struct.Struct("ii")
 _HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -53,6 +56,7 @@
     h11: h11.Connection
     is_partly_sent: bool = False
     is_broken: bool = False
+    _resets_on_close: bool = False
 
     def reset_cycle(self, max_head_bytes):
         """Start a server's next message cycle after a body was sent without ``h11``.
@@ -128,8 +132,35 @@
             If the connection fails.
         """
         data = b"".join(self.h11.send(event) or b"" for event in events)
+        if any(self._ends_with_connection(event) for event in events):
+            self._set_reset_on_close(True)
         if data:
             await self.send_bytes(data)
+        if self._resets_on_close and self.h11.our_state is not h11.SEND_BODY:
+            self._set_reset_on_close(False)
+
+    def _ends_with_connection(self, event):
+        """Return whether an event begins a response that ends with its connection.
+
+        Callers of HTTP/1.0 know no chunks.
+        """
+        return (
+            isinstance(event, h11.Response)
+            and self.h11.their_http_version == b"1.0"
+            and header(event.headers, b"content-length") is None
+        )
+
+    def _set_reset_on_close(self, resets):
+        """Let the operating system reset the connection when it is closed, or not.
+
+        Until a response is complete whose end is that of its connection, a close would
+        end it, also if this process is killed.
+        """
+        self._resets_on_close = resets
+        sock = getattr(self.stream, "socket", None)
+        if sock is not None:
+            option = _LINGER.pack(int(resets), 0)
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, option)
 
     async def send_bytes(self, data):
         """Send bytes that ``h11`` has encoded.
--- a/tests/serving/test_answer_ends.py
+++ b/tests/serving/test_answer_ends.py
@@ -110,6 +110,23 @@
     on_deployment(scenario, endpoints=ENGINE)
 
 
+@pytest.mark.parametrize("path", ["/draft/1", "/chat/1"])
+def test_http_1_0_caller_of_a_whole_stream_gets_an_orderly_close(path):
+    async def scenario(deployment):
+        stream = await deployment.connect("e1")
+        await stream.send_all(
+            b"POST %s HTTP/1.0\r\nhost: api.example\r\nrequest-id: r-1\r\n"
+            b"authorization: Token key-of-red\r\nmodel: m\r\ntoken-usage: 100,30\r\n"
+            b"content-length: 0\r\n\r\n" % path.encode()
+        )
+        received = b""
+        while data := await stream.receive_some():
+            received += data
+        assert received.endswith(STREAM)
+
+    on_deployment(scenario, endpoints=ENGINE)
+
+
 @pytest.mark.parametrize("framing", [Framing.CLOSE, Framing.CHUNKED, Framing.LENGTH])
 @pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"])
 def test_whole_streams_of_every_framing_reach_the_caller_as_they_arrive(
