Bound what an endpoint's answer without end may cost

An endpoint may send bytes without end, in a head or a body, until it is closed.

Each reader of a response now counts bytes and pieces (ReceivedBody), interim responses and the bytes of one event; the body of a refusal is read for 0.1 s and 64 KB at most, since only its connection depends on it; other tasks get a turn after 64 events of HTTP. On the product's own interface the limits grow with the tokens that a request may use, so that no whole answer is given up; the raw relay checks sizes of chunks and the number of trailer lines. One function collects a body, where four did.

--- a/src/cactusmill/errors.py
+++ b/src/cactusmill/errors.py
@@ -83,6 +83,10 @@
     """A response ended before it was complete according to its framing."""
 
 
+class OversizedAnswerError(ExchangeError):
+    """A response goes on beyond the size of any that is relayed."""
+
+
 class ForwardRefusedError(CactusmillError):
     """A peer had no capacity for a forwarded request; another may be tried."""
 
--- a/src/cactusmill/internal/at_most_once.py
+++ b/src/cactusmill/internal/at_most_once.py
@@ -32,7 +32,7 @@
 from .admission import admit
 from .endpoints import receive_data, receive_head, send_request
 from .forward_client import forward
-from .http import end_to_end_headers
+from .http import collect_body, end_to_end_headers
 from .ledger import Response, spent_refusal
 from .peer_selection import connect_peer
 from .peers import retry_after_outage_s
@@ -270,7 +270,7 @@
         with trio.fail_after(remaining_s):
             await send_request(exchange, endpoint, req, headers)
             await receive_head(exchange, req, remaining_s)
-            body = await _receive_body(exchange)
+            body = await collect_body(lambda: receive_data(exchange))
     except (ExchangeError, trio.TooSlowError) as exc:
         state.record_failure(host.now())
         await exchange.conn.close()
@@ -301,13 +301,6 @@
     return exchange.status == _UNAVAILABLE and LEAVING_HEADER in names
 
 
-async def _receive_body(exchange):
-    chunks = []
-    while (data := await receive_data(exchange)) is not None:
-        chunks.append(data)
-    return b"".join(chunks)
-
-
 async def _forward_to_owner(host, req, sink):
     """Forward a request to the owner of its identifier.
 
--- a/src/cactusmill/internal/attempts.py
+++ b/src/cactusmill/internal/attempts.py
@@ -24,7 +24,7 @@
 from .chat import UsageMeter
 from .endpoints import STALL_LIMIT_S, receive_data, receive_head, send_request
 from .event_stream import check_last_event, is_event_stream, last_bytes
-from .framing import Framing, response_framing
+from .framing import Framing
 from .http import end_to_end_headers, header, is_chunked
 
 # The endpoint's number of requests in progress, from all hosts.
@@ -197,9 +197,7 @@
                 host, sink, progress, endpoint, exchange, caller_stream, has_events
             )
         else:
-            await _relay_decoded(
-                host, req, sink, progress, endpoint, exchange, has_events
-            )
+            await _relay_decoded(host, sink, progress, endpoint, exchange, has_events)
     except ExchangeError as exc:
         await _record_if_crashed(host, req, progress, endpoint, exchange, exc)
         raise AnswerCutError(f"the endpoint failed during its response: {exc}") from exc
@@ -227,6 +225,7 @@
         on_data,
         STALL_LIMIT_S,
         has_events,
+        exchange.received.max_bytes,
     )
     sink.end_chunked()
     if is_reusable:
@@ -235,7 +234,7 @@
         await exchange.conn.close()
 
 
-async def _relay_decoded(host, req, sink, progress, endpoint, exchange, has_events):
+async def _relay_decoded(host, sink, progress, endpoint, exchange, has_events):
     tail = b""
     while (data := await receive_data(exchange)) is not None:
         tail = last_bytes(tail, data)
@@ -243,15 +242,14 @@
             progress.meter.feed(data)
         await sink.data(data)
     if has_events:
-        _check_end(req, progress, exchange, tail)
+        _check_end(progress, exchange, tail)
     await sink.end()
     await host.pool.release(endpoint, exchange, host.now())
 
 
-def _check_end(req, progress, exchange, tail):
+def _check_end(progress, exchange, tail):
     """Raise `TruncatedAnswerError` if a stream whose last bytes are given broke off."""
-    method = req.method.encode()
-    framing = response_framing(method, exchange.status, exchange.headers)
+    framing = exchange.received.framing
     check_last_event(tail, framing)
     if framing is Framing.CLOSE and not (
         progress.meter is None or progress.meter.has_last_event
--- a/src/cactusmill/internal/chat.py
+++ b/src/cactusmill/internal/chat.py
@@ -21,6 +21,8 @@
 _USAGE_MARK = b'"usage"'
 # The last event of a stream, "data: [DONE]", carries no token.
 _EVENTS_WITHOUT_TOKEN = 1
+# What of a response is kept to read its reported usage.
+_MAX_METERED_BYTES = 16 * 1024 * 1024
 _LAST_EVENT = b"[DONE]"
 _MAX_LAST_EVENT_BYTES = 32
 
@@ -111,7 +113,7 @@
     prompt_tokens: int
     is_stream: bool
     _events: int = 0
-    _tail: bytes = b""
+    _tail: bytearray = attrs.field(factory=bytearray)
     _last_bytes: bytes = b""
 
     @property
@@ -126,8 +128,8 @@
             last_bytes = self._last_bytes + chunk[-_MAX_LAST_EVENT_BYTES:]
             self._last_bytes = last_bytes[-_MAX_LAST_EVENT_BYTES:]
             if _USAGE_MARK in chunk:
-                self._tail = chunk
-        else:
+                self._tail = bytearray(chunk)
+        elif len(self._tail) < _MAX_METERED_BYTES:
             self._tail += chunk
 
     def used(self):
--- a/src/cactusmill/internal/endpoints.py
+++ b/src/cactusmill/internal/endpoints.py
@@ -12,6 +12,12 @@
     SilentEndpointError,
     TruncatedAnswerError,
 )
+from .framing import (
+    MAX_BODY_BYTES,
+    MAX_BODY_PIECES,
+    ReceivedBody,
+    response_framing,
+)
 from .http import client_connection, header
 from .net import Network
 
@@ -27,6 +33,10 @@
 # Backoff after the first failure; each further one doubles it.
 _MIN_BACKOFF_S = 0.2
 _MAX_BACKOFF_S = 5.0
+# Limits of a response grow with the tokens that its request may use: an event has one
+# token or more, with the probabilities of a few others.
+_MAX_BYTES_PER_TOKEN = 4096
+_MAX_PIECES_PER_TOKEN = 4
 REQUEST_ID_HEADER = b"x-request-id"
 
 
@@ -105,12 +115,15 @@
         Status of the response; 0 until its head is received.
     headers : list of (bytes, bytes)
         Headers of the response.
+    received : ReceivedBody or None
+        Body of the response; None until its head is received.
     """
 
     conn: object
     reused: bool
     status: int = 0
     headers: list = attrs.field(factory=list)
+    received: object = None
 
 
 @attrs.define
@@ -273,16 +286,17 @@
     """
     try:
         with trio.fail_after(max(0.0, timeout_s)):
-            event = await exchange.conn.next_event()
-            while isinstance(event, h11.InformationalResponse):
-                event = await exchange.conn.next_event()
+            event = await exchange.conn.next_response()
     except trio.TooSlowError as exc:
         raise SilentEndpointError(f"no answer within {timeout_s:.1f} s") from exc
     except h11.RemoteProtocolError as exc:
         raise TruncatedAnswerError(str(exc)) from exc
-    if not isinstance(event, h11.Response):
-        raise TruncatedAnswerError("the connection ended before an answer")
     exchange.status, exchange.headers = event.status_code, list(event.headers)
+    exchange.received = ReceivedBody(
+        response_framing(req.method.encode(), exchange.status, exchange.headers),
+        max_bytes=MAX_BODY_BYTES + int(_MAX_BYTES_PER_TOKEN * req.cost_tokens),
+        max_pieces=MAX_BODY_PIECES + int(_MAX_PIECES_PER_TOKEN * req.cost_tokens),
+    )
     echoed = header(exchange.headers, REQUEST_ID_HEADER)
     if echoed is not None and echoed != req.request_id:
         raise CrossedAnswerError(f"answer to {echoed!r}, not to {req.request_id!r}")
@@ -298,7 +312,7 @@
     """
     try:
         with trio.fail_after(STALL_LIMIT_S):
-            return await exchange.conn.next_data()
+            return await exchange.conn.next_data(exchange.received)
     except trio.TooSlowError as exc:
         raise SilentEndpointError(f"no progress for {STALL_LIMIT_S} s") from exc
     except h11.RemoteProtocolError as exc:
--- a/src/cactusmill/internal/event_stream.py
+++ b/src/cactusmill/internal/event_stream.py
@@ -2,7 +2,7 @@
 
 import re
 
-from ..errors import TruncatedAnswerError
+from ..errors import OversizedAnswerError, TruncatedAnswerError
 from .framing import Framing
 from .http import header
 
@@ -10,6 +10,7 @@
 # An event ends with a blank line. Lines end with LF, CRLF or CR.
 _EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 _MAX_END_BYTES = 3
+MAX_EVENT_BYTES = 1024 * 1024
 _ID_FIELD = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
 
 
@@ -95,6 +96,11 @@
         ----------
         data : bytes
             As received.
+
+        Raises
+        ------
+        OversizedAnswerError
+            If an event has no end within `MAX_EVENT_BYTES`.
         """
         # What was received before holds no end of an event, but may hold its start.
         start = max(0, len(self._received) - _MAX_END_BYTES + 1)
@@ -104,6 +110,8 @@
             found_at = self._received.rfind(event_end, start)
             if found_at >= 0:
                 end = max(end, found_at + len(event_end))
+        if len(self._received) - end > MAX_EVENT_BYTES:
+            raise OversizedAnswerError(f"an event of over {MAX_EVENT_BYTES} bytes")
         if not end:
             return b""
         complete_events = bytes(self._received[:end])
--- a/src/cactusmill/internal/framing.py
+++ b/src/cactusmill/internal/framing.py
@@ -4,7 +4,11 @@
 
 import attrs
 
-from .http import header
+from ..errors import OversizedAnswerError
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+# Each piece of a body costs processor time, however small it is.
+MAX_BODY_PIECES = 64 * 1024
 
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
@@ -38,9 +42,10 @@
     """
     if method == b"HEAD" or status in _STATUSES_WITHOUT_BODY:
         return Framing.NONE
-    if header(headers, b"transfer-encoding") is not None:
+    names = {name for name, _ in headers}
+    if b"transfer-encoding" in names:
         return Framing.CHUNKED
-    if header(headers, b"content-length") is not None:
+    if b"content-length" in names:
         return Framing.LENGTH
     return Framing.CLOSE
 
@@ -53,9 +58,29 @@
     ----------
     framing : Framing
         What marks its end.
-    size : int
-        Bytes received.
+    max_bytes, max_pieces : int
+        Limits of a body that may have no end.
+    size, pieces : int
+        Bytes and pieces received.
     """
 
     framing: Framing
+    max_bytes: int = MAX_BODY_BYTES
+    max_pieces: int = MAX_BODY_PIECES
     size: int = 0
+    pieces: int = 0
+
+    def add(self, data):
+        """Count the next piece.
+
+        Raises
+        ------
+        OversizedAnswerError
+            If the body exceeds a limit.
+        """
+        self.size += len(data)
+        self.pieces += 1
+        if self.size > self.max_bytes:
+            raise OversizedAnswerError(f"an answer of over {self.max_bytes} bytes")
+        if self.pieces > self.max_pieces:
+            raise OversizedAnswerError(f"an answer in over {self.max_pieces} pieces")
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -15,12 +15,18 @@
 from ..errors import (
     BadRequestError,
     ExchangeError,
+    OversizedAnswerError,
     TruncatedAnswerError,
 )
+from .framing import ReceivedBody, response_framing
 
 RECEIVE_BYTES = 64 * 1024
 LINGER_S = 1.0
 _LINGER_BYTES = 1024 * 1024
+# Interim responses (1xx) before a final one.
+_MAX_INTERIM_RESPONSES = 16
+# Events of received bytes that are handled before other tasks get a turn.
+_EVENTS_PER_TURN = 64
 _LINGER = struct.Struct("ii")
 _HOP_BY_HOP = frozenset(
     {
@@ -57,6 +63,7 @@
     is_partly_sent: bool = False
     is_broken: bool = False
     _resets_on_close: bool = False
+    _events_in_turn: int = 0
 
     def reset_cycle(self, max_head_bytes):
         """Start a server's next message cycle after a body was sent without ``h11``.
@@ -90,7 +97,12 @@
         while True:
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
+                self._events_in_turn += 1
+                if self._events_in_turn >= _EVENTS_PER_TURN:
+                    self._events_in_turn = 0
+                    await trio.lowlevel.checkpoint()
                 return event
+            self._events_in_turn = 0
             if self.h11.they_are_waiting_for_100_continue:
                 await self.send(h11.InformationalResponse(status_code=100, headers=[]))
             await self.receive()
@@ -114,14 +126,48 @@
             raise ExchangeError("the connection broke while sending")
         self.h11.receive_data(data)
 
-    async def next_data(self):
-        """Return the next received bytes of the body, or None at its end."""
+    async def next_response(self):
+        """Return the head of the next response, after any interim ones.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection fails or ends before it.
+        h11.RemoteProtocolError
+            If the other end violates the protocol.
+        """
+        for _ in range(_MAX_INTERIM_RESPONSES):
+            event = await self.next_event()
+            if isinstance(event, h11.Response):
+                return event
+            if not isinstance(event, h11.InformationalResponse):
+                raise TruncatedAnswerError("the connection ended before an answer")
+        raise OversizedAnswerError(f"over {_MAX_INTERIM_RESPONSES} interim responses")
+
+    async def next_data(self, received=None):
+        """Return the next received bytes of the body, or None at its end.
+
+        Parameters
+        ----------
+        received : ReceivedBody or None
+            Counts them; None for a body without limits.
+
+        Raises
+        ------
+        ExchangeError
+            If the connection fails or the body exceeds the limits of `received`.
+        h11.RemoteProtocolError
+            If the other end violates the protocol.
+        """
         event = await self.next_event()
         if isinstance(event, h11.EndOfMessage):
             return None
         if not isinstance(event, h11.Data):
             raise TruncatedAnswerError(f"{type(event).__name__} inside a body")
-        return bytes(event.data)
+        data = bytes(event.data)
+        if received is not None:
+            received.add(data)
+        return data
 
     async def send(self, *events):
         """Send events with one write.
@@ -272,6 +318,14 @@
     ]
 
 
+async def collect_body(next_data):
+    """Return a body's pieces as one, from a function that returns the next or None."""
+    body = bytearray()
+    while (data := await next_data()) is not None:
+        body += data
+    return bytes(body)
+
+
 async def perform_request(conn, method, target, headers, body=b""):
     """Send one request and read the complete response.
 
@@ -293,14 +347,11 @@
     )
     try:
         await conn.send(request, h11.Data(data=body), h11.EndOfMessage())
-        response = await conn.next_event()
-        while isinstance(response, h11.InformationalResponse):
-            response = await conn.next_event()
-        if not isinstance(response, h11.Response):
-            raise TruncatedAnswerError("the connection ended before an answer")
-        chunks = []
-        while (data := await conn.next_data()) is not None:
-            chunks.append(data)
+        response = await conn.next_response()
+        received = ReceivedBody(
+            response_framing(request.method, response.status_code, response.headers)
+        )
+        response_body = await collect_body(lambda: conn.next_data(received))
     except h11.RemoteProtocolError as exc:
         raise TruncatedAnswerError(str(exc)) from exc
-    return response.status_code, list(response.headers), b"".join(chunks)
+    return response.status_code, list(response.headers), response_body
--- a/src/cactusmill/internal/relay.py
+++ b/src/cactusmill/internal/relay.py
@@ -7,6 +7,7 @@
 """
 
 import os
+import re
 import select
 
 import attrs
@@ -14,11 +15,12 @@
 
 from ..errors import (
     CallerGoneError,
+    OversizedAnswerError,
     SilentEndpointError,
     TruncatedAnswerError,
 )
 from .event_stream import check_last_event, last_bytes
-from .framing import Framing
+from .framing import MAX_BODY_BYTES, Framing, ReceivedBody
 
 # With at least this many transfers, the relay sleeps between its polls, so that one
 # poll serves several transfers.
@@ -26,6 +28,8 @@
 COALESCING_DELAY_S = 0.002
 _READ_BYTES = 64 * 1024
 _MAX_LINE_BYTES = 4096
+_MAX_TRAILER_LINES = 64
+_CHUNK_SIZE = re.compile(rb"[0-9A-Fa-f]{1,16}")
 _MAX_READY = 512
 
 
@@ -43,6 +47,7 @@
     _skip: int = 0
     _is_in_chunk: bool = False
     _line: bytes = b""
+    _trailer_lines: int = 0
     _in_trailer: bool = False
 
     def feed(self, data):
@@ -83,6 +88,9 @@
             if self._in_trailer:
                 if not line:
                     return at
+                self._trailer_lines += 1
+                if self._trailer_lines > _MAX_TRAILER_LINES:
+                    raise TruncatedAnswerError("a body's trailer is too long")
                 continue
             if self._is_in_chunk:
                 # The end of the line that ends a chunk's data.
@@ -94,10 +102,10 @@
             self._is_in_chunk = self._skip > 0
 
     def _chunk_bytes(self, line):
-        try:
-            size = int(line.partition(b";")[0], 16)
-        except ValueError as exc:
-            raise TruncatedAnswerError(f"{line[:20]!r} is no chunk size") from exc
+        text = line.partition(b";")[0].strip()
+        if not _CHUNK_SIZE.fullmatch(text):
+            raise TruncatedAnswerError(f"{line[:20]!r} is no chunk size")
+        size = int(text, 16)
         if size == 0:
             self._in_trailer = True
         return size
@@ -115,6 +123,8 @@
         Finds the end of the body.
     has_events : bool
         Whether the body is an event stream.
+    received : ReceivedBody
+        Counts the received bytes, with those of the framing.
     on_data : callable or None
         ``on_data(data)`` is called with each piece of the body.
     steps : int
@@ -135,6 +145,7 @@
     target: int
     scanner: ChunkScanner
     has_events: bool
+    received: ReceivedBody
     on_data: object
     steps: int = 0
     unsent: bytes = b""
@@ -159,10 +170,11 @@
         """Scan and send bytes; return whether the transfer continues."""
         self.steps += 1
         try:
+            self.received.add(data)
             end = self.scanner.feed(data)
             if end is not None and self.has_events:
                 check_last_event(self.scanner.tail, Framing.CHUNKED)
-        except TruncatedAnswerError as exc:
+        except (OversizedAnswerError, TruncatedAnswerError) as exc:
             return self._stop(exc)
         if end is not None:
             self.is_complete, self.has_surplus = True, end < len(data)
@@ -211,7 +223,14 @@
             self._epoll.unregister(fd)
 
     async def relay(
-        self, source, target, prefix, on_data, stall_limit_s, has_events=False
+        self,
+        source,
+        target,
+        prefix,
+        on_data,
+        stall_limit_s,
+        has_events=False,
+        max_bytes=MAX_BODY_BYTES,
     ):
         """Relay a body to its end.
 
@@ -228,6 +247,8 @@
         has_events : bool
             Whether the body is an event stream. The end of one that ends inside an
             event is not relayed.
+        max_bytes : int
+            Limit of the body, with its framing.
 
         Returns
         -------
@@ -237,8 +258,8 @@
 
         Raises
         ------
-        TruncatedAnswerError, SilentEndpointError
-            If the endpoint's connection failed or stalled.
+        TruncatedAnswerError, SilentEndpointError, OversizedAnswerError
+            If the endpoint's connection failed or stalled, or the body has no end.
         CallerGoneError
             If the caller's connection failed or stalled.
         """
@@ -247,6 +268,7 @@
             target.socket.fileno(),
             ChunkScanner(),
             has_events,
+            ReceivedBody(Framing.CHUNKED, max_bytes, max_pieces=max_bytes),
             on_data,
         )
         if prefix:
--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -259,15 +259,13 @@
     async def next_data():
         try:
             with trio.fail_after(stall_timeout_s):
-                data = await conn.next_data()
+                return await conn.next_data(received)
         except trio.TooSlowError as exc:
             raise SilentEndpointError(
                 f"no progress for {stall_timeout_s:.2f} s"
             ) from exc
         except h11.RemoteProtocolError as exc:
             raise TruncatedAnswerError(str(exc)) from exc
-        received.size += len(data or b"")
-        return data
 
     async def release(now):
         if conn.is_partly_sent:
@@ -317,26 +315,24 @@
         metadata = read_metadata(response.status_code, list(response.headers))
         if metadata.request_id is None or metadata.request_id == request_id:
             return response, metadata
-        await _skip_response(conn, request)
+        await _skip_response(conn, request, response)
     raise CrossedAnswerError(f"only answers to others than {request_id!r}")
 
 
 async def _receive_head(conn):
     try:
-        event = await conn.next_event()
-        while isinstance(event, h11.InformationalResponse):
-            event = await conn.next_event()
+        return await conn.next_response()
     except h11.RemoteProtocolError as exc:
         raise TruncatedAnswerError(str(exc)) from exc
-    if not isinstance(event, h11.Response):
-        raise TruncatedAnswerError("the connection ended before an answer")
-    return event
 
 
-async def _skip_response(conn, request):
+async def _skip_response(conn, request, response):
     """Discard a response to another request, and prepare to receive the next."""
+    received = ReceivedBody(
+        response_framing(request.method, response.status_code, response.headers)
+    )
     try:
-        while await conn.next_data() is not None:
+        while await conn.next_data(received) is not None:
             pass
     except h11.RemoteProtocolError as exc:
         raise TruncatedAnswerError(str(exc)) from exc
--- a/src/cactusmill/serving/cross_region.py
+++ b/src/cactusmill/serving/cross_region.py
@@ -9,12 +9,12 @@
     Outcome,
     Refusal,
 )
+from ..internal.http import collect_body
 from .events import log_event
 from .forwarding import forward
 from .progress import BUSY_RETRY_S
 from .response_relay import (
     has_events,
-    read_body,
     relay_body,
     relay_stream,
     stall_timeout_s,
@@ -86,7 +86,7 @@
                 host, req, sink, progress, None, response, _REMOTE_LOAD, host.now()
             )
         else:
-            body = await read_body(response)
+            body = await collect_body(response.next_data)
             await response.release(host.now())
             await relay_body(host, sink, progress, response, body)
         is_complete = True
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -174,7 +174,8 @@
 
     async def next_data():
         data = await _next_data(link, stall_timeout_s)
-        received.size += len(data or b"")
+        if data is not None:
+            received.add(data)
         return data
 
     async def release(now):
--- a/src/cactusmill/serving/response_relay.py
+++ b/src/cactusmill/serving/response_relay.py
@@ -1,5 +1,9 @@
 """Relay of responses to callers: complete bodies, and streams event by event."""
 
+import contextlib
+
+import trio
+
 from ..errors import ExchangeError
 from ..internal.event_stream import (
     check_last_event,
@@ -8,7 +12,9 @@
     last_bytes,
 )
 
-_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+# What is discarded of a response so that its connection can be reused.
+_MAX_DRAINED_BYTES = 64 * 1024
+_MAX_DRAIN_S = 0.1
 # Longest time without data before a stream is resumed at another endpoint. Callers
 # give up after two seconds or more.
 STREAM_STALL_S = 1.6
@@ -29,33 +35,18 @@
     return remaining_s
 
 
-async def read_body(response):
-    """Return the complete body of a response.
+async def drain(host, response):
+    """Discard the body of a response, so that its connection can be reused.
 
-    Raises
-    ------
-    ExchangeError
-        If it is truncated or too large.
+    The head was enough: if the body is not over soon, the connection is closed.
     """
-    chunks, size = [], 0
-    while (data := await response.next_data()) is not None:
-        chunks.append(data)
-        size += len(data)
-        if size > _MAX_RESPONSE_BYTES:
-            raise ExchangeError(f"an answer over {_MAX_RESPONSE_BYTES} bytes")
-    return b"".join(chunks)
-
-
-async def drain(host, response):
-    """Discard the body of a response, so that its connection can be reused."""
-    try:
+    response.received.max_bytes = _MAX_DRAINED_BYTES
+    with trio.move_on_after(_MAX_DRAIN_S), contextlib.suppress(ExchangeError):
         while await response.next_data() is not None:
             pass
-    except ExchangeError:
-        # The head was enough; only the connection is lost.
-        response.abort()
+        await response.release(host.now())
         return
-    await response.release(host.now())
+    response.abort()
 
 
 def has_events(req, progress, response):
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -13,6 +13,7 @@
     Overloaded,
     SilentEndpointError,
 )
+from ..internal.http import collect_body
 from .connections import exchange
 from .events import log_event
 from .placement import DEFAULT_KV_CACHE_TOKENS
@@ -20,7 +21,6 @@
 from .response_relay import (
     drain,
     has_events,
-    read_body,
     relay_body,
     relay_stream,
     stall_timeout_s,
@@ -238,7 +238,7 @@
     if has_events(req, progress, response):
         await relay_stream(host, req, sink, progress, choice, response, load, sent_at)
     else:
-        body = await read_body(response)
+        body = await collect_body(response.next_data)
         load.mark_prompt_read()
         host.placement.record_response_start(
             choice, host.service(req.service), host.now() - sent_at, host.now()
@@ -252,7 +252,7 @@
 
 async def _handle_error_response(host, req, sink, progress, view, response, load):
     """Relay an endpoint's error response, or return a refusal to retry it."""
-    body = await read_body(response)
+    body = await collect_body(response.next_data)
     await response.release(host.now())
     load.is_complete = True
     is_server_error = response.status >= _MIN_RETRIED_STATUS
