Bound what bytes without end of callers and other hosts may cost

A caller's body in chunks of a byte cost fifty times its size in memory; a request for a page of the directory, the readiness check or the operators' pages was read to an end that may never come, without a time limit; a frame of another host that had begun could stay incomplete for ever, 16 MB of surplus bytes were kept beside a request and a stranger could have 16 MB held before the handshake; an export of published items was unpacked to whatever size it had.

--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -18,13 +18,14 @@
     OversizedAnswerError,
     TruncatedAnswerError,
 )
-from .framing import ReceivedBody, response_framing
+from .framing import MAX_BODY_PIECES, ReceivedBody, response_framing
 
 RECEIVE_BYTES = 64 * 1024
 LINGER_S = 1.0
 _LINGER_BYTES = 1024 * 1024
 # Interim responses (1xx) before a final one.
 _MAX_INTERIM_RESPONSES = 16
+_MAX_PAGE_REQUEST_BYTES = 64 * 1024
 # Events of received bytes that are handled before other tasks get a turn.
 _EVENTS_PER_TURN = 64
 _LINGER = struct.Struct("ii")
@@ -260,20 +261,55 @@
     ExchangeError
         If the connection fails or the caller closes it.
     """
-    chunks, size = [], 0
+    body, pieces = bytearray(), 0
     while True:
         try:
             event = await conn.next_event()
         except h11.RemoteProtocolError as exc:
             raise BadRequestError(400, f"the body breaks HTTP: {exc}") from exc
         if isinstance(event, h11.EndOfMessage):
-            return b"".join(chunks)
+            return bytes(body)
         if not isinstance(event, h11.Data):
             raise ExchangeError("the caller left before its body was complete")
-        size += len(event.data)
-        if size > limit:
+        body += event.data
+        pieces += 1
+        if len(body) > limit:
             raise BadRequestError(413, f"the body is over {limit} bytes")
-        chunks.append(bytes(event.data))
+        if pieces > MAX_BODY_PIECES:
+            raise BadRequestError(400, f"the body is in over {MAX_BODY_PIECES} pieces")
+
+
+async def read_page_request(conn, timeout_s):
+    """Read a request for a page of this host, and discard its body.
+
+    Parameters
+    ----------
+    conn : Connection
+        A server's connection.
+    timeout_s : float
+        Longest time until the request is complete, with the idle time before it, in
+        seconds.
+
+    Returns
+    -------
+    h11.Request or None
+        None if no complete request came in time.
+
+    Raises
+    ------
+    ExchangeError
+        If the connection fails.
+    h11.RemoteProtocolError
+        If the other end violates the protocol.
+    """
+    with trio.move_on_after(timeout_s):
+        head = await conn.next_event()
+        if not isinstance(head, h11.Request):
+            return None
+        with contextlib.suppress(BadRequestError):
+            await read_body(conn, _MAX_PAGE_REQUEST_BYTES)
+            return head
+    return None
 
 
 async def lingering_close(conn):
--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -5,6 +5,7 @@
 secret.
 """
 
+import contextlib
 import hmac
 import secrets
 import struct
@@ -22,6 +23,11 @@
 _RECEIVE_BYTES = 64 * 1024
 _NONCE_BYTES = 16
 _LENGTH = struct.Struct(">I")
+# A frame that has begun is complete within this time.
+_FRAME_TIMEOUT_S = 15.0
+_MAX_HANDSHAKE_FRAME_BYTES = 4096
+# What the other end may send while this one expects nothing.
+_MAX_SURPLUS_BYTES = 64 * 1024
 _PROTOCOL = TCompactProtocolAcceleratedFactory()
 
 
@@ -80,11 +86,14 @@
         Identity of the other end, once proved.
     traffic : Traffic
         Counter of sent bytes, shared by all links of a host.
+    max_frame_bytes : int
+        Limit of a received frame.
     """
 
     stream: trio.abc.Stream
     peer: Hello | None = None
     traffic: object = attrs.field(factory=Traffic)
+    max_frame_bytes: int = MAX_FRAME_BYTES
     _received: bytearray = attrs.field(factory=bytearray)
     _send_lock: trio.Lock = attrs.field(factory=trio.Lock)
 
@@ -115,36 +124,47 @@
         Raises
         ------
         LinkClosedError
-            If the link closes or receives something other than a frame.
+            If the link closes, receives something other than a frame, or a frame
+            that has begun does not end in time.
         """
+        if not self._received:
+            await self._receive_some()
+        try:
+            with trio.fail_after(_FRAME_TIMEOUT_S):
+                return await self._receive_frame()
+        except trio.TooSlowError as exc:
+            raise LinkClosedError(
+                f"a frame was not complete within {_FRAME_TIMEOUT_S} s"
+            ) from exc
+
+    async def _receive_frame(self):
         size = _LENGTH.unpack(await self._read_exactly(_LENGTH.size))[0]
-        if size > MAX_FRAME_BYTES:
-            raise LinkClosedError(f"frame of {size} bytes is over {MAX_FRAME_BYTES}")
+        limit = self.max_frame_bytes
+        if size > limit:
+            raise LinkClosedError(f"frame of {size} bytes is over {limit}")
         return decode(await self._read_exactly(size))
 
     async def _read_exactly(self, size):
         while len(self._received) < size:
-            try:
-                data = await self.stream.receive_some(_RECEIVE_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-                raise LinkClosedError("the link broke while receiving") from exc
-            if not data:
-                raise LinkClosedError("the peer closed the link")
-            self._received += data
+            await self._receive_some()
         data = bytes(self._received[:size])
         del self._received[:size]
         return data
 
+    async def _receive_some(self):
+        try:
+            data = await self.stream.receive_some(_RECEIVE_BYTES)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise LinkClosedError("the link broke while receiving") from exc
+        if not data:
+            raise LinkClosedError("the peer closed the link")
+        self._received += data
+
     async def wait_closed(self):
-        """Return once the other end has closed; buffer what it sends until then."""
-        while len(self._received) <= MAX_FRAME_BYTES:
-            try:
-                data = await self.stream.receive_some(_RECEIVE_BYTES)
-            except (trio.BrokenResourceError, trio.ClosedResourceError):
-                return
-            if not data:
-                return
-            self._received += data
+        """Return once the other end has closed, or sends too much meanwhile."""
+        with contextlib.suppress(LinkClosedError):
+            while len(self._received) <= _MAX_SURPLUS_BYTES:
+                await self._receive_some()
 
     async def close(self):
         """Close the connection without waiting for the other end."""
@@ -177,7 +197,11 @@
         If the other end does not prove its identity within
         `HANDSHAKE_TIMEOUT_S` seconds.
     """
-    link = Link(stream, traffic=traffic or Traffic())
+    link = Link(
+        stream,
+        traffic=traffic or Traffic(),
+        max_frame_bytes=_MAX_HANDSHAKE_FRAME_BYTES,
+    )
     nonce = secrets.token_bytes(_NONCE_BYTES)
     own_hello = Hello(identity.host, identity.zone, identity.incarnation, nonce)
     try:
@@ -193,7 +217,7 @@
     expected = _proof(secret, not dialled, peer_hello, own_hello)
     if proof is None or not hmac.compare_digest(proof.mac, expected):
         raise LinkClosedError("the peer does not hold the link secret")
-    link.peer = peer_hello
+    link.peer, link.max_frame_bytes = peer_hello, MAX_FRAME_BYTES
     return link
 
 
--- a/src/cactusmill/internal/operators.py
+++ b/src/cactusmill/internal/operators.py
@@ -5,10 +5,9 @@
 
 import attrs
 import h11
-import trio
 
 from ..errors import ExchangeError
-from .http import server_connection
+from .http import read_page_request, server_connection
 from .request import is_permitted
 from .routing import make_candidate, rank_hosts
 
@@ -61,13 +60,9 @@
 
 
 async def _serve_page(host, conn, render):
-    head = None
-    with trio.move_on_after(_IDLE_TIMEOUT_S):
-        head = await conn.next_event()
-    if not isinstance(head, h11.Request):
+    head = await read_page_request(conn, _IDLE_TIMEOUT_S)
+    if head is None:
         return False
-    while not isinstance(await conn.next_event(), h11.EndOfMessage):
-        pass
     page = render(host, head.target.decode("latin-1"))
     headers = [
         (b"content-type", page.content_type),
--- a/src/cactusmill/platform/directory.py
+++ b/src/cactusmill/platform/directory.py
@@ -9,7 +9,7 @@
 import h11
 
 from ..errors import ExchangeError
-from ..internal.http import server_connection
+from ..internal.http import read_page_request, server_connection
 
 DIRECTORY_PATH = "/cactusmill/resolve"
 READY_PATH = "/cactusmill/ready"
@@ -18,6 +18,7 @@
 TTL_S = 2
 _MAX_ADDRESSES = 64
 _MAX_HEAD_BYTES = 16 * 1024
+_IDLE_TIMEOUT_S = 30.0
 
 
 async def serve_directory(host, stream):
@@ -32,10 +33,8 @@
     """
     conn = server_connection(stream, _MAX_HEAD_BYTES)
     try:
-        while isinstance(event := await conn.next_event(), h11.Request):
-            while not isinstance(await conn.next_event(), h11.EndOfMessage):
-                pass
-            status, body = respond(host, event.target.decode("latin-1"))
+        while (head := await read_page_request(conn, _IDLE_TIMEOUT_S)) is not None:
+            status, body = respond(host, head.target.decode("latin-1"))
             await conn.send(
                 h11.Response(
                     status_code=status,
--- a/src/cactusmill/platform/store.py
+++ b/src/cactusmill/platform/store.py
@@ -25,6 +25,7 @@
 # Above this number of cached items, tombstones of removed items are dropped, oldest
 # first.
 _MAX_CACHED_ITEMS = 4096
+_MAX_EXPORT_BYTES = 32 * 1024 * 1024
 
 
 @attrs.define(eq=False)
@@ -86,7 +87,13 @@
             If the export is malformed.
         """
         try:
-            export = json.loads(zlib.decompress(data))
+            unpacker = zlib.decompressobj()
+            text = unpacker.decompress(data, _MAX_EXPORT_BYTES)
+            if not unpacker.eof:
+                raise PlatformError(
+                    f"export is cut or over {_MAX_EXPORT_BYTES} bytes unpacked"
+                )
+            export = json.loads(text)
         except (ValueError, zlib.error) as exc:
             raise PlatformError("export is not valid JSON") from exc
         if not isinstance(export, dict):
--- /dev/null
+++ b/tests/internal/test_http.py
@@ -0,0 +1,70 @@
+"""Requests of callers, whatever they send."""
+
+import itertools
+
+import pytest
+import trio
+import trio.testing
+
+from cactusmill.errors import BadRequestError
+from cactusmill.internal.http import read_body, read_page_request, server_connection
+
+POST = b"POST /order/1 HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
+
+
+def run_with_caller(scenario, first, again, pause_s=0.0):
+    """Run a scenario with the connection of a caller that sends without end."""
+
+    async def main():
+        near, far = trio.testing.memory_stream_pair()
+
+        async def send_forever():
+            await far.send_all(first)
+            for _ in itertools.count():
+                await far.send_all(again)
+                await trio.sleep(pause_s)
+
+        with trio.fail_after(60):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(send_forever)
+                await scenario(server_connection(near, 16 * 1024))
+                nursery.cancel_scope.cancel()
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize(
+    ("again", "status"),
+    [
+        (b"1000\r\n" + b"x" * 4096 + b"\r\n", 413),
+        (b"1\r\nx\r\n" * 100, 400),
+        (b"5;" + b"e" * 4096, 400),
+    ],
+)
+def test_request_body_without_end_is_refused(again, status):
+    async def scenario(conn):
+        await conn.next_event()
+        with pytest.raises(BadRequestError) as caught:
+            await read_body(conn, 4 * 1024 * 1024)
+        assert caught.value.status == status
+
+    run_with_caller(scenario, POST, again)
+
+
+@pytest.mark.parametrize(
+    ("again", "pause_s"), [(b"1000\r\n" + b"x" * 4096 + b"\r\n", 0), (b"1\r\nx\r\n", 1)]
+)
+def test_request_for_a_page_without_end_is_given_up(again, pause_s):
+    async def scenario(conn):
+        assert await read_page_request(conn, 5.0) is None
+
+    run_with_caller(scenario, POST, again, pause_s)
+
+
+def test_request_for_a_page_is_read_with_its_body():
+    async def scenario(conn):
+        head = await read_page_request(conn, 5.0)
+        assert head.target == b"/order/1"
+        assert (await read_page_request(conn, 5.0)) is None
+
+    run_with_caller(scenario, POST + b"3\r\nown\r\n0\r\n\r\n", b"", 1)
