Limit the bytes of bodies and frames that a host holds at once

Each reader was bounded by itself, but not all of them together: 20 answers of 16 MB, or the bodies of some hundred callers, pass the memory of a host, which is then killed with all its requests. Bodies of callers, whole answers, forwarded bodies and frames of other hosts now draw on 64 MB together. A request that finds no room is refused as not run, with a time to come back; an answer breaks off. The gauge buffered_bytes shows the sum.

--- a/src/cactusmill/errors.py
+++ b/src/cactusmill/errors.py
@@ -87,6 +87,10 @@
     """A response goes on beyond the size of any that is relayed."""
 
 
+class BufferLimitError(ExchangeError):
+    """A host holds as many bytes of bodies and frames as it may."""
+
+
 class ForwardRefusedError(CactusmillError):
     """A peer had no capacity for a forwarded request; another may be tried."""
 
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -240,7 +240,7 @@
     return Connection(stream, h11.Connection(h11.CLIENT))
 
 
-async def read_body(conn, limit):
+async def read_body(conn, limit, on_data=None):
     """Read a request body to its end.
 
     Parameters
@@ -249,6 +249,8 @@
         A server's connection, after the head of the request.
     limit : int
         Largest permitted body, in bytes.
+    on_data : callable or None
+        ``on_data(data)`` is called with each piece.
 
     Returns
     -------
@@ -271,6 +273,8 @@
             return bytes(body)
         if not isinstance(event, h11.Data):
             raise ExchangeError("the caller left before its body was complete")
+        if on_data is not None:
+            on_data(event.data)
         body += event.data
         pieces += 1
         if len(body) > limit:
@@ -354,10 +358,20 @@
     ]
 
 
-async def collect_body(next_data):
-    """Return a body's pieces as one, from a function that returns the next or None."""
+async def collect_body(next_data, on_data=None):
+    """Return the pieces of a body as one.
+
+    Parameters
+    ----------
+    next_data : callable
+        ``await next_data()`` returns the next piece, or None at the end.
+    on_data : callable or None
+        ``on_data(data)`` is called with each piece.
+    """
     body = bytearray()
     while (data := await next_data()) is not None:
+        if on_data is not None:
+            on_data(data)
         body += data
     return bytes(body)
 
--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -15,7 +15,7 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.transport.TTransport import TMemoryBuffer
 
-from ..errors import LinkClosedError
+from ..errors import BufferLimitError, LinkClosedError
 from .wire.ttypes import Frame, Hello, Proof
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
@@ -88,12 +88,15 @@
         Counter of sent bytes, shared by all links of a host.
     max_frame_bytes : int
         Limit of a received frame.
+    buffers : BufferBudget or None
+        Limits the bytes of frames that this host holds before they are complete.
     """
 
     stream: trio.abc.Stream
     peer: Hello | None = None
     traffic: object = attrs.field(factory=Traffic)
     max_frame_bytes: int = MAX_FRAME_BYTES
+    buffers: object = None
     _received: bytearray = attrs.field(factory=bytearray)
     _send_lock: trio.Lock = attrs.field(factory=trio.Lock)
 
@@ -142,11 +145,19 @@
         limit = self.max_frame_bytes
         if size > limit:
             raise LinkClosedError(f"frame of {size} bytes is over {limit}")
-        return decode(await self._read_exactly(size))
+        if self.buffers is None:
+            return decode(await self._read_exactly(size))
+        try:
+            with self.buffers.hold() as on_data:
+                return decode(await self._read_exactly(size, on_data))
+        except BufferLimitError as exc:
+            raise LinkClosedError(str(exc)) from exc
 
-    async def _read_exactly(self, size):
+    async def _read_exactly(self, size, on_data=None):
         while len(self._received) < size:
-            await self._receive_some()
+            data = await self._receive_some()
+            if on_data is not None:
+                on_data(data)
         data = bytes(self._received[:size])
         del self._received[:size]
         return data
@@ -159,6 +170,7 @@
         if not data:
             raise LinkClosedError("the peer closed the link")
         self._received += data
+        return data
 
     async def wait_closed(self):
         """Return once the other end has closed, or sends too much meanwhile."""
--- a/src/cactusmill/serving/cross_region.py
+++ b/src/cactusmill/serving/cross_region.py
@@ -86,9 +86,10 @@
                 host, req, sink, progress, None, response, _REMOTE_LOAD, host.now()
             )
         else:
-            body = await collect_body(response.next_data)
-            await response.release(host.now())
-            await relay_body(host, sink, progress, response, body)
+            with host.buffers.hold() as on_data:
+                body = await collect_body(response.next_data, on_data)
+                await response.release(host.now())
+                await relay_body(host, sink, progress, response, body)
         is_complete = True
         return None
     except ConnectError as exc:
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -11,6 +11,7 @@
     AnswerCutError,
     BadRequestError,
     BodyTooLarge,
+    BufferLimitError,
     CallerGoneError,
     ExchangeError,
     MalformedRequest,
@@ -35,6 +36,8 @@
 # shutting down.
 _NO_CONFIGURATION_RETRY_S = 0.5
 _DRAINING_RETRY_S = 0.1
+# Retry time of a request for whose body this host has no room.
+_BUFFER_RETRY_S = 0.5
 # How long a request waits for the first configuration after the process started. The
 # first listing takes one round trip to the platform's region and the time of the
 # platform's response.
@@ -149,6 +152,12 @@
 
 
 async def _serve_request(host, caller, event):
+    """Serve one request; count its body as held by this host meanwhile."""
+    with host.buffers.hold() as on_data:
+        await _serve_held_request(host, caller, event, on_data)
+
+
+async def _serve_held_request(host, caller, event, on_data):
     """Serve one request and log its outcome."""
     head = caller.head
     route = progress = req = None
@@ -156,7 +165,7 @@
     try:
         await _wait_for_configuration(host)
         route, team = _authorize(host, head)
-        body = await _read_body(host, caller)
+        body = await _read_body(host, caller, on_data)
         req = _build_request(host, caller, event, route, team, body)
         _check_draining(host)
         _charge_tokens(host, req)
@@ -213,10 +222,14 @@
     return route, team
 
 
-async def _read_body(host, caller):
+async def _read_body(host, caller, on_data):
     try:
         with trio.fail_after(_BODY_TIMEOUT_S):
-            return await read_body(caller.conn, host.limits.max_body_bytes)
+            return await read_body(caller.conn, host.limits.max_body_bytes, on_data)
+    except BufferLimitError as exc:
+        raise _Refused(
+            Overloaded(detail=str(exc), retry_after_s=_BUFFER_RETRY_S)
+        ) from exc
     except BadRequestError as exc:
         if exc.status == BodyTooLarge.status:
             raise _Refused(BodyTooLarge(detail=exc.problem)) from exc
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -11,6 +11,7 @@
 import trio
 
 from ..errors import (
+    BufferLimitError,
     EndpointFailed,
     ExchangeError,
     LinkClosedError,
@@ -65,10 +66,13 @@
         Opens connections.
     port : int
         Link port, the same on all hosts.
+    buffers : BufferBudget or None
+        Limits the bytes of frames that are held at once.
     """
 
     net: object
     port: int
+    buffers: object = None
     _idle: dict = attrs.field(factory=dict)
 
     async def acquire(self, ip, now):
@@ -87,7 +91,7 @@
             await link.close()
         stream = await self.net.connect(f"{ip}:{self.port}", CONNECT_TIMEOUT_S)
         enable_dead_peer_detection(stream)
-        return Link(stream), False
+        return Link(stream, buffers=self.buffers), False
 
     async def release(self, ip, link, now):
         """Keep a link for reuse, after a complete response."""
@@ -290,7 +294,7 @@
         refusal, or None once the response is complete.
     """
     enable_dead_peer_detection(stream)
-    link = Link(stream)
+    link = Link(stream, buffers=host.buffers)
     try:
         while True:
             frame = await link.receive()
@@ -316,6 +320,17 @@
         refusal = NoEndpoint(detail="this host does not know the route yet")
         await _send_refusal(link, message, refusal)
         return True
+    with host.buffers.hold() as on_data:
+        try:
+            on_data(message.body)
+        except BufferLimitError as exc:
+            await _send_refusal(link, message, Overloaded(detail=str(exc)))
+            return True
+        return await _run_forward(host, link, message, req, run)
+
+
+async def _run_forward(host, link, message, req, run):
+    """Run a forwarded request; return whether the link can be reused."""
     sink = _sink(link, message)
     refusal, is_complete = None, False
     async with trio.open_nursery() as nursery:
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -10,6 +10,7 @@
 import attrs
 import trio
 
+from ..internal.buffer_budget import BufferBudget
 from ..internal.crash_suspects import CrashSuspects
 from ..internal.metrics import Metrics
 from ..internal.net import TCP
@@ -46,6 +47,8 @@
 # interrupted by the same crash.
 _SAME_CRASH_S = 2.0
 _DRAIN_POLL_INTERVAL_S = 0.02
+# Bytes of bodies and large frames held at once: a fraction of a host's memory.
+_MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -114,6 +117,8 @@
         When shutdown began, in seconds; infinity before.
     caller_connections, busy_connections : set of Connection
         Open connections of callers, and those with a request in progress.
+    buffers : BufferBudget
+        Limits the bytes of bodies and frames that are held at once.
     forwards_running : int
         Number of requests forwarded by other hosts that run here.
     region_backoff_until : dict of (str, str) to float
@@ -137,6 +142,9 @@
     source_health: SourceHealth = attrs.field(factory=SourceHealth)
     suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
     metrics: Metrics = attrs.field(factory=Metrics)
+    buffers: BufferBudget = attrs.field(
+        factory=lambda: BufferBudget(_MAX_BUFFERED_BYTES)
+    )
     membership: Membership = attrs.field(init=False)
     placement: Placement = attrs.field(init=False)
     quotas: Quotas = attrs.field(init=False)
@@ -167,7 +175,7 @@
         self.quotas = Quotas(0.0, max(1, len(cfg.zones)), cfg.rate_excess)
         self.retry_budgets = RetryBudgets(cfg.retry_ratio, cfg.retry_slack)
         self.pool = ConnectionPool(self.net)
-        self.links = LinkPool(self.net, port)
+        self.links = LinkPool(self.net, port, self.buffers)
         self.gossip = Gossip(self, port, cfg.seeds)
 
     # Queries and updates by the other modules.
@@ -407,6 +415,7 @@
             if configuration
             else 0,
             "retries_left": self.retry_budgets.credit(),
+            "buffered_bytes": self.buffers.used_bytes,
         }
 
     # Start, maintenance and shutdown.
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -238,21 +238,23 @@
     if has_events(req, progress, response):
         await relay_stream(host, req, sink, progress, choice, response, load, sent_at)
     else:
-        body = await collect_body(response.next_data)
-        load.mark_prompt_read()
-        host.placement.record_response_start(
-            choice, host.service(req.service), host.now() - sent_at, host.now()
-        )
-        await response.release(host.now())
-        load.is_complete = True
-        await relay_body(host, sink, progress, response, body)
+        with host.buffers.hold() as on_data:
+            body = await collect_body(response.next_data, on_data)
+            load.mark_prompt_read()
+            host.placement.record_response_start(
+                choice, host.service(req.service), host.now() - sent_at, host.now()
+            )
+            await response.release(host.now())
+            load.is_complete = True
+            await relay_body(host, sink, progress, response, body)
     host.suspects.clear(progress.digest)
     return None
 
 
 async def _handle_error_response(host, req, sink, progress, view, response, load):
     """Relay an endpoint's error response, or return a refusal to retry it."""
-    body = await collect_body(response.next_data)
+    with host.buffers.hold() as on_data:
+        body = await collect_body(response.next_data, on_data)
     await response.release(host.now())
     load.is_complete = True
     is_server_error = response.status >= _MIN_RETRIED_STATUS
--- a/tests/serving/test_endless_bytes.py
+++ b/tests/serving/test_endless_bytes.py
@@ -120,6 +120,52 @@
     on_deployment(scenario, endpoints=ENDPOINTS)
 
 
+def test_request_is_refused_as_not_run_while_the_host_holds_too_much():
+    async def scenario(deployment):
+        desk = deployment.endpoints["desk-1"]
+        host = deployment.hosts["e1"]
+        with host.buffers.hold() as on_data:
+            on_data(b"x" * (host.buffers.limit_bytes - 1000))
+            reply = await deployment.send_request("e1", "/order/1", body=b"x" * 2000)
+            assert reply.status == 503 and float(reply.header(b"retry-after")) > 0
+            assert not desk.received
+        reply = await deployment.send_request("e1", "/order/1", body=b"x" * 2000)
+        assert reply.status == 200
+        await deployment.wait_until(lambda: host.buffers.used_bytes == 0)
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+def test_answers_of_many_callers_together_stay_within_the_buffers():
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        host.buffers.limit_bytes = MAX_BODY_BYTES
+        desk = deployment.endpoints["desk-1"]
+        desk.handler = send_forever(*ENDLESS["body"])
+        peak = 0
+
+        async def watch():
+            nonlocal peak
+            while True:
+                peak = max(peak, host.buffers.used_bytes)
+                await trio.sleep(0)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(watch)
+            async with trio.open_nursery() as callers:
+                for number in range(6):
+                    callers.start_soon(call, deployment, f"r-{number}")
+            nursery.cancel_scope.cancel()
+        assert 0 < peak <= MAX_BODY_BYTES
+        assert host.buffers.used_bytes == 0
+
+    async def call(deployment, request_id):
+        reply = await deployment.send_request("e1", "/look/1", request_id=request_id)
+        assert reply.status != 200
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
 @pytest.mark.parametrize("kind", ["head line", "body", "chunks", "an event"])
 def test_answer_that_trickles_without_end_stops_at_the_deadline(kind):
     async def scenario(deployment):
