Show holes in forwarded responses by positions

Each frame of a body now has its position and the last one the body's size, on both products' links; the receiving host breaks the response off at the first frame that does not follow what it has received, and relays nothing after the hole. A build without positions is taken at its word, as before.

The two sinks that wrote a response to a link are one function.

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -98,11 +98,15 @@
 struct AnswerData {
   1: required i64 call
   2: required binary data
+  // Bytes of the body before these.
+  3: optional i64 position
 }
 
 struct AnswerEnd {
   1: required i64 call
   2: required bool complete
+  // Bytes of the whole body.
+  3: optional i64 size
 }
 
 struct Cancel {
--- /dev/null
+++ b/src/cactusmill/internal/answer_frames.py
@@ -0,0 +1,78 @@
+"""Frames of a response's body on a link, with positions that show missing ones.
+
+A link may deliver the frames after a hole: what the connection under it delivers is no
+evidence that nothing is missing. The receiving host therefore compares each frame's
+position with the bytes that it has received. Builds before positions send none; their
+frames are taken as they come.
+"""
+
+from ..errors import TruncatedAnswerError
+from .request import Sink
+from .wire.ttypes import AnswerData, AnswerEnd
+
+
+def answer_sink(send, call, encode_head):
+    """Return a sink that sends a response over a link.
+
+    Parameters
+    ----------
+    send : callable
+        ``await send(**field)`` sends a frame.
+    call : int
+        Number of the call on the link.
+    encode_head : callable
+        ``encode_head(status, headers)`` returns an ``AnswerHead``.
+    """
+    size = 0
+
+    async def head(status, headers):
+        await send(answer_head=encode_head(status, headers))
+
+    async def data(chunk):
+        nonlocal size
+        position, size = size, size + len(chunk)
+        await send(answer_data=AnswerData(call, chunk, position))
+
+    async def end():
+        await send(answer_end=AnswerEnd(call, True, size))
+
+    return Sink(head=head, data=data, end=end)
+
+
+def read_body_frame(frame, received):
+    """Return the data of a frame inside a response, or None if it ends the response.
+
+    Parameters
+    ----------
+    frame : Frame
+        As received.
+    received : ReceivedBody
+        Counts the data.
+
+    Raises
+    ------
+    OversizedAnswerError
+        If the body exceeds the limits of `received`.
+    TruncatedAnswerError
+        If a frame before it is missing or came twice, it does not belong inside a
+        response, or the other host could not complete the response.
+    """
+    message = frame.answer_data
+    if message is not None:
+        _check_position(message.position, received)
+        received.add(message.data)
+        return message.data
+    message = frame.answer_end
+    if message is None:
+        raise TruncatedAnswerError("unexpected frame during the response")
+    if not message.complete:
+        raise TruncatedAnswerError("the other host could not complete the answer")
+    _check_position(message.size, received)
+    return None
+
+
+def _check_position(position, received):
+    if position is not None and position != received.size:
+        raise TruncatedAnswerError(
+            f"a frame of byte {position} follows {received.size} bytes"
+        )
--- a/src/cactusmill/internal/endpoints.py
+++ b/src/cactusmill/internal/endpoints.py
@@ -12,12 +12,7 @@
     SilentEndpointError,
     TruncatedAnswerError,
 )
-from .framing import (
-    MAX_BODY_BYTES,
-    MAX_BODY_PIECES,
-    ReceivedBody,
-    response_framing,
-)
+from .framing import body_of_tokens, response_framing
 from .http import client_connection, header
 from .net import Network
 
@@ -33,10 +28,6 @@
 # Backoff after the first failure; each further one doubles it.
 _MIN_BACKOFF_S = 0.2
 _MAX_BACKOFF_S = 5.0
-# Limits of a response grow with the tokens that its request may use: an event has one
-# token or more, with the probabilities of a few others.
-_MAX_BYTES_PER_TOKEN = 4096
-_MAX_PIECES_PER_TOKEN = 4
 REQUEST_ID_HEADER = b"x-request-id"
 
 
@@ -292,10 +283,9 @@
     except h11.RemoteProtocolError as exc:
         raise TruncatedAnswerError(str(exc)) from exc
     exchange.status, exchange.headers = event.status_code, list(event.headers)
-    exchange.received = ReceivedBody(
+    exchange.received = body_of_tokens(
         response_framing(req.method.encode(), exchange.status, exchange.headers),
-        max_bytes=MAX_BODY_BYTES + int(_MAX_BYTES_PER_TOKEN * req.cost_tokens),
-        max_pieces=MAX_BODY_PIECES + int(_MAX_PIECES_PER_TOKEN * req.cost_tokens),
+        req.cost_tokens,
     )
     echoed = header(exchange.headers, REQUEST_ID_HEADER)
     if echoed is not None and echoed != req.request_id:
--- a/src/cactusmill/internal/forward_client.py
+++ b/src/cactusmill/internal/forward_client.py
@@ -8,11 +8,14 @@
 
 from ..errors import (
     AnswerCutError,
+    ExchangeError,
     ForwardRefusedError,
     LinkClosedError,
     NoEndpoint,
     Overloaded,
 )
+from .answer_frames import read_body_frame
+from .framing import Framing, body_of_tokens
 from .peers import next_frame
 from .wire.ttypes import Cancel, Forward, Header
 
@@ -59,7 +62,7 @@
             await sink.head(
                 head.status, [(h.name.encode(), h.value.encode()) for h in head.headers]
             )
-            await _relay_body(frames, sink)
+            await _relay_body(frames, req, sink)
             is_complete = True
         finally:
             if not is_complete and peer.link is link:
@@ -68,20 +71,18 @@
     return Success(None)
 
 
-async def _relay_body(frames, sink):
+async def _relay_body(frames, req, sink):
+    received = body_of_tokens(Framing.LINK, req.cost_tokens)
     while True:
         try:
-            frame = await next_frame(frames)
+            data = read_body_frame(await next_frame(frames), received)
         except LinkClosedError as exc:
             raise AnswerCutError("the link closed during the response") from exc
-        if frame.answer_data is not None:
-            await sink.data(frame.answer_data.data)
-        elif frame.answer_end is not None:
-            if not frame.answer_end.complete:
-                raise AnswerCutError("the peer could not complete the response")
+        except ExchangeError as exc:
+            raise AnswerCutError(str(exc)) from exc
+        if data is None:
             return
-        else:
-            raise AnswerCutError("unexpected frame during the response")
+        await sink.data(data)
 
 
 def _encode_forward(host, peer, req, call_id):
--- a/src/cactusmill/internal/framing.py
+++ b/src/cactusmill/internal/framing.py
@@ -9,6 +9,9 @@
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Each piece of a body costs processor time, however small it is.
 MAX_BODY_PIECES = 64 * 1024
+# An event has one token or more, with the probabilities of a few others.
+_MAX_BYTES_PER_TOKEN = 4096
+_MAX_PIECES_PER_TOKEN = 4
 
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
@@ -50,6 +53,27 @@
     return Framing.CLOSE
 
 
+def body_of_tokens(framing, tokens):
+    """Return the count of a body whose limits grow with the tokens it may have.
+
+    Parameters
+    ----------
+    framing : Framing
+        What marks its end.
+    tokens : float
+        Upper bound on the tokens that the request can use.
+
+    Returns
+    -------
+    ReceivedBody
+    """
+    return ReceivedBody(
+        framing,
+        max_bytes=MAX_BODY_BYTES + int(_MAX_BYTES_PER_TOKEN * tokens),
+        max_pieces=MAX_BODY_PIECES + int(_MAX_PIECES_PER_TOKEN * tokens),
+    )
+
+
 @attrs.define
 class ReceivedBody:
     """How a response's body is framed, and how much of it was received.
--- a/src/cactusmill/internal/link_server.py
+++ b/src/cactusmill/internal/link_server.py
@@ -1,6 +1,7 @@
 """Server side of links: heartbeats, pulls, loans and requests of other hosts."""
 
 import contextlib
+import functools
 import json
 
 import trio
@@ -14,6 +15,7 @@
     OutcomeUnknown,
     WrongRegion,
 )
+from .answer_frames import answer_sink
 from .at_most_once import is_owner, run_at_most_once
 from .configuration import change_to_json
 from .identifiers import parse_identifier
@@ -22,7 +24,7 @@
 from .peers import apply_heartbeat, heartbeat
 from .problems import render_problem
 from .repeatable import run_repeatable
-from .request import Sink, is_permitted
+from .request import is_permitted
 from .request_builder import build_request
 from .wire.ttypes import (
     AnswerData,
@@ -113,7 +115,11 @@
 
 
 async def _serve_forward(host, link, message, scope, scopes):
-    sink = _link_sink(link, message)
+    sink = answer_sink(
+        functools.partial(_send, link),
+        message.call,
+        lambda *head: _encode_head(message, *head),
+    )
     try:
         with scope:
             result = await _run_forward(host, message, sink)
@@ -134,8 +140,8 @@
     head = _encode_head(message, status, headers)
     head.refusal = refusal.type_name
     await _send(link, answer_head=head)
-    await _send(link, answer_data=AnswerData(message.call, body))
-    await _send(link, answer_end=AnswerEnd(message.call, True))
+    await _send(link, answer_data=AnswerData(message.call, body, 0))
+    await _send(link, answer_end=AnswerEnd(message.call, True, len(body)))
 
 
 def _encode_head(message, status, headers):
@@ -189,19 +195,6 @@
     )
 
 
-def _link_sink(link, message):
-    async def head(status, headers):
-        await _send(link, answer_head=_encode_head(message, status, headers))
-
-    async def data(chunk):
-        await _send(link, answer_data=AnswerData(message.call, chunk))
-
-    async def end():
-        await _send(link, answer_end=AnswerEnd(message.call, True))
-
-    return Sink(head, data, end)
-
-
 async def _send(link, **field):
     try:
         await link.send(**field)
--- a/src/cactusmill/internal/wire/ttypes.py
+++ b/src/cactusmill/internal/wire/ttypes.py
@@ -1271,18 +1271,21 @@
     Attributes:
      - call
      - data
+     - position
 
     """
 
     __slots__ = (
         'call',
         'data',
+        'position',
     )
 
 
-    def __init__(self, call=None, data=None,):
+    def __init__(self, call=None, data=None, position=None,):
         self.call = call
         self.data = data
+        self.position = position
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1303,6 +1306,11 @@
                     self.data = iprot.readBinary()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.position = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1321,6 +1329,10 @@
             oprot.writeFieldBegin('data', TType.STRING, 2)
             oprot.writeBinary(self.data)
             oprot.writeFieldEnd()
+        if self.position is not None:
+            oprot.writeFieldBegin('position', TType.I64, 3)
+            oprot.writeI64(self.position)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -1355,18 +1367,21 @@
     Attributes:
      - call
      - complete
+     - size
 
     """
 
     __slots__ = (
         'call',
         'complete',
+        'size',
     )
 
 
-    def __init__(self, call=None, complete=None,):
+    def __init__(self, call=None, complete=None, size=None,):
         self.call = call
         self.complete = complete
+        self.size = size
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1387,6 +1402,11 @@
                     self.complete = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I64:
+                    self.size = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1405,6 +1425,10 @@
             oprot.writeFieldBegin('complete', TType.BOOL, 2)
             oprot.writeBool(self.complete)
             oprot.writeFieldEnd()
+        if self.size is not None:
+            oprot.writeFieldBegin('size', TType.I64, 3)
+            oprot.writeI64(self.size)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3200,12 +3224,14 @@
     None,  # 0
     (1, TType.I64, 'call', None, None, ),  # 1
     (2, TType.STRING, 'data', 'BINARY', None, ),  # 2
+    (3, TType.I64, 'position', None, None, ),  # 3
 )
 all_structs.append(AnswerEnd)
 AnswerEnd.thrift_spec = (
     None,  # 0
     (1, TType.I64, 'call', None, None, ),  # 1
     (2, TType.BOOL, 'complete', None, None, ),  # 2
+    (3, TType.I64, 'size', None, None, ),  # 3
 )
 all_structs.append(Cancel)
 Cancel.thrift_spec = (
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -21,12 +21,11 @@
     SilentEndpointError,
     TruncatedAnswerError,
 )
+from ..internal.answer_frames import answer_sink, read_body_frame
 from ..internal.framing import Framing, ReceivedBody
 from ..internal.link import Link
-from ..internal.request import Request, Sink
+from ..internal.request import Request
 from ..internal.wire.ttypes import (
-    AnswerData,
-    AnswerEnd,
     AnswerHead,
     ChangesPull,
     ChangesReply,
@@ -177,10 +176,7 @@
     received = ReceivedBody(Framing.LINK)
 
     async def next_data():
-        data = await _next_data(link, stall_timeout_s)
-        if data is not None:
-            received.add(data)
-        return data
+        return await _next_data(link, received, stall_timeout_s)
 
     async def release(now):
         await host.links.release(member.id.ip, link, now)
@@ -210,7 +206,7 @@
     return head
 
 
-async def _next_data(link, stall_timeout_s):
+async def _next_data(link, received, stall_timeout_s):
     """Return the next chunk of a forwarded response's body, or None at its end."""
     try:
         with trio.fail_after(stall_timeout_s):
@@ -219,11 +215,7 @@
         raise SilentEndpointError(f"no progress for {stall_timeout_s:.2f} s") from exc
     except LinkClosedError as exc:
         raise TruncatedAnswerError(str(exc)) from exc
-    if frame.answer_data is not None:
-        return frame.answer_data.data
-    if frame.answer_end is not None and frame.answer_end.complete:
-        return None
-    raise TruncatedAnswerError("the other host could not complete the answer")
+    return read_body_frame(frame, received)
 
 
 def _refusal(head):
@@ -331,7 +323,7 @@
 
 async def _run_forward(host, link, message, req, run):
     """Run a forwarded request; return whether the link can be reused."""
-    sink = _sink(link, message)
+    sink = answer_sink(link.send, 0, lambda *head: _encode_head(message, *head))
     refusal, is_complete = None, False
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on_close, link, nursery.cancel_scope)
@@ -370,26 +362,13 @@
     await link.send(answer_head=head)
 
 
-def _sink(link, message):
-    """Return a sink that sends the response over a link."""
-
-    async def head(status, headers):
-        await link.send(
-            answer_head=AnswerHead(
-                call=0,
-                request_id=message.request_id,
-                status=status,
-                headers=_headers_to_wire(headers),
-            )
-        )
-
-    async def data(chunk):
-        await link.send(answer_data=AnswerData(call=0, data=chunk))
-
-    async def end():
-        await link.send(answer_end=AnswerEnd(call=0, complete=True))
-
-    return Sink(head=head, data=data, end=end)
+def _encode_head(message, status, headers):
+    return AnswerHead(
+        call=0,
+        request_id=message.request_id,
+        status=status,
+        headers=_headers_to_wire(headers),
+    )
 
 
 def _request(host, message):
