Let other tasks have their turn before an event is taken, not after

A cancellation at that point would have lost the event. No caller has seen it: every such cancellation also closes the connection. Found by reading.

--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -95,13 +95,13 @@
         h11.RemoteProtocolError
             If the other end violates the protocol.
         """
+        if self._events_in_turn >= _EVENTS_PER_TURN:
+            self._events_in_turn = 0
+            await trio.lowlevel.checkpoint()
         while True:
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
                 self._events_in_turn += 1
-                if self._events_in_turn >= _EVENTS_PER_TURN:
-                    self._events_in_turn = 0
-                    await trio.lowlevel.checkpoint()
                 return event
             self._events_in_turn = 0
             if self.h11.they_are_waiting_for_100_continue:
