--- a/tests/internal/test_relay.py
+++ b/tests/internal/test_relay.py
@@ -2,6 +2,7 @@
 
 import socket
 
+import pytest
 import trio
 from hypothesis import given, settings
 from hypothesis import strategies as st
@@ -136,6 +137,41 @@
     assert not b"".join(received).endswith(b"0\r\n\r\n")
 
 
+def test_stream_broken_off_at_any_byte_gets_no_end():
+    body = chunked([b"data: a\n\n", b"data: b\n\n"])
+    for size in range(len(body)):
+        received = []
+
+        async def scenario(endpoint, caller, size=size, received=received):
+            await endpoint.send_all(body[:size])
+            await endpoint.aclose()
+            with trio.move_on_after(0.02):
+                while data := await caller.receive_some():
+                    received.append(data)
+
+        result, _ = run_relay(scenario, has_events=True)
+        assert isinstance(result, TruncatedAnswerError), size
+        assert not b"".join(received).endswith(b"0\r\n\r\n"), size
+
+
+@pytest.mark.parametrize(
+    "chunk", [b"-5\r\nhello\r\n", b"0x5\r\nhello\r\n", b"1_0\r\n" + b"x" * 10]
+)
+def test_invalid_chunk_size_is_an_error(chunk):
+    with pytest.raises(TruncatedAnswerError):
+        ChunkScanner().feed(chunk)
+
+
+def test_chunk_longer_than_its_size_is_an_error():
+    with pytest.raises(TruncatedAnswerError):
+        ChunkScanner().feed(b"3\r\nowner\r\n0\r\n\r\n")
+
+
+def test_trailer_without_end_is_an_error():
+    with pytest.raises(TruncatedAnswerError):
+        ChunkScanner().feed(b"0\r\n" + b"t: v\r\n" * 1000)
+
+
 def test_stream_that_ends_between_events_is_complete():
     async def scenario(endpoint, caller):
         await endpoint.send_all(chunked([b"data: a\n", b"\n", b"data: b\r\n\r\n"]))
