Count what callers send ahead, and bodies of the product's own interface, as held

Two readers were left out of the limit of held bytes: each caller may send 64 KB behind a request that is being served, 250 MB at the descriptors of a host; and the product's own interface had no common limit at all. Both draw on the 64 MB now; without room the bytes ahead stay in the socket. An event that does not end may hold 256 KB instead of 1 MB, as these are not counted together. Found by reading the list of readers again; the test of bytes ahead and the one of the own interface need functions that did not exist.

--- a/src/cactusmill/internal/buffer_budget.py
+++ b/src/cactusmill/internal/buffer_budget.py
@@ -6,6 +6,11 @@
 
 from ..errors import BufferLimitError
 
+# A fraction of the memory of a small host.
+MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+# After this time a request that found no room may find some.
+BUFFER_RETRY_S = 0.5
+
 
 @attrs.define(eq=False)
 class BufferBudget:
@@ -19,7 +24,7 @@
         Bytes held now.
     """
 
-    limit_bytes: int
+    limit_bytes: int = MAX_BUFFERED_BYTES
     used_bytes: int = 0
 
     @contextlib.contextmanager
--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -14,16 +14,19 @@
     AnswerCutError,
     BadRequestError,
     BodyTooLarge,
+    BufferLimitError,
     CallerGoneError,
     ExchangeError,
     MalformedRequest,
     NotPermitted,
     Outcome,
+    Overloaded,
     UnknownKey,
     UnknownRoute,
     WrongRegion,
 )
 from .at_most_once import run_at_most_once
+from .buffer_budget import BUFFER_RETRY_S
 from .caller_request import CallerRequest, caller_sink, send_refusal
 from .chat import error_event
 from .directory import DIRECTORY_PATH, list_permitted_hosts, serve_directory
@@ -96,7 +99,8 @@
         await serve_directory(host, caller)
         return
     route = host.records.route_for(caller.path)
-    result = await _serve_on_route(host, caller, route)
+    with host.buffers.hold() as on_data:
+        result = await _serve_on_route(host, caller, route, on_data)
     result_name = "answered"
     match result:
         case Failure(refusal):
@@ -106,7 +110,7 @@
     host.record_request(caller, route, result, result_name)
 
 
-async def _serve_on_route(host, caller, route):
+async def _serve_on_route(host, caller, route, on_data):
     match _authorize(host, caller, route):
         case Failure(refusal):
             return Failure(refusal)
@@ -114,7 +118,15 @@
             pass
     try:
         with trio.fail_after(BODY_TIMEOUT_S):
-            body = await read_body(caller.conn, _body_limit(host, route))
+            body = await read_body(caller.conn, _body_limit(host, route), on_data)
+    except BufferLimitError as exc:
+        return Failure(
+            Overloaded(
+                detail=str(exc),
+                retry_after_s=BUFFER_RETRY_S,
+                outcome=caller.outcome_before_owner,
+            )
+        )
     except BadRequestError as exc:
         return Failure(_body_refusal(caller, exc))
     except trio.TooSlowError:
--- a/src/cactusmill/internal/event_stream.py
+++ b/src/cactusmill/internal/event_stream.py
@@ -10,7 +10,7 @@
 # An event ends with a blank line. Lines end with LF, CRLF or CR.
 _EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 _MAX_END_BYTES = 3
-MAX_EVENT_BYTES = 1024 * 1024
+MAX_EVENT_BYTES = 256 * 1024
 _ID_FIELD = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
 
 
--- a/src/cactusmill/internal/host_process.py
+++ b/src/cactusmill/internal/host_process.py
@@ -15,6 +15,7 @@
     RateExceeded,
 )
 from ..settings import Settings
+from .buffer_budget import BufferBudget
 from .burn import BurnCounter
 from .configuration import RecordStore
 from .crash_suspects import CrashSuspects
@@ -75,6 +76,8 @@
         Other hosts to which this host keeps or opens a link, by name.
     ready : trio.Event
         Set once this host serves callers.
+    buffers : BufferBudget
+        Limits the bytes of bodies and frames that are held at once.
     leaving : bool
         True once the process is shutting down.
     host_list_changed_at : float
@@ -101,6 +104,7 @@
     retry_budgets: RetryBudgets = attrs.field(factory=RetryBudgets)
     metrics: Metrics = attrs.field(factory=Metrics)
     traffic: Traffic = attrs.field(factory=Traffic)
+    buffers: BufferBudget = attrs.field(factory=BufferBudget)
     body_relay: BodyRelay = attrs.field(factory=BodyRelay)
     burn: BurnCounter = attrs.field(factory=BurnCounter)
     ready: trio.Event = attrs.field(factory=trio.Event)
--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -183,7 +183,7 @@
         await trio.aclose_forcefully(self.stream)
 
 
-async def open_link(stream, identity, secret, dialled, traffic=None):
+async def open_link(stream, identity, secret, dialled, traffic=None, buffers=None):
     """Open a link on a new connection by mutual authentication.
 
     Parameters
@@ -198,6 +198,8 @@
         True on the side that opened the connection.
     traffic : Traffic or None
         Counter of sent bytes, if they are to be counted.
+    buffers : BufferBudget or None
+        Limits the bytes of frames that this host holds, if they are to be limited.
 
     Returns
     -------
@@ -213,6 +215,7 @@
         stream,
         traffic=traffic or Traffic(),
         max_frame_bytes=_MAX_HANDSHAKE_FRAME_BYTES,
+        buffers=buffers,
     )
     nonce = secrets.token_bytes(_NONCE_BYTES)
     own_hello = Hello(identity.host, identity.zone, identity.incarnation, nonce)
--- a/src/cactusmill/internal/link_server.py
+++ b/src/cactusmill/internal/link_server.py
@@ -45,7 +45,7 @@
     """Serve one link that a peer dialled until it closes."""
     with contextlib.suppress(LinkClosedError):
         link = await open_link(
-            stream, host.hello, host.cfg.link_secret, False, host.traffic
+            stream, host.hello, host.cfg.link_secret, False, host.traffic, host.buffers
         )
         scopes = {}
         async with trio.open_nursery() as nursery:
--- a/src/cactusmill/internal/peers.py
+++ b/src/cactusmill/internal/peers.py
@@ -193,7 +193,7 @@
     stream = await host.net.connect(peer.host.peers, _DIAL_TIMEOUT_S)
     try:
         link = await open_link(
-            stream, host.hello, host.cfg.link_secret, True, host.traffic
+            stream, host.hello, host.cfg.link_secret, True, host.traffic, host.buffers
         )
         if link.peer.host != peer.host.name:
             raise LinkClosedError(f"{peer.host.peers} is {link.peer.host}")
--- a/src/cactusmill/internal/record_sync.py
+++ b/src/cactusmill/internal/record_sync.py
@@ -65,7 +65,7 @@
     stream = await host.net.connect(address, PULL_TIMEOUT_S)
     try:
         link = await open_link(
-            stream, host.hello, host.cfg.link_secret, True, host.traffic
+            stream, host.hello, host.cfg.link_secret, True, host.traffic, host.buffers
         )
         for call_id, name in enumerate(STORE_NAMES):
             await link.send(changes_pull=ChangesPull(call_id, name, 0))
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -22,6 +22,7 @@
     UnknownKey,
     UnknownRoute,
 )
+from ..internal.buffer_budget import BUFFER_RETRY_S
 from ..internal.http import header, lingering_close, read_body, server_connection
 from ..internal.request import Request, Sink
 from .dispatch import run_request
@@ -36,8 +37,6 @@
 # shutting down.
 _NO_CONFIGURATION_RETRY_S = 0.5
 _DRAINING_RETRY_S = 0.1
-# Retry time of a request for whose body this host has no room.
-_BUFFER_RETRY_S = 0.5
 # How long a request waits for the first configuration after the process started. The
 # first listing takes one round trip to the platform's region and the time of the
 # platform's response.
@@ -170,7 +169,7 @@
         _check_draining(host)
         _charge_tokens(host, req)
         progress = new_progress(req, route.attempts)
-        refusal = await _run_until_disconnect(host, caller, req, progress)
+        refusal = await _run_until_disconnect(host, caller, req, progress, on_data)
     except _Refused as exc:
         refusal = exc.refusal
     except (CallerGoneError, AnswerCutError, ExchangeError) as exc:
@@ -228,7 +227,7 @@
             return await read_body(caller.conn, host.limits.max_body_bytes, on_data)
     except BufferLimitError as exc:
         raise _Refused(
-            Overloaded(detail=str(exc), retry_after_s=_BUFFER_RETRY_S)
+            Overloaded(detail=str(exc), retry_after_s=BUFFER_RETRY_S)
         ) from exc
     except BadRequestError as exc:
         if exc.status == BodyTooLarge.status:
@@ -305,13 +304,18 @@
         )
 
 
-async def _run_until_disconnect(host, caller, req, progress):
+async def _run_until_disconnect(host, caller, req, progress, on_data):
     """Run a request; cancel it when the caller disconnects, if permitted."""
     refusal, failure, is_done = None, None, False
     sink = _caller_sink(host, caller, req)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(
-            _cancel_on_disconnect, caller, req, progress, nursery.cancel_scope
+            _cancel_on_disconnect,
+            caller,
+            req,
+            progress,
+            on_data,
+            nursery.cancel_scope,
         )
         try:
             refusal = await run_request(host, req, sink, progress)
@@ -328,24 +332,32 @@
     return refusal
 
 
-async def _cancel_on_disconnect(caller, req, progress, scope):
+async def _cancel_on_disconnect(caller, req, progress, on_data, scope):
     """Cancel the request when the caller disconnects.
 
+    What the caller sends meanwhile is kept for its next request, up to a limit; beyond
+    it, or without room on this host, a disconnect goes unnoticed.
+
     A request that may run at most once continues once it has been sent:
     cancelling it halfway would leave its outcome unknown.
     """
     conn, received = caller.conn, 0
-    while received < _MAX_READ_AHEAD_BYTES:
+    data = conn.h11.trailing_data[0]
+    while True:
+        received += len(data)
+        try:
+            on_data(data)
+        except BufferLimitError:
+            return
+        if received >= _MAX_READ_AHEAD_BYTES:
+            return
         try:
             data = await conn.stream.receive_some()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
             data = b""
         if not data:
             break
-        received += len(data)
         conn.h11.receive_data(data)
-    else:
-        return
     if req.is_stream or may_repeat(req.route) or not progress.may_have_run:
         scope.cancel()
 
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -47,8 +47,6 @@
 # interrupted by the same crash.
 _SAME_CRASH_S = 2.0
 _DRAIN_POLL_INTERVAL_S = 0.02
-# Bytes of bodies and large frames held at once: a fraction of a host's memory.
-_MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 
 
 @attrs.frozen(kw_only=True)
@@ -142,9 +140,7 @@
     source_health: SourceHealth = attrs.field(factory=SourceHealth)
     suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
     metrics: Metrics = attrs.field(factory=Metrics)
-    buffers: BufferBudget = attrs.field(
-        factory=lambda: BufferBudget(_MAX_BUFFERED_BYTES)
-    )
+    buffers: BufferBudget = attrs.field(factory=BufferBudget)
     membership: Membership = attrs.field(init=False)
     placement: Placement = attrs.field(init=False)
     quotas: Quotas = attrs.field(init=False)
--- a/tests/serving/test_endless_bytes.py
+++ b/tests/serving/test_endless_bytes.py
@@ -136,6 +136,41 @@
     on_deployment(scenario, endpoints=ENDPOINTS)
 
 
+def test_bytes_that_callers_send_ahead_stay_within_the_buffers():
+    """Each pipelines 60 KB behind a request that is being served."""
+
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        host.buffers.limit_bytes = 256 * 1024
+        deployment.endpoints["desk-1"].work_s = 0.5
+        replies = []
+
+        async def call(number):
+            stream = await deployment.connect("e1")
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(stream.send_all, request(number) + b"x" * 60_000)
+                reply = await stream.receive_some()
+                replies.append(reply.split(b" ")[1])
+                nursery.cancel_scope.cancel()
+            await trio.aclose_forcefully(stream)
+
+        async with trio.open_nursery() as nursery:
+            for number in range(20):
+                nursery.start_soon(call, number)
+            await trio.sleep(0.4)
+            assert 60_000 < host.buffers.used_bytes <= host.buffers.limit_bytes
+        assert set(replies) <= {b"200", b"503"} and b"200" in replies
+        await deployment.wait_until(lambda: host.buffers.used_bytes == 0)
+
+    def request(number):
+        return (
+            b"POST /order/1 HTTP/1.1\r\nhost: api.example\r\nrequest-id: r-%d\r\n"
+            b"authorization: Token key-of-red\r\ncontent-length: 0\r\n\r\n" % number
+        )
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
 def test_answers_of_many_callers_together_stay_within_the_buffers():
     async def scenario(deployment):
         host = deployment.hosts["e1"]
--- a/tests/test_answers.py
+++ b/tests/test_answers.py
@@ -91,6 +91,21 @@
     assert is_complete and body.endswith(b"data: [DONE]\n\n")
 
 
+def test_request_is_refused_as_not_run_while_the_host_holds_too_much():
+    async def scenario(sim):
+        await sim.start()
+        await trio.sleep(6)
+        sim.hosts["osrednja-1"].buffers.limit_bytes = 10
+        refused = await sim.chat("osrednja-1", TEAM, "question")
+        assert refused.status == 503 and float(refused.headers[b"retry-after"]) > 0
+        assert all(e.received_requests == 0 for e in sim.engines.values())
+        sim.hosts["osrednja-1"].buffers.limit_bytes = 100_000
+        assert (await sim.chat("osrednja-1", TEAM, "question")).status == 200
+        assert sim.hosts["osrednja-1"].buffers.used_bytes == 0
+
+    run_simulation(scenario, 1)
+
+
 def test_check_detects_responses_to_other_requests(monkeypatch):
     real = attempts.receive_head
 
