--- a/src/cactusmill/internal/at_most_once.py
+++ b/src/cactusmill/internal/at_most_once.py
@@ -270,8 +270,8 @@
         with trio.fail_after(remaining_s):
             await send_request(exchange, endpoint, req, headers)
             await receive_head(exchange, req, remaining_s)
-            with host.buffers.hold() as on_data:
-                body = await collect_body(lambda: receive_data(exchange), on_data)
+            with host.buffers.hold() as count_held:
+                body = await collect_body(lambda: receive_data(exchange), count_held)
     except (ExchangeError, trio.TooSlowError) as exc:
         state.record_failure(host.now())
         await exchange.conn.close()
--- a/src/cactusmill/internal/attempts.py
+++ b/src/cactusmill/internal/attempts.py
@@ -242,12 +242,12 @@
             progress.meter.feed(data)
         await sink.data(data)
     if has_events:
-        _check_end(progress, exchange, tail)
+        _check_stream_end(progress, exchange, tail)
     await sink.end()
     await host.pool.release(endpoint, exchange, host.now())
 
 
-def _check_end(progress, exchange, tail):
+def _check_stream_end(progress, exchange, tail):
     """Raise `TruncatedAnswerError` if a stream whose last bytes are given broke off."""
     framing = exchange.received.framing
     check_last_event(tail, framing)
--- a/src/cactusmill/internal/buffer_budget.py
+++ b/src/cactusmill/internal/buffer_budget.py
@@ -31,12 +31,12 @@
     def hold(self):
         """Provide a function that counts data as held until the block ends.
 
-        The function ``add(data)`` raises :class:`BufferLimitError` if the data would
-        exceed the limit.
+        The function ``count_held(data)`` raises :class:`BufferLimitError` if the data
+        would exceed the limit.
         """
         held_bytes = 0
 
-        def add(data):
+        def count_held(data):
             nonlocal held_bytes
             if self.used_bytes + len(data) > self.limit_bytes:
                 raise BufferLimitError(
@@ -47,6 +47,6 @@
             held_bytes += len(data)
 
         try:
-            yield add
+            yield count_held
         finally:
             self.used_bytes -= held_bytes
--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -99,8 +99,8 @@
         await serve_directory(host, caller)
         return
     route = host.records.route_for(caller.path)
-    with host.buffers.hold() as on_data:
-        result = await _serve_on_route(host, caller, route, on_data)
+    with host.buffers.hold() as count_held:
+        result = await _serve_on_route(host, caller, route, count_held)
     result_name = "answered"
     match result:
         case Failure(refusal):
@@ -110,7 +110,7 @@
     host.record_request(caller, route, result, result_name)
 
 
-async def _serve_on_route(host, caller, route, on_data):
+async def _serve_on_route(host, caller, route, count_held):
     match _authorize(host, caller, route):
         case Failure(refusal):
             return Failure(refusal)
@@ -118,7 +118,7 @@
             pass
     try:
         with trio.fail_after(BODY_TIMEOUT_S):
-            body = await read_body(caller.conn, _body_limit(host, route), on_data)
+            body = await read_body(caller.conn, _body_limit(host, route), count_held)
     except BufferLimitError as exc:
         return Failure(
             Overloaded(
--- a/src/cactusmill/internal/endpoints.py
+++ b/src/cactusmill/internal/endpoints.py
@@ -12,7 +12,7 @@
     SilentEndpointError,
     TruncatedAnswerError,
 )
-from .framing import body_of_tokens, response_framing
+from .framing import new_received_body, response_framing
 from .http import client_connection, header
 from .net import Network
 
@@ -283,7 +283,7 @@
     except h11.RemoteProtocolError as exc:
         raise TruncatedAnswerError(str(exc)) from exc
     exchange.status, exchange.headers = event.status_code, list(event.headers)
-    exchange.received = body_of_tokens(
+    exchange.received = new_received_body(
         response_framing(req.method.encode(), exchange.status, exchange.headers),
         req.cost_tokens,
     )
--- a/src/cactusmill/internal/forward_client.py
+++ b/src/cactusmill/internal/forward_client.py
@@ -15,7 +15,7 @@
     Overloaded,
 )
 from .answer_frames import read_body_frame
-from .framing import Framing, body_of_tokens
+from .framing import Framing, new_received_body
 from .peers import next_frame
 from .wire.ttypes import Cancel, Forward, Header
 
@@ -72,7 +72,7 @@
 
 
 async def _relay_body(frames, req, sink):
-    received = body_of_tokens(Framing.LINK, req.cost_tokens)
+    received = new_received_body(Framing.LINK, req.cost_tokens)
     while True:
         try:
             data = read_body_frame(await next_frame(frames), received)
--- a/src/cactusmill/internal/framing.py
+++ b/src/cactusmill/internal/framing.py
@@ -53,8 +53,10 @@
     return Framing.CLOSE
 
 
-def body_of_tokens(framing, tokens):
-    """Return the count of a body whose limits grow with the tokens it may have.
+def new_received_body(framing, tokens):
+    """Return the state of a body of which nothing was received.
+
+    Its limits grow with the tokens that it may have.
 
     Parameters
     ----------
--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -148,16 +148,16 @@
         if self.buffers is None:
             return decode(await self._read_exactly(size))
         try:
-            with self.buffers.hold() as on_data:
-                return decode(await self._read_exactly(size, on_data))
+            with self.buffers.hold() as count_held:
+                return decode(await self._read_exactly(size, count_held))
         except BufferLimitError as exc:
             raise LinkClosedError(str(exc)) from exc
 
-    async def _read_exactly(self, size, on_data=None):
+    async def _read_exactly(self, size, count_held=None):
         while len(self._received) < size:
             data = await self._receive_some()
-            if on_data is not None:
-                on_data(data)
+            if count_held is not None:
+                count_held(data)
         data = bytes(self._received[:size])
         del self._received[:size]
         return data
--- a/src/cactusmill/internal/link_server.py
+++ b/src/cactusmill/internal/link_server.py
@@ -118,7 +118,7 @@
     sink = answer_sink(
         functools.partial(_send, link),
         message.call,
-        lambda *head: _encode_head(message, *head),
+        functools.partial(_encode_head, message),
     )
     try:
         with scope:
--- a/src/cactusmill/serving/cross_region.py
+++ b/src/cactusmill/serving/cross_region.py
@@ -86,8 +86,8 @@
                 host, req, sink, progress, None, response, _REMOTE_LOAD, host.now()
             )
         else:
-            with host.buffers.hold() as on_data:
-                body = await collect_body(response.next_data, on_data)
+            with host.buffers.hold() as count_held:
+                body = await collect_body(response.next_data, count_held)
                 await response.release(host.now())
                 await relay_body(host, sink, progress, response, body)
         is_complete = True
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -152,11 +152,11 @@
 
 async def _serve_request(host, caller, event):
     """Serve one request; count its body as held by this host meanwhile."""
-    with host.buffers.hold() as on_data:
-        await _serve_held_request(host, caller, event, on_data)
+    with host.buffers.hold() as count_held:
+        await _serve_held_request(host, caller, event, count_held)
 
 
-async def _serve_held_request(host, caller, event, on_data):
+async def _serve_held_request(host, caller, event, count_held):
     """Serve one request and log its outcome."""
     head = caller.head
     route = progress = req = None
@@ -164,12 +164,12 @@
     try:
         await _wait_for_configuration(host)
         route, team = _authorize(host, head)
-        body = await _read_body(host, caller, on_data)
+        body = await _read_body(host, caller, count_held)
         req = _build_request(host, caller, event, route, team, body)
         _check_draining(host)
         _charge_tokens(host, req)
         progress = new_progress(req, route.attempts)
-        refusal = await _run_until_disconnect(host, caller, req, progress, on_data)
+        refusal = await _run_until_disconnect(host, caller, req, progress, count_held)
     except _Refused as exc:
         refusal = exc.refusal
     except (CallerGoneError, AnswerCutError, ExchangeError) as exc:
@@ -221,10 +221,10 @@
     return route, team
 
 
-async def _read_body(host, caller, on_data):
+async def _read_body(host, caller, count_held):
     try:
         with trio.fail_after(_BODY_TIMEOUT_S):
-            return await read_body(caller.conn, host.limits.max_body_bytes, on_data)
+            return await read_body(caller.conn, host.limits.max_body_bytes, count_held)
     except BufferLimitError as exc:
         raise _Refused(
             Overloaded(detail=str(exc), retry_after_s=BUFFER_RETRY_S)
@@ -304,7 +304,7 @@
         )
 
 
-async def _run_until_disconnect(host, caller, req, progress, on_data):
+async def _run_until_disconnect(host, caller, req, progress, count_held):
     """Run a request; cancel it when the caller disconnects, if permitted."""
     refusal, failure, is_done = None, None, False
     sink = _caller_sink(host, caller, req)
@@ -314,7 +314,7 @@
             caller,
             req,
             progress,
-            on_data,
+            count_held,
             nursery.cancel_scope,
         )
         try:
@@ -332,7 +332,7 @@
     return refusal
 
 
-async def _cancel_on_disconnect(caller, req, progress, on_data, scope):
+async def _cancel_on_disconnect(caller, req, progress, count_held, scope):
     """Cancel the request when the caller disconnects.
 
     What the caller sends meanwhile is kept for its next request, up to a limit; beyond
@@ -346,7 +346,7 @@
     while True:
         received += len(data)
         try:
-            on_data(data)
+            count_held(data)
         except BufferLimitError:
             return
         if received >= _MAX_READ_AHEAD_BYTES:
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import functools
 
 import attrs
 import trio
@@ -312,9 +313,9 @@
         refusal = NoEndpoint(detail="this host does not know the route yet")
         await _send_refusal(link, message, refusal)
         return True
-    with host.buffers.hold() as on_data:
+    with host.buffers.hold() as count_held:
         try:
-            on_data(message.body)
+            count_held(message.body)
         except BufferLimitError as exc:
             await _send_refusal(link, message, Overloaded(detail=str(exc)))
             return True
@@ -323,7 +324,7 @@
 
 async def _run_forward(host, link, message, req, run):
     """Run a forwarded request; return whether the link can be reused."""
-    sink = answer_sink(link.send, 0, lambda *head: _encode_head(message, *head))
+    sink = answer_sink(link.send, 0, functools.partial(_encode_head, message))
     refusal, is_complete = None, False
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on_close, link, nursery.cancel_scope)
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -238,8 +238,8 @@
     if has_events(req, progress, response):
         await relay_stream(host, req, sink, progress, choice, response, load, sent_at)
     else:
-        with host.buffers.hold() as on_data:
-            body = await collect_body(response.next_data, on_data)
+        with host.buffers.hold() as count_held:
+            body = await collect_body(response.next_data, count_held)
             load.mark_prompt_read()
             host.placement.record_response_start(
                 choice, host.service(req.service), host.now() - sent_at, host.now()
@@ -253,8 +253,8 @@
 
 async def _handle_error_response(host, req, sink, progress, view, response, load):
     """Relay an endpoint's error response, or return a refusal to retry it."""
-    with host.buffers.hold() as on_data:
-        body = await collect_body(response.next_data, on_data)
+    with host.buffers.hold() as count_held:
+        body = await collect_body(response.next_data, count_held)
     await response.release(host.now())
     load.is_complete = True
     is_server_error = response.status >= _MIN_RETRIED_STATUS
