Bound the pieces of a body by its bytes, and look for the last identifier only

Beyond 4,096 pieces a body must have 256 bytes a piece on average, more pieces on the product's own interface by the tokens of the request.

--- a/src/cactusmill/internal/event_stream.py
+++ b/src/cactusmill/internal/event_stream.py
@@ -11,7 +11,9 @@
 _EVENT_ENDS = (b"\n\n", b"\n\r\n", b"\r\r")
 _MAX_END_BYTES = 3
 MAX_EVENT_BYTES = 256 * 1024
-_ID_FIELD = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
+_ID_MARK = b"id:"
+_LINE_END_BYTES = b"\r\n"
+_LINE = re.compile(rb"[^\r\n]*")
 
 
 def is_event_stream(headers):
@@ -68,6 +70,16 @@
     return max(1, sum(data.count(end) for end in _EVENT_ENDS))
 
 
+def _find_last_id(events):
+    """Return the value of the last field named id, or None."""
+    found_at = len(events)
+    while (found_at := events.rfind(_ID_MARK, 0, found_at)) >= 0:
+        if not found_at or events[found_at - 1] in _LINE_END_BYTES:
+            line = _LINE.match(events, found_at + len(_ID_MARK))
+            return line.group().strip().decode("latin-1")
+    return None
+
+
 class EventScanner:
     """Splits a body of server-sent events at event boundaries.
 
@@ -116,9 +128,9 @@
             return b""
         complete_events = bytes(self._received[:end])
         del self._received[:end]
-        ids = _ID_FIELD.findall(complete_events)
-        if ids:
-            self.last_id = ids[-1].strip().decode("latin-1")
+        last_id = _find_last_id(complete_events)
+        if last_id is not None:
+            self.last_id = last_id
         return complete_events
 
     def discard_partial_event(self):
--- a/src/cactusmill/internal/framing.py
+++ b/src/cactusmill/internal/framing.py
@@ -7,8 +7,10 @@
 from ..errors import OversizedAnswerError
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
-# Each piece of a body costs processor time, however small it is.
-MAX_BODY_PIECES = 64 * 1024
+# Each piece of a body costs processor time, however small it is. Beyond the first ones
+# the pieces of a body have this many bytes on average.
+MAX_SMALL_PIECES = 4096
+MIN_PIECE_BYTES = 256
 # An event has one token or more, with the probabilities of a few others.
 _MAX_BYTES_PER_TOKEN = 4096
 _MAX_PIECES_PER_TOKEN = 4
@@ -72,7 +74,7 @@
     return ReceivedBody(
         framing,
         max_bytes=MAX_BODY_BYTES + int(_MAX_BYTES_PER_TOKEN * tokens),
-        max_pieces=MAX_BODY_PIECES + int(_MAX_PIECES_PER_TOKEN * tokens),
+        max_small_pieces=MAX_SMALL_PIECES + int(_MAX_PIECES_PER_TOKEN * tokens),
     )
 
 
@@ -84,7 +86,7 @@
     ----------
     framing : Framing
         What marks its end.
-    max_bytes, max_pieces : int
+    max_bytes, max_small_pieces : int
         Limits of a body that may have no end.
     size, pieces : int
         Bytes and pieces received.
@@ -92,7 +94,7 @@
 
     framing: Framing
     max_bytes: int = MAX_BODY_BYTES
-    max_pieces: int = MAX_BODY_PIECES
+    max_small_pieces: int = MAX_SMALL_PIECES
     size: int = 0
     pieces: int = 0
 
@@ -108,5 +110,20 @@
         self.pieces += 1
         if self.size > self.max_bytes:
             raise OversizedAnswerError(f"an answer of over {self.max_bytes} bytes")
-        if self.pieces > self.max_pieces:
-            raise OversizedAnswerError(f"an answer in over {self.max_pieces} pieces")
+        if are_pieces_too_small(self.pieces, self.size, self.max_small_pieces):
+            raise OversizedAnswerError(
+                f"an answer of {self.size} bytes in {self.pieces} pieces"
+            )
+
+
+def are_pieces_too_small(pieces, size, max_small_pieces=MAX_SMALL_PIECES):
+    """Return whether a body has more pieces than its bytes account for.
+
+    Parameters
+    ----------
+    pieces, size : int
+        Pieces and bytes received.
+    max_small_pieces : int
+        Pieces that may be of any size.
+    """
+    return pieces > max_small_pieces + size // MIN_PIECE_BYTES
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -18,7 +18,7 @@
     OversizedAnswerError,
     TruncatedAnswerError,
 )
-from .framing import MAX_BODY_PIECES, ReceivedBody, response_framing
+from .framing import ReceivedBody, are_pieces_too_small, response_framing
 
 RECEIVE_BYTES = 64 * 1024
 LINGER_S = 1.0
@@ -279,8 +279,10 @@
         pieces += 1
         if len(body) > limit:
             raise BadRequestError(413, f"the body is over {limit} bytes")
-        if pieces > MAX_BODY_PIECES:
-            raise BadRequestError(400, f"the body is in over {MAX_BODY_PIECES} pieces")
+        if are_pieces_too_small(pieces, len(body)):
+            raise BadRequestError(
+                400, f"the body has {len(body)} bytes in {pieces} pieces"
+            )
 
 
 async def read_page_request(conn, timeout_s):
--- a/src/cactusmill/internal/relay.py
+++ b/src/cactusmill/internal/relay.py
@@ -268,7 +268,7 @@
             target.socket.fileno(),
             ChunkScanner(),
             has_events,
-            ReceivedBody(Framing.CHUNKED, max_bytes, max_pieces=max_bytes),
+            ReceivedBody(Framing.CHUNKED, max_bytes, max_small_pieces=max_bytes),
             on_data,
         )
         if prefix:
