Log how long a request was unread, and whether its caller had left when it was sent

The logs could not tell a request that a host read late from one that it held, and had nothing of callers that leave. Requests now have the estimated time for which their bytes were unread (unread_s, half a turn of the event loop exact) and whether the caller's close had arrived before the send (is_abandoned); the metrics have the lag of the event loop.

No decision has changed.

--- a/src/cactusmill/internal/answer_frames.py
+++ b/src/cactusmill/internal/answer_frames.py
@@ -7,11 +7,12 @@
 """
 
 from ..errors import TruncatedAnswerError
+from .http import has_other_end_closed
 from .request import Sink
 from .wire.ttypes import AnswerData, AnswerEnd
 
 
-def answer_sink(send, call, encode_head):
+def answer_sink(send, call, encode_head, stream=None):
     """Return a sink that sends a response over a link.
 
     Parameters
@@ -22,6 +23,8 @@
         Number of the call on the link.
     encode_head : callable
         ``encode_head(status, headers)`` returns an ``AnswerHead``.
+    stream : trio.abc.Stream or None
+        Transport of the link; None if its end is not looked for.
     """
     size = 0
 
@@ -36,7 +39,10 @@
     async def end():
         await send(answer_end=AnswerEnd(call, True, size))
 
-    return Sink(head=head, data=data, end=end)
+    def is_abandoned():
+        return has_other_end_closed(stream)
+
+    return Sink(head=head, data=data, end=end, is_abandoned=is_abandoned)
 
 
 def read_body_frame(frame, received):
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import select
 import socket
 import struct
 
@@ -228,6 +229,23 @@
         await trio.aclose_forcefully(self.stream)
 
 
+def has_other_end_closed(stream):
+    """Return whether the other end has closed a connection, even if that is unread.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The transport. One without a socket, as in tests, counts as open.
+    """
+    sock = getattr(stream, "socket", None)
+    if sock is None or sock.fileno() < 0:
+        return sock is not None
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLRDHUP)
+    # Reports errors and closed connections besides.
+    return bool(poller.poll(0))
+
+
 def server_connection(stream, max_head_bytes):
     """Return a server's connection on an accepted stream."""
     return Connection(
--- a/src/cactusmill/internal/request.py
+++ b/src/cactusmill/internal/request.py
@@ -74,6 +74,10 @@
         return self.team.name if self.team else ""
 
 
+def _never():
+    return False
+
+
 @attrs.frozen
 class Sink:
     """Destination of a response: a caller's connection or a link to a host.
@@ -91,6 +95,9 @@
         chunked transfer coding may be written to it unchanged, else None.
     end_chunked : callable or None
         ``end_chunked()``, once a body written that way is complete.
+    is_abandoned : callable
+        ``is_abandoned()`` returns whether the other end has closed the connection,
+        even if that has not been read yet.
     """
 
     head: object
@@ -98,6 +105,7 @@
     end: object
     chunked_stream: object = None
     end_chunked: object = None
+    is_abandoned: object = _never
 
 
 def request_priority(req):
--- a/src/cactusmill/serving/cross_region.py
+++ b/src/cactusmill/serving/cross_region.py
@@ -54,6 +54,7 @@
     may_have_run_before = progress.may_have_run
     progress.may_have_run = True
     progress.sends += 1
+    progress.is_abandoned = sink.is_abandoned()
     try:
         response = await forward(
             host,
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -23,7 +23,13 @@
     UnknownRoute,
 )
 from ..internal.buffer_budget import BUFFER_RETRY_S
-from ..internal.http import header, lingering_close, read_body, server_connection
+from ..internal.http import (
+    has_other_end_closed,
+    header,
+    lingering_close,
+    read_body,
+    server_connection,
+)
 from ..internal.request import Request, Sink
 from .dispatch import run_request
 from .events import log_event
@@ -59,6 +65,9 @@
         Head of the request.
     began_at : float
         When the head was complete, in seconds.
+    arrived_at : float
+        Estimate of when the caller's bytes arrived, in seconds; before `began_at` by
+        the time for which they were unread.
     first_at : float or None
         When the head of the response was sent, in seconds.
     status : int
@@ -70,6 +79,7 @@
     conn: object
     head: object
     began_at: float
+    arrived_at: float
     first_at: float | None = None
     status: int = 0
     closes: bool = False
@@ -79,8 +89,9 @@
     """Serve one caller's connection until it ends."""
     conn = server_connection(stream, host.limits.max_head_bytes)
     host.caller_connections.add(conn)
+    start = host.loop.mark_start()
     try:
-        while await _serve_next_request(host, conn):
+        while await _serve_next_request(host, conn, start):
             conn.h11.start_next_cycle()
     except (ExchangeError, CallerGoneError):
         # The caller disconnected. Its request has been cancelled where permitted.
@@ -93,7 +104,7 @@
         await conn.close()
 
 
-async def _serve_next_request(host, conn):
+async def _serve_next_request(host, conn, start):
     """Serve the next request; return whether the connection can be reused."""
     try:
         event = await _receive_head(host, conn)
@@ -106,7 +117,9 @@
         return False
     host.busy_connections.add(conn)
     try:
-        caller = CallerRequest(conn, host.dialect.read_head(event), host.now())
+        now = host.now()
+        arrived_at = host.loop.estimate_arrival(start, now)
+        caller = CallerRequest(conn, host.dialect.read_head(event), now, arrived_at)
         await _serve_request(host, caller, event)
     finally:
         host.busy_connections.discard(conn)
@@ -385,7 +398,10 @@
     async def end():
         await send(h11.EndOfMessage())
 
-    return Sink(head=head, data=data, end=end)
+    def is_abandoned():
+        return has_other_end_closed(conn.stream)
+
+    return Sink(head=head, data=data, end=end, is_abandoned=is_abandoned)
 
 
 def _wants_close(event):
@@ -412,6 +428,8 @@
         not_run=refusal.outcome is Outcome.NOT_RUN if refusal else None,
         retry_after_s=_round_to_ms(refusal.retry_after_s) if refusal else None,
         took_s=_round_to_ms(now - caller.began_at),
+        unread_s=_round_to_ms(caller.began_at - caller.arrived_at),
+        is_abandoned=progress.is_abandoned if progress else None,
         first_s=_round_to_ms(first_s),
         endpoint=progress.endpoint if progress else None,
         sends=progress.sends if progress else 0,
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -325,7 +325,9 @@
 
 async def _run_forward(host, link, message, req, run):
     """Run a forwarded request; return whether the link can be reused."""
-    sink = answer_sink(link.send, 0, functools.partial(_encode_head, message))
+    sink = answer_sink(
+        link.send, 0, functools.partial(_encode_head, message), link.stream
+    )
     refusal, is_complete = None, False
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on_close, link, nursery.cancel_scope)
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -12,6 +12,7 @@
 
 from ..internal.buffer_budget import BufferBudget
 from ..internal.crash_suspects import CrashSuspects
+from ..internal.loop_monitor import LoopMonitor
 from ..internal.metrics import Metrics
 from ..internal.net import TCP
 from ..records import CallerLimits, Service
@@ -117,6 +118,8 @@
         Open connections of callers, and those with a request in progress.
     buffers : BufferBudget
         Limits the bytes of bodies and frames that are held at once.
+    loop : LoopMonitor
+        Measures how late the event loop is.
     forwards_running : int
         Number of requests forwarded by other hosts that run here.
     region_backoff_until : dict of (str, str) to float
@@ -139,6 +142,7 @@
     catalog: Catalog = attrs.field(factory=Catalog)
     source_health: SourceHealth = attrs.field(factory=SourceHealth)
     suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    loop: LoopMonitor = attrs.field(factory=LoopMonitor)
     metrics: Metrics = attrs.field(factory=Metrics)
     buffers: BufferBudget = attrs.field(factory=BufferBudget)
     membership: Membership = attrs.field(init=False)
@@ -437,6 +441,7 @@
             else 0,
             "retries_left": self.retry_budgets.credit(),
             "buffered_bytes": self.buffers.used_bytes,
+            "event_loop_lag_seconds": self.loop.lag_s(now),
         }
 
     # Start, maintenance and shutdown.
@@ -451,6 +456,14 @@
             zone=self.cfg.zone,
             incarnation=self.membership.own_id.incarnation,
         )
+        trio.lowlevel.add_instrument(self.loop)
+        try:
+            await self._serve_until_drained(task_status)
+        finally:
+            trio.lowlevel.remove_instrument(self.loop)
+        log_event("stop", host=self.cfg.host, open=len(self.busy_connections))
+
+    async def _serve_until_drained(self, task_status):
         async with trio.open_nursery() as nursery:
             await nursery.start(self.gossip.run)
             nursery.start_soon(sync_from_source, self, self.source)
@@ -463,7 +476,6 @@
             task_status.started()
             await self._drain()
             nursery.cancel_scope.cancel()
-        log_event("stop", host=self.cfg.host, open=len(self.busy_connections))
 
     async def _listen(self, nursery, address, handler, scope=None):
         async def accept(task_status):
@@ -547,6 +559,7 @@
         endpoint=progress.endpoint,
         sends=progress.sends,
         took_s=round(host.now() - began_at, 3),
+        is_abandoned=progress.is_abandoned,
         sent_s=None
         if progress.sent_at is None
         else round(progress.sent_at - began_at, 3),
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -35,6 +35,8 @@
         Parser of the response stream; knows the last event sent to the caller.
     sends : int
         Number of times it was sent.
+    is_abandoned : bool
+        True if the caller had left when it was last to be sent.
     endpoint : str
         Endpoint or host of the latest attempt.
     ttft_s, total_s : float or None
@@ -66,6 +68,7 @@
     tried_remote_hosts: set = attrs.field(factory=set)
     scanner: EventScanner = attrs.field(factory=EventScanner)
     sends: int = 0
+    is_abandoned: bool = False
     endpoint: str = ""
     ttft_s: float | None = None
     total_s: float | None = None
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -88,6 +88,7 @@
         if not was_used:
             host.placement.record_connected(choice.entry, host.now())
         progress.sends += 1
+        progress.is_abandoned = sink.is_abandoned()
         response = None
         try:
             response = await _exchange(host, req, progress, choice, conn)
--- a/tests/internal/test_http.py
+++ b/tests/internal/test_http.py
@@ -1,13 +1,20 @@
 """Requests of callers, whatever they send."""
 
 import itertools
+import socket
+import struct
 
 import pytest
 import trio
 import trio.testing
 
 from cactusmill.errors import BadRequestError
-from cactusmill.internal.http import read_body, read_page_request, server_connection
+from cactusmill.internal.http import (
+    has_other_end_closed,
+    read_body,
+    read_page_request,
+    server_connection,
+)
 
 POST = b"POST /order/1 HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
 
@@ -68,3 +75,28 @@
         assert (await read_page_request(conn, 5.0)) is None
 
     run_with_caller(scenario, POST + b"3\r\nown\r\n0\r\n\r\n", b"", 1)
+
+
+@pytest.mark.parametrize("ending", ["close", "reset", "half-close"])
+@pytest.mark.parametrize("unread", [b"", b"pipelined"])
+def test_close_behind_unread_data_is_seen(ending, unread):
+    async def main():
+        listener = socket.create_server(("127.0.0.1", 0))
+        theirs = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+        listener.close()
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(ours))
+        theirs.send(unread)
+        assert not has_other_end_closed(stream)
+        if ending == "half-close":
+            theirs.shutdown(socket.SHUT_WR)
+        elif ending == "reset":
+            linger = struct.pack("ii", 1, 0)
+            theirs.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        if ending != "half-close":
+            theirs.close()
+        assert has_other_end_closed(stream)
+        await stream.aclose()
+        assert has_other_end_closed(stream)
+
+    trio.run(main)
