Accept all connections that wait in one turn of the event loop

Callers of a busy host saw connections that were established and not read for over a second, left, and their requests were sent on all the same (GONE; late past the route's time-out: CONFIG). Cause: trio.serve_tcp accepts one connection in each turn of the event loop, whose turns are long when the process is short of processor time: at 0.04 s a turn, 25 connections a second, however cheap they are. The rest waited in the backlog, which no figure showed.

Errors of accept() are treated as trio's listener did: out of descriptors or memory, it pauses and goes on; errors of one connection are passed over.

--- a/src/cactusmill/internal/net.py
+++ b/src/cactusmill/internal/net.py
@@ -4,12 +4,22 @@
 delays and partitions.
 """
 
+import contextlib
+import errno
+import socket
+
 import attrs
 import trio
+from absl import logging
 
 from ..errors import ConnectError, ConnectRefusedError
 
 _BACKLOG = 1024
+# Connections that are accepted before other tasks get a turn.
+_MAX_BATCH = 64
+# Errors of accept() that end when connections or memory are freed, and the pause.
+_OUT_OF_RESOURCES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
+_RESOURCES_PAUSE_S = 0.1
 
 
 @attrs.frozen
@@ -60,14 +70,52 @@
     address, handler, handler_nursery=None, task_status=trio.TASK_STATUS_IGNORED
 ):
     ip, port = split_address(address)
-    await trio.serve_tcp(
-        handler,
-        port,
-        host=ip,
-        backlog=_BACKLOG,
-        handler_nursery=handler_nursery,
-        task_status=task_status,
-    )
+    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
+    with socket.create_server((ip, port), family=family, backlog=_BACKLOG) as listener:
+        listener.setblocking(False)
+        async with trio.open_nursery() as nursery:
+            task_status.started()
+            await _accept_forever(listener, handler, handler_nursery or nursery)
+
+
+async def _accept_forever(listener, handler, nursery):
+    """Run the handler for each connection, until cancelled.
+
+    All that wait are accepted in one turn: with one in each turn, a busy process would
+    leave callers in the backlog for longer than they wait.
+    """
+    while True:
+        await trio.lowlevel.wait_readable(listener)
+        try:
+            for sock in _accept_batch(listener):
+                stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+                nursery.start_soon(_handle, handler, stream)
+        except OSError as exc:
+            if exc.errno not in _OUT_OF_RESOURCES:
+                raise
+            logging.error("connections are not accepted: %r", exc)
+            await trio.sleep(_RESOURCES_PAUSE_S)
+
+
+def _accept_batch(listener):
+    """Yield the connections that wait, up to a limit."""
+    for _ in range(_MAX_BATCH):
+        try:
+            yield listener.accept()[0]
+        except (BlockingIOError, InterruptedError):
+            return
+        except OSError as exc:
+            if exc.errno in _OUT_OF_RESOURCES or exc.errno == errno.EBADF:
+                raise
+            # The error of one connection, which the other end has given up.
+
+
+async def _handle(handler, stream):
+    try:
+        await handler(stream)
+    finally:
+        with contextlib.suppress(OSError):
+            await trio.aclose_forcefully(stream)
 
 
 TCP = Network(_connect_tcp, _serve_tcp)
