Look whether the caller is there right before a request is sent on

Endpoints got requests whose callers had left over half a second before (GONE). Cause: a caller's close is noticed by a task of its own that begins with the request. If the request and the close behind it are read in the same turn of the event loop, the request is dispatched and sent before that task has had its first turn; after an unsafe request's first send it even stops watching, so a second attempt went out for nobody. A forwarded request whose link had closed was run in the same way.

Now the sink of a request tells whether the other end of its connection has closed, also if that lies unread behind other bytes (POLLRDHUP), and it is asked after the last wait before bytes leave for an endpoint or another host, and before each attempt, on both products' paths. A long body is sent by the task that has looked, not by one that starts a turn later. The deadline is checked at the same places.

--- a/src/cactusmill/internal/attempts.py
+++ b/src/cactusmill/internal/attempts.py
@@ -121,6 +121,12 @@
         progress.tried.add(endpoint.name)
         # Nothing was sent, so trying another endpoint does not use the retry budget.
         return NoEndpoint(detail=str(exc), retry_after_s=_RETRY_AFTER_S)
+    now = host.now()
+    if now >= req.deadline or sink.is_abandoned():
+        host.pool.put_back(endpoint, exchange, now)
+        sink.check_open()
+        # The deadline is reported before another attempt.
+        return NoEndpoint(detail="the deadline passed before it was sent")
     is_complete = False
     try:
         refusal = await _send_and_receive_head(
--- a/src/cactusmill/internal/caller_request.py
+++ b/src/cactusmill/internal/caller_request.py
@@ -6,7 +6,7 @@
 
 from ..errors import CallerGoneError, ExchangeError, Outcome
 from .at_most_once import IDENTIFIER_HEADER
-from .http import header
+from .http import has_other_end_closed, header
 from .identifiers import parse_identifier
 from .problems import render_problem
 from .request import Sink
@@ -106,7 +106,10 @@
         # Bytes that the caller sent meanwhile belong to its next request.
         conn.reset_cycle(host.cfg.max_head_bytes)
 
-    return Sink(head, data, end, chunked_stream, end_chunked)
+    def is_abandoned():
+        return has_other_end_closed(conn.stream)
+
+    return Sink(head, data, end, chunked_stream, end_chunked, is_abandoned)
 
 
 async def _send(conn, event):
--- a/src/cactusmill/internal/endpoints.py
+++ b/src/cactusmill/internal/endpoints.py
@@ -220,6 +220,10 @@
             return
         idle.append((client_connection(stream), now))
 
+    def put_back(self, endpoint, exchange, now):
+        """Return a connection on which nothing was sent to the pool."""
+        self.state(endpoint.name).idle.append((exchange.conn, now))
+
     async def release(self, endpoint, exchange, now):
         """Return the connection of a complete response to the pool, or close it."""
         state = self.state(endpoint.name)
--- a/src/cactusmill/internal/forward_client.py
+++ b/src/cactusmill/internal/forward_client.py
@@ -46,10 +46,13 @@
         If there is no open link, or it closed before the response began.
     ForwardRefusedError
         If the peer has no capacity or no endpoint for a repeatable request.
+    CallerGoneError
+        If the caller left before the request was sent.
     AnswerCutError
         If the response was interrupted after it had begun.
     """
     async with peer.call() as (call_id, link, frames):
+        sink.check_open()
         await link.send(forward=_encode_forward(host, peer, req, call_id))
         is_complete = False
         try:
--- a/src/cactusmill/internal/link_server.py
+++ b/src/cactusmill/internal/link_server.py
@@ -119,6 +119,7 @@
         functools.partial(_send, link),
         message.call,
         functools.partial(_encode_head, message),
+        link.stream,
     )
     try:
         with scope:
--- a/src/cactusmill/internal/loop_monitor.py
+++ b/src/cactusmill/internal/loop_monitor.py
@@ -1,8 +1,7 @@
 """How late the event loop is, and when received data arrived.
 
 A process short of processor time reads late what has long arrived: data waits in the
-socket until the loop polls for it, and its task waits for its turn. All times are
-seconds of trio's clock.
+socket until the loop polls for it, and its task waits for its turn.
 """
 
 import math
@@ -22,10 +21,13 @@
 
     Attributes
     ----------
+    now : callable
+        Returns the monotonic time, in seconds.
     turns : int
         Number of turns so far.
     """
 
+    now: object = trio.current_time
     turns: int = 0
     _reported_at: float = float("inf")
     _previously_reported_at: float = float("inf")
@@ -35,12 +37,11 @@
 
     def before_io_wait(self, timeout):
         """Record that the loop begins to poll."""
-        self._poll_began_at = trio.current_time()
+        self._poll_began_at = self.now()
 
     def after_io_wait(self, timeout):
         """Record that a poll has returned, and a turn begins."""
-        now = trio.current_time()
-        self.record_turn(self._poll_began_at, now)
+        self.record_turn(self._poll_began_at, self.now())
 
     def record_turn(self, poll_began_at, polled_at):
         """Record one turn.
--- a/src/cactusmill/internal/request.py
+++ b/src/cactusmill/internal/request.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from ..errors import CallerGoneError
 from ..records import Route, Team
 
 
@@ -107,6 +108,14 @@
     end_chunked: object = None
     is_abandoned: object = _never
 
+    def check_open(self):
+        """Raise `CallerGoneError` if the other end has closed the connection.
+
+        Called right before a request is sent on, after the last wait.
+        """
+        if self.is_abandoned():
+            raise CallerGoneError("the caller left before the request was sent")
+
 
 def request_priority(req):
     """Return the priority of a request: its team's, or else its route's."""
--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -161,6 +161,11 @@
         self._count(name, -1)
         _close_now(conn)
 
+    def put_back(self, name, conn, now):
+        """Return a connection on which nothing was sent to the pool."""
+        self._count(name, -1)
+        self._put_idle(name, conn, _DEFAULT_IDLE_S, now)
+
     def release(self, name, conn, metadata, now):
         """Return a connection to the pool, or close it if it cannot be reused.
 
@@ -287,13 +292,19 @@
 async def _send_and_receive(conn, data, request, request_id, read_metadata):
     """Receive the response head while a long body is still being sent."""
     head, failure = None, None
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_send, conn, data)
+
+    async def receive():
+        nonlocal head, failure
         try:
             head = await _receive_own_head(conn, request, request_id, read_metadata)
         except ExchangeError as exc:
             failure = exc
         nursery.cancel_scope.cancel()
+
+    async with trio.open_nursery() as nursery:
+        nursery.start_soon(receive)
+        # Sent by this task, since another one would begin a turn later.
+        await _send(conn, data)
     if failure is not None:
         raise failure
     return head
--- a/src/cactusmill/serving/cross_region.py
+++ b/src/cactusmill/serving/cross_region.py
@@ -1,6 +1,7 @@
 """Forwards a request to another region and relays its response to the caller."""
 
 from ..errors import (
+    CallerGoneError,
     ConnectError,
     EndpointFailed,
     ExchangeError,
@@ -54,12 +55,12 @@
     may_have_run_before = progress.may_have_run
     progress.may_have_run = True
     progress.sends += 1
-    progress.is_abandoned = sink.is_abandoned()
     try:
         response = await forward(
             host,
             member,
             req,
+            sink,
             progress.attempts_left,
             progress.scanner.last_id,
             stall_timeout_s(req, left_s) + _RTT_MARGIN_S,
@@ -93,6 +94,12 @@
                 await relay_body(host, sink, progress, response, body)
         is_complete = True
         return None
+    except CallerGoneError:
+        if response is None:
+            progress.may_have_run = may_have_run_before
+            progress.sends -= 1
+            progress.is_abandoned = True
+        raise
     except ConnectError as exc:
         progress.may_have_run = may_have_run_before
         progress.sends -= 1
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -10,7 +10,6 @@
 
 from ..errors import (
     AnswerCutError,
-    DeadlineExceeded,
     EndpointFailed,
     NoEndpoint,
     Outcome,
@@ -20,7 +19,7 @@
 from ..internal.request import is_permitted
 from .cross_region import run_in_other_region
 from .overload import ForwardTo, choose_remote_host, decide
-from .progress import may_repeat
+from .progress import deadline_exceeded, may_repeat
 from .sending import send_to_endpoint
 
 # Retry time of a request that is blocked because endpoints crashed while it ran.
@@ -68,9 +67,7 @@
         return result
     if progress.has_response_started:
         raise AnswerCutError("the deadline passed during the response")
-    return DeadlineExceeded(
-        detail="the deadline passed before the answer", outcome=progress.outcome
-    )
+    return deadline_exceeded(progress)
 
 
 async def _run_attempts(host, req, sink, progress, is_forwarded):
@@ -83,6 +80,9 @@
         )
     refusal = None
     while True:
+        sink.check_open()
+        if host.now() >= req.deadline:
+            return _final_refusal(progress, deadline_exceeded(progress))
         step = _next_step(host, req, progress, is_forwarded)
         if isinstance(step, NoEndpoint) and refusal is None:
             step = await _wait_for_endpoint(host, req, progress, is_forwarded, step)
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -256,7 +256,6 @@
 
 def _build_request(host, caller, event, route, team, body):
     head = caller.head
-    now = caller.began_at
     limit_s = route.timeout_s
     if head.budget_s is not None:
         limit_s = min(limit_s, head.budget_s)
@@ -272,13 +271,13 @@
         target=event.target.decode("latin-1"),
         headers=head.forwardable_headers,
         body=body,
-        deadline=now + limit_s,
+        deadline=caller.began_at + limit_s,
         service=choose_service(route, host.rng),
         cost_tokens=size,
         prompt_tokens=head.prompt_tokens,
         output_tokens=head.output_tokens,
         is_stream=route.is_stream,
-        objective_at=now + route.objective_s,
+        objective_at=caller.began_at + route.objective_s,
         prompt_segments=head.prompt_segments,
     )
 
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -14,6 +14,7 @@
 from ..errors import (
     AnswerCutError,
     BufferLimitError,
+    CallerGoneError,
     EndpointFailed,
     ExchangeError,
     LinkClosedError,
@@ -115,7 +116,7 @@
         sock.close()
 
 
-async def forward(host, member, req, attempts, last_event_id, stall_timeout_s):
+async def forward(host, member, req, sink, attempts, last_event_id, stall_timeout_s):
     """Forward a request to a host of another region.
 
     Parameters
@@ -126,6 +127,8 @@
         The other host.
     req : Request
         The request.
+    sink : Sink
+        Destination of the response.
     attempts : int
         Number of attempts that the other host may make.
     last_event_id : str
@@ -141,13 +144,18 @@
 
     Raises
     ------
-    ConnectError
+    CallerGoneError, ConnectError
         If the other host has received nothing.
     ExchangeError
         If the link failed after that.
     """
+    link, was_used = await host.links.acquire(member.id.ip, host.now())
     now = host.now()
-    link, was_used = await host.links.acquire(member.id.ip, now)
+    try:
+        sink.check_open()
+    except CallerGoneError:
+        await host.links.release(member.id.ip, link, now)
+        raise
     message = Forward(
         call=0,
         request_id=req.request_id,
@@ -298,7 +306,10 @@
                 await link.send(changes_reply=ChangesReply(0, items))
                 continue
             message = frame.forward
-            if message is None or not await _serve_forward(host, link, message, run):
+            if message is None:
+                return
+            req = _request(host, message, host.now())
+            if not await _serve_forward(host, link, message, req, run):
                 return
     except LinkClosedError:
         # Closing the link also cancels the request on it.
@@ -307,9 +318,8 @@
         await link.close()
 
 
-async def _serve_forward(host, link, message, run):
+async def _serve_forward(host, link, message, req, run):
     """Serve one request; return whether the link can be reused."""
-    req = _request(host, message)
     if req is None:
         refusal = NoEndpoint(detail="this host does not know the route yet")
         await _send_refusal(link, message, refusal)
@@ -336,7 +346,12 @@
                 host, req, sink, message.attempts or 1, message.identifier or ""
             )
             is_complete = True
-        except (AnswerCutError, ExchangeError, LinkClosedError) as exc:
+        except (
+            AnswerCutError,
+            CallerGoneError,
+            ExchangeError,
+            LinkClosedError,
+        ) as exc:
             log_event(
                 "forwarded_answer_cut", request_id=req.request_id, reason=repr(exc)
             )
@@ -375,8 +390,11 @@
     )
 
 
-def _request(host, message):
-    """Return a forwarded request, or None if its route or team is unknown."""
+def _request(host, message, arrived_at):
+    """Return a forwarded request that arrived at a time, in seconds.
+
+    None if its route or team is unknown.
+    """
     configuration = host.catalog.configuration
     if configuration is None:
         return None
@@ -385,7 +403,6 @@
     team = configuration.teams.get(message.team) if message.team else None
     if route is None or (message.team and team is None):
         return None
-    now = host.now()
     headers = _headers_from_wire(message.headers)
     head = host.dialect.read_forwarded_head(headers)
     return Request(
@@ -397,11 +414,11 @@
         target=message.target,
         headers=headers,
         body=message.body,
-        deadline=now + message.remaining_ms / 1000,
+        deadline=arrived_at + message.remaining_ms / 1000,
         service="",
         prompt_tokens=head.prompt_tokens,
         output_tokens=head.output_tokens,
         is_stream=route.is_stream,
-        objective_at=now + (message.objective_ms or 0) / 1000,
+        objective_at=arrived_at + (message.objective_ms or 0) / 1000,
         prompt_segments=head.prompt_segments,
     )
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -142,7 +142,7 @@
     catalog: Catalog = attrs.field(factory=Catalog)
     source_health: SourceHealth = attrs.field(factory=SourceHealth)
     suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
-    loop: LoopMonitor = attrs.field(factory=LoopMonitor)
+    loop: LoopMonitor = attrs.field(init=False)
     metrics: Metrics = attrs.field(factory=Metrics)
     buffers: BufferBudget = attrs.field(factory=BufferBudget)
     membership: Membership = attrs.field(init=False)
@@ -169,6 +169,7 @@
             region=cfg.region,
             incarnation=secrets.token_hex(8),
         )
+        self.loop = LoopMonitor(self.now)
         port = int(cfg.peers.rpartition(":")[2])
         self.membership = Membership(own_id)
         self.placement = Placement(cfg.region, cfg.host, rng=self.rng)
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from ..errors import Outcome
+from ..errors import DeadlineExceeded, Outcome
 from ..internal.crash_suspects import request_digest
 from ..internal.event_stream import EventScanner
 
@@ -99,6 +99,13 @@
     return route.repeatable or (route.is_stream and route.resumable)
 
 
+def deadline_exceeded(progress):
+    """Return the refusal of a request whose deadline passed before a response."""
+    return DeadlineExceeded(
+        detail="the deadline passed before the answer", outcome=progress.outcome
+    )
+
+
 def new_progress(req, attempts):
     """Return the initial state of a request.
 
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -17,7 +17,7 @@
 from .connections import exchange
 from .events import log_event
 from .placement import DEFAULT_KV_CACHE_TOKENS
-from .progress import BUSY_RETRY_S, may_repeat
+from .progress import BUSY_RETRY_S, deadline_exceeded, may_repeat
 from .response_relay import (
     drain,
     has_events,
@@ -87,8 +87,13 @@
             return NoEndpoint(detail=str(exc), retry_after_s=BUSY_RETRY_S)
         if not was_used:
             host.placement.record_connected(choice.entry, host.now())
-        progress.sends += 1
+        now = host.now()
         progress.is_abandoned = sink.is_abandoned()
+        if progress.is_abandoned or now >= req.deadline:
+            host.pool.put_back(endpoint.name, conn, now)
+            sink.check_open()
+            return deadline_exceeded(progress)
+        progress.sends += 1
         response = None
         try:
             response = await _exchange(host, req, progress, choice, conn)
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -10,6 +10,7 @@
 
 from cactusmill.errors import ExchangeError
 from cactusmill.internal.link import Link
+from cactusmill.internal.request import Sink
 from cactusmill.platform.dialect import DIALECT
 from cactusmill.serving.forwarding import forward, serve_link
 from cactusmill.serving.membership import Member
@@ -20,6 +21,7 @@
 
 CHUNKS = [b"id: %d\ndata: x\n\n" % number for number in range(1, 7)]
 _LENGTH = struct.Struct(">I")
+SINK = Sink(head=None, data=None, end=None)
 
 
 @attrs.define
@@ -83,7 +85,7 @@
                 request = attrs.evolve(
                     req([("own", 10)]), deadline=host.now() + 4, objective_at=host.now()
                 )
-                response = await forward(host, member, request, 1, "", 1.0)
+                response = await forward(host, member, request, SINK, 1, "", 1.0)
                 try:
                     while (data := await response.next_data()) is not None:
                         received.append(data)
