Count the time for which a request was unread towards its deadline

Callers of a host short of processor time got answers after the time-out of their route (CONFIG: requests held on), and endpoints were given more time than the caller had left. Cause: deadline, time-out and objective counted from the reading of the head, on both products' paths, and a forwarded request's from when the other host read it. Seen: a request of vpis-clana (time-out 1.2 s) reached an endpoint 1.72 s after it was sent.

--- a/src/cactusmill/internal/caller_request.py
+++ b/src/cactusmill/internal/caller_request.py
@@ -28,6 +28,8 @@
         Request ID for logs.
     received_at : float
         Time at which the head was complete, in seconds.
+    unread_s : float
+        Estimate of how long its bytes were unread in this host before, in seconds.
     has_response_started : bool
         True once the head of the response was sent.
     first_byte_s : float or None
@@ -40,6 +42,7 @@
     head: h11.Request
     request_id: str
     received_at: float
+    unread_s: float
     has_response_started: bool = False
     first_byte_s: float | None = None
     announced_close: bool = False
--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -43,8 +43,9 @@
     """Serve the requests on one caller's connection until it closes."""
     conn = server_connection(stream, host.cfg.max_head_bytes)
     host.caller_connections += 1
+    start = host.loop.mark_start()
     try:
-        while await _serve_request(host, conn):
+        while await _serve_request(host, conn, start):
             if not conn.is_idle():
                 conn.h11.start_next_cycle()
     except (ExchangeError, CallerGoneError, AnswerCutError):
@@ -56,7 +57,7 @@
         await conn.close()
 
 
-async def _serve_request(host, conn):
+async def _serve_request(host, conn, start):
     """Serve the next request; return whether the connection can serve another."""
     try:
         head = None
@@ -69,7 +70,9 @@
         await _reject_head(host, conn, 408, "the head did not come in time")
     if not isinstance(head, h11.Request):
         return False
-    caller = CallerRequest(conn, head, new_request_id(), host.now())
+    now = host.now()
+    unread_s = now - host.loop.estimate_arrival(start, now)
+    caller = CallerRequest(conn, head, new_request_id(), now, unread_s)
     await _handle_request(host, caller)
     if conn.is_idle():
         # The caller relies on keep-alive unless either side announced a close.
@@ -155,7 +158,7 @@
         headers=select_forwarded_headers(caller.head.headers),
         body=body,
         identifier=caller.identifier,
-        timeout_s=route.timeout_s,
+        timeout_s=route.timeout_s - caller.unread_s,
     )
     match req:
         case Failure(_):
--- a/src/cactusmill/internal/host_process.py
+++ b/src/cactusmill/internal/host_process.py
@@ -28,6 +28,7 @@
 from .limits import RateLimiter
 from .link import Traffic
 from .link_server import serve_link
+from .loop_monitor import LoopMonitor
 from .metrics import Metrics
 from .net import TCP, Network
 from .operators import serve_operator
@@ -114,6 +115,7 @@
     caller_connections: int = 0
     running_at_most_once: int = 0
     nursery: trio.Nursery | None = None
+    loop: LoopMonitor = attrs.field(init=False)
     ledger: Ledger = attrs.field(init=False)
     limiter: RateLimiter = attrs.field(init=False)
     pool: EndpointPool = attrs.field(init=False)
@@ -130,6 +132,7 @@
             self.cfg.host, self.incarnation, secrets.token_bytes(_SECRET_BYTES)
         )
         self.ledger = Ledger(minter, self.cfg.identifier_ttl_s)
+        self.loop = LoopMonitor(self.now)
         self.limiter = RateLimiter(self.cfg.zone)
         self.pool = EndpointPool(self.net)
         self.platform_clients = {
@@ -351,6 +354,13 @@
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Run until :meth:`shut_down` has ended or the task is cancelled."""
         self._started_at = self.now()
+        trio.lowlevel.add_instrument(self.loop)
+        try:
+            await self._serve(task_status)
+        finally:
+            trio.lowlevel.remove_instrument(self.loop)
+
+    async def _serve(self, task_status):
         async with trio.open_nursery() as nursery:
             self.nursery = nursery
             await self._listen(self.cfg.peers, serve_link)
--- a/src/cactusmill/internal/link_server.py
+++ b/src/cactusmill/internal/link_server.py
@@ -47,20 +47,23 @@
         link = await open_link(
             stream, host.hello, host.cfg.link_secret, False, host.traffic, host.buffers
         )
+        start = host.loop.mark_start()
         scopes = {}
         async with trio.open_nursery() as nursery:
             try:
                 while True:
                     with trio.fail_after(INBOUND_SILENCE_TIMEOUT_S):
                         frame = await link.receive()
-                    await _handle_frame(host, link, frame, nursery, scopes)
+                    now = host.now()
+                    unread_s = now - host.loop.estimate_arrival(start, now)
+                    await _handle_frame(host, link, frame, unread_s, nursery, scopes)
             except (LinkClosedError, trio.TooSlowError):
                 # Repeatable requests are cancelled with the link. At-most-once
                 # requests run in the host's nursery and are not affected.
                 nursery.cancel_scope.cancel()
 
 
-async def _handle_frame(host, link, frame, nursery, scopes):
+async def _handle_frame(host, link, frame, unread_s, nursery, scopes):
     if frame.heartbeat is not None:
         await _send_heartbeat_ack(host, link, frame.heartbeat)
     elif frame.changes_pull is not None:
@@ -77,7 +80,9 @@
         )
     elif frame.forward is not None:
         scope = scopes[frame.forward.call] = trio.CancelScope()
-        nursery.start_soon(_serve_forward, host, link, frame.forward, scope, scopes)
+        nursery.start_soon(
+            _serve_forward, host, link, frame.forward, unread_s, scope, scopes
+        )
     elif frame.cancel is not None and frame.cancel.call in scopes:
         scopes[frame.cancel.call].cancel()
 
@@ -114,7 +119,7 @@
     return host.host_list.get("host", name) is not None
 
 
-async def _serve_forward(host, link, message, scope, scopes):
+async def _serve_forward(host, link, message, unread_s, scope, scopes):
     sink = answer_sink(
         functools.partial(_send, link),
         message.call,
@@ -123,7 +128,7 @@
     )
     try:
         with scope:
-            result = await _run_forward(host, message, sink)
+            result = await _run_forward(host, message, unread_s, sink)
             match result:
                 case Failure(refusal):
                     await _send_refusal(link, message, refusal)
@@ -150,8 +155,8 @@
     return AnswerHead(message.call, message.request_id, status, pairs)
 
 
-async def _run_forward(host, message, sink):
-    req = _build_request(host, message)
+async def _run_forward(host, message, unread_s, sink):
+    req = _build_request(host, message, unread_s)
     match req:
         case Failure(_):
             return req
@@ -181,7 +186,7 @@
     return Outcome.UNKNOWN if req.identifier else Outcome.NOT_RUN
 
 
-def _build_request(host, message):
+def _build_request(host, message, unread_s):
     return build_request(
         host,
         request_id=message.request_id,
@@ -192,7 +197,7 @@
         headers=[(h.name.encode(), h.value.encode()) for h in message.headers],
         body=message.body,
         identifier=parse_identifier(message.identifier) if message.identifier else None,
-        timeout_s=message.remaining_ms / 1000,
+        timeout_s=message.remaining_ms / 1000 - unread_s,
     )
 
 
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -271,13 +271,13 @@
         target=event.target.decode("latin-1"),
         headers=head.forwardable_headers,
         body=body,
-        deadline=caller.began_at + limit_s,
+        deadline=caller.arrived_at + limit_s,
         service=choose_service(route, host.rng),
         cost_tokens=size,
         prompt_tokens=head.prompt_tokens,
         output_tokens=head.output_tokens,
         is_stream=route.is_stream,
-        objective_at=caller.began_at + route.objective_s,
+        objective_at=caller.arrived_at + route.objective_s,
         prompt_segments=head.prompt_segments,
     )
 
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -297,9 +297,11 @@
     """
     enable_dead_peer_detection(stream)
     link = Link(stream, buffers=host.buffers)
+    start = host.loop.mark_start()
     try:
         while True:
             frame = await link.receive()
+            arrived_at = host.loop.estimate_arrival(start, host.now())
             if frame.changes_pull is not None:
                 since = frame.changes_pull.since_version
                 items = host.source.export(since, host.catalog.revision)
@@ -308,7 +310,7 @@
             message = frame.forward
             if message is None:
                 return
-            req = _request(host, message, host.now())
+            req = _request(host, message, arrived_at)
             if not await _serve_forward(host, link, message, req, run):
                 return
     except LinkClosedError:
