Refuse a part of new requests while the event loop is late

A host short of processor time took on every request that it read, so that all of them became later: its answers came after the callers' time, and it still sent requests whose callers were about to leave. Cause: nothing measured how late the event loop is, and nothing was done less.

Now the part of new requests, callers' and forwarded ones, that is refused as not run grows with the mean length of a turn: none up to 0.1 s, all from 0.5 s, logarithmic between. The decision comes before the request is authorized, charged or placed; such refusals are counted and logged together. Heartbeats tell the lag, so that other regions forward less to such a host.

Evidence: replayed on a loop with known processor times a request (test_shedding.py), at twice and four times the capacity requests are read within 1 s and nothing is sent after its caller left; without shedding callers leave first.

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -214,6 +214,8 @@
   13: optional bool source_failing
   // Zones that reopened within a warm-up time. Absent if none.
   14: optional list<ZoneReopening> reopened
+  // Lag of the sender's event loop. Absent if it is short.
+  15: optional i32 lag_ms
 }
 
 union Frame {
--- a/src/cactusmill/internal/loop_monitor.py
+++ b/src/cactusmill/internal/loop_monitor.py
@@ -13,6 +13,9 @@
 _MIN_WAIT_S = 0.001
 # Time constant of the smoothed lag.
 _SMOOTHING_S = 0.25
+# A longer turn counts as this long, so that it is soon forgotten: the process may have
+# been suspended.
+_MAX_TURN_S = 0.5
 
 
 @attrs.define(eq=False)
@@ -59,7 +62,8 @@
         self._previously_reported_at = self._reported_at
         self._reported_at = polled_at if has_waited else (before + polled_at) / 2
         weight = 1.0 - math.exp(-(polled_at - before) / _SMOOTHING_S)
-        self._lag_s += weight * (poll_began_at - before - self._lag_s)
+        turn_s = min(_MAX_TURN_S, poll_began_at - before)
+        self._lag_s += weight * (turn_s - self._lag_s)
 
     def mark_start(self):
         """Return a mark for a task that begins to run, for `estimate_arrival`."""
--- a/src/cactusmill/internal/wire/ttypes.py
+++ b/src/cactusmill/internal/wire/ttypes.py
@@ -2607,6 +2607,7 @@
      - source_age_ms
      - source_failing
      - reopened
+     - lag_ms
 
     """
 
@@ -2624,10 +2625,11 @@
         'source_age_ms',
         'source_failing',
         'reopened',
+        'lag_ms',
     )
 
 
-    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, suspects=None, regions=None, source_age_ms=None, source_failing=None, reopened=None,):
+    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, suspects=None, regions=None, source_age_ms=None, source_failing=None, reopened=None, lag_ms=None,):
         self.sender = sender
         self.sequence = sequence
         self.ready = ready
@@ -2641,6 +2643,7 @@
         self.source_age_ms = source_age_ms
         self.source_failing = source_failing
         self.reopened = reopened
+        self.lag_ms = lag_ms
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2753,6 +2756,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 15:
+                if ftype == TType.I32:
+                    self.lag_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2833,6 +2841,10 @@
                 iter104.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.lag_ms is not None:
+            oprot.writeFieldBegin('lag_ms', TType.I32, 15)
+            oprot.writeI32(self.lag_ms)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3329,6 +3341,7 @@
     (12, TType.I32, 'source_age_ms', None, None, ),  # 12
     (13, TType.BOOL, 'source_failing', None, None, ),  # 13
     (14, TType.LIST, 'reopened', (TType.STRUCT, [ZoneReopening, None], False), None, ),  # 14
+    (15, TType.I32, 'lag_ms', None, None, ),  # 15
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -21,6 +21,7 @@
 from .overload import ForwardTo, choose_remote_host, decide
 from .progress import deadline_exceeded, may_repeat
 from .sending import send_to_endpoint
+from .shedding import would_shed
 
 # Retry time of a request that is blocked because endpoints crashed while it ran.
 _BLOCKED_RETRY_S = 30.0
@@ -167,6 +168,7 @@
         for m in host.membership.serving(now)
         if m.id.region != host.cfg.region
         and m.id.name not in progress.tried_remote_hosts
+        and not would_shed(m, host.rng.random(), now)
     ]
     return choose_remote_host(
         members,
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -165,10 +165,29 @@
 
 async def _serve_request(host, caller, event):
     """Serve one request; count its body as held by this host meanwhile."""
+    if host.sheds_request(host.now()):
+        await _shed_request(host, caller, event)
+        return
     with host.buffers.hold() as count_held:
         await _serve_held_request(host, caller, event, count_held)
 
 
+async def _shed_request(host, caller, event):
+    """Refuse a request for lack of processor time, with as little work as possible.
+
+    It is counted, and not logged one by one.
+    """
+    refusal = host.shed_refusal()
+    with host.buffers.hold() as count_held:
+        try:
+            await _read_body(host, caller, count_held)
+        except _Refused as exc:
+            refusal = exc.refusal
+    rendered = host.dialect.render_refusal(refusal, caller.head.request_id)
+    caller.closes = host.is_leaving or _wants_close(event)
+    await _send_refusal(caller.conn, rendered, caller.closes)
+
+
 async def _serve_held_request(host, caller, event, count_held):
     """Serve one request and log its outcome."""
     head = caller.head
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -310,6 +310,9 @@
             message = frame.forward
             if message is None:
                 return
+            if host.sheds_request(host.now()):
+                await _send_refusal(link, message, host.shed_refusal())
+                continue
             req = _request(host, message, arrived_at)
             if not await _serve_forward(host, link, message, req, run):
                 return
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -10,6 +10,7 @@
 import attrs
 import trio
 
+from ..errors import Overloaded
 from ..internal.buffer_budget import BufferBudget
 from ..internal.crash_suspects import CrashSuspects
 from ..internal.loop_monitor import LoopMonitor
@@ -29,6 +30,7 @@
 from .progress import new_progress
 from .quota import Quotas, RateExcess
 from .retry_after import RetrySchedule
+from .shedding import is_shed, shed_retry_s
 from .source_sync import SourceHealth, sync_from_hosts, sync_from_source
 
 # A host that is shutting down accepts requests this long. Callers get the addresses of
@@ -122,6 +124,8 @@
         Measures how late the event loop is.
     forwards_running : int
         Number of requests forwarded by other hosts that run here.
+    requests_shed : int
+        Number of requests refused for lack of processor time.
     region_backoff_until : dict of (str, str) to float
         By region and service, the time until which nothing is forwarded there, in
         seconds. Past times have no effect.
@@ -139,6 +143,8 @@
     caller_connections: set = attrs.field(factory=set)
     busy_connections: set = attrs.field(factory=set)
     forwards_running: int = 0
+    requests_shed: int = 0
+    _shed_logged: int = 0
     catalog: Catalog = attrs.field(factory=Catalog)
     source_health: SourceHealth = attrs.field(factory=SourceHealth)
     suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
@@ -238,6 +244,23 @@
             if self.pool.has_room(entry.endpoint.name, service.max_connections, hosts)
         ]
 
+    def sheds_request(self, now):
+        """Return whether to refuse a new request because processor time is short.
+
+        A refusal is counted here, and the maintenance logs their number.
+        """
+        if not is_shed(self.loop.lag_s(now), self.rng.random()):
+            return False
+        self.requests_shed += 1
+        return True
+
+    def shed_refusal(self):
+        """Return the refusal of a request that is shed."""
+        return Overloaded(
+            detail="this host is short of processor time",
+            retry_after_s=shed_retry_s(self.rng.random()),
+        )
+
     def retry_budget(self, service_name, now):
         """Return this host's share of the retries of a service.
 
@@ -443,6 +466,7 @@
             "retries_left": self.retry_budgets.credit(),
             "buffered_bytes": self.buffers.used_bytes,
             "event_loop_lag_seconds": self.loop.lag_s(now),
+            "requests_shed": self.requests_shed,
         }
 
     # Start, maintenance and shutdown.
@@ -505,11 +529,22 @@
         while True:
             await trio.sleep(_MAINTENANCE_INTERVAL_S)
             now = self.now()
+            self._log_shed_requests(now)
             self.pool.close_expired(now)
             for key, counted_at in list(self._crashes.items()):
                 if now - counted_at > _SAME_CRASH_S:
                     del self._crashes[key]
 
+    def _log_shed_requests(self, now):
+        count, self._shed_logged = (
+            self.requests_shed - self._shed_logged,
+            self.requests_shed,
+        )
+        if count:
+            log_event(
+                "requests_shed", requests=count, lag_s=round(self.loop.lag_s(now), 3)
+            )
+
     async def shut_down(self):
         """Begin a graceful shutdown and announce it; :meth:`run` completes it."""
         self.is_leaving, self.leaving_since = True, self.now()
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -344,6 +344,7 @@
                 for zone, revision, reopened_at in host.catalog.reopenings(now)
             ][:MAX_REOPENINGS]
             or None,
+            lag_ms=int(host.loop.lag_s(now) * 1000) or None,
         )
 
     def _select_entries(self, now, max_others):
@@ -446,6 +447,7 @@
         host.membership.set_ready(member, heartbeat.ready)
         member.configuration_version = heartbeat.configuration_version
         member.revision = heartbeat.revision
+        member.lag_s = (heartbeat.lag_ms or 0) / 1000
         # Heartbeats to other regions, seeds and new members omit demands and loads.
         if heartbeat.demands is not None:
             member.demands = {d.key: d.tokens_per_s for d in heartbeat.demands}
--- a/src/cactusmill/serving/membership.py
+++ b/src/cactusmill/serving/membership.py
@@ -80,6 +80,8 @@
         Configuration and revision of the source that it has applied.
     demands : dict of int to int
         Tokens per second requested from it, by team key.
+    lag_s : float
+        Lag of its event loop, in seconds.
     source_responded_at : float
         When its source last responded, in seconds; minus infinity if never, or
         while the source fails.
@@ -95,6 +97,7 @@
     configuration_version: int = 0
     revision: int = 0
     demands: dict = attrs.field(factory=dict)
+    lag_s: float = 0.0
     source_responded_at: float = float("-inf")
 
 
