Heed what endpoints say of themselves in responses: leaving, and Retry-After

Cause: an endpoint's state came from its entry alone; neither header was read anywhere.

What an endpoint says is now a fact of its life, which the start time in its entry tells. It is read from the head of every response, on both products' paths, also of one that is skipped, drained or broken off later; not of another endpoint at its address (421). Endpoints that leave get nothing more until a new life; a pause ends a little later on each host, and then the load returns within a second. Both are checked at the choice and again after the wait for a connection. If all endpoints of a service want nothing, callers are refused at once with the time at which the first one takes requests, or another region is asked.

The twin of the leaving refusal (test_failures.py) now switches the header off in both modules that read it, since a response of any status counts.

--- a/src/cactusmill/internal/at_most_once.py
+++ b/src/cactusmill/internal/at_most_once.py
@@ -30,7 +30,13 @@
     OutcomeUnknown,
 )
 from .admission import admit
-from .endpoints import receive_data, receive_head, send_request
+from .endpoints import (
+    LEAVING_HEADER,
+    receive_data,
+    receive_head,
+    record_notices,
+    send_request,
+)
 from .forward_client import forward
 from .http import collect_body, end_to_end_headers
 from .ledger import Response, spent_refusal
@@ -42,9 +48,6 @@
 IDENTIFIER_HEADER = b"idempotency-key"
 # Unix time in seconds, from which the endpoint must not start the request.
 DEADLINE_HEADER = b"x-request-deadline"
-# In a response with status 503: the endpoint is shutting down and did not run the
-# request.
-LEAVING_HEADER = b"x-endpoint-leaving"
 _UNAVAILABLE = 503
 _NO_ENDPOINT_RETRY_AFTER_S = 2.0
 
@@ -203,7 +206,7 @@
     while True:
         endpoint = _choose_untried(host, req, tried)
         if endpoint is None:
-            return Failure(_no_endpoint_refusal(tried))
+            return Failure(_no_endpoint_refusal(host, req, tried))
         tried.add(endpoint.name)
         state = host.pool.state(endpoint.name)
         try:
@@ -215,18 +218,30 @@
         except ConnectError:
             state.record_failure(host.now())
             continue
+        if not state.takes_requests(host.now()):
+            # The endpoint said so while this request waited for its connection.
+            host.pool.put_back(endpoint, exchange, host.now())
+            continue
         result = await _send(host, req, endpoint, exchange)
         if result is not None:
             return result
 
 
+def _permitted_endpoints(host, req):
+    return [
+        e
+        for e in host.endpoints_for(req.service)
+        if is_permitted(e.region, req.team, req.route)
+    ]
+
+
 def _choose_untried(host, req, tried):
     """Choose an untried endpoint that is permitted, in the local zone if possible."""
     now = host.now()
     permitted = [
         make_candidate(e, host.pool.state(e.name), now)
-        for e in host.endpoints_for(req.service)
-        if e.name not in tried and is_permitted(e.region, req.team, req.route)
+        for e in _permitted_endpoints(host, req)
+        if e.name not in tried
     ]
     local = [c for c in permitted if c.endpoint.zone == host.cfg.zone]
     return choose_endpoint(local, "", host.rng) or choose_endpoint(
@@ -234,12 +249,17 @@
     )
 
 
-def _no_endpoint_refusal(tried):
+def _no_endpoint_refusal(host, req, tried):
     if tried:
         detail = f"no connection to any of {len(tried)} endpoints"
     else:
         detail = "no permitted endpoint has room"
-    return NoEndpoint(detail=detail, retry_after_s=_NO_ENDPOINT_RETRY_AFTER_S)
+    names = [e.name for e in _permitted_endpoints(host, req)]
+    pause_s = host.pool.pause_left_s(names, host.now())
+    retry_s = _NO_ENDPOINT_RETRY_AFTER_S
+    if pause_s is not None:
+        retry_s = pause_s + host.rng.random()
+    return NoEndpoint(detail=detail, retry_after_s=retry_s)
 
 
 async def _send(host, req, endpoint, exchange):
@@ -270,6 +290,7 @@
         with trio.fail_after(remaining_s):
             await send_request(exchange, endpoint, req, headers)
             await receive_head(exchange, req, remaining_s)
+            record_notices(host, state, exchange)
             with host.buffers.hold() as count_held:
                 body = await collect_body(lambda: receive_data(exchange), count_held)
     except (ExchangeError, trio.TooSlowError) as exc:
@@ -290,7 +311,6 @@
     state.record_success(host.now())
     await host.pool.release(endpoint, exchange, host.now())
     if _is_leaving_refusal(exchange):
-        state.leaving = True
         return None
     return Success(
         Response(exchange.status, end_to_end_headers(exchange.headers), body)
--- a/src/cactusmill/internal/attempts.py
+++ b/src/cactusmill/internal/attempts.py
@@ -20,9 +20,15 @@
     SilentEndpointError,
     TruncatedAnswerError,
 )
-from .at_most_once import LEAVING_HEADER
 from .chat import UsageMeter
-from .endpoints import STALL_LIMIT_S, receive_data, receive_head, send_request
+from .endpoints import (
+    LEAVING_HEADER,
+    STALL_LIMIT_S,
+    receive_data,
+    receive_head,
+    record_notices,
+    send_request,
+)
 from .event_stream import check_last_event, is_event_stream, last_bytes
 from .framing import Framing
 from .http import end_to_end_headers, header, is_chunked
@@ -127,6 +133,10 @@
         sink.check_open()
         # The deadline is reported before another attempt.
         return NoEndpoint(detail="the deadline passed before it was sent")
+    if not state.takes_requests(now):
+        # The endpoint said so while this request waited for its connection.
+        host.pool.put_back(endpoint, exchange, now)
+        return NoEndpoint(detail="the endpoint takes no requests now")
     is_complete = False
     try:
         refusal = await _send_and_receive_head(
@@ -150,6 +160,7 @@
     try:
         await send_request(exchange, endpoint, req, [])
         await receive_head(exchange, req, timeout_s)
+        record_notices(host, state, exchange)
     except ExchangeError as exc:
         await exchange.conn.close()
         has_crashed = await _record_if_crashed(
@@ -170,8 +181,6 @@
     if load is not None and load.isdigit():
         state.reported_load, state.reported_at = int(load), host.now()
     if exchange.status == _UNAVAILABLE and header(exchange.headers, LEAVING_HEADER):
-        state.leaving = True
-        host.send_heartbeats_now()
         progress.tried.add(endpoint.name)
         await exchange.conn.close()
         return NoEndpoint(detail="the endpoint is leaving")
--- a/src/cactusmill/internal/endpoints.py
+++ b/src/cactusmill/internal/endpoints.py
@@ -13,7 +13,7 @@
     TruncatedAnswerError,
 )
 from .framing import new_received_body, response_framing
-from .http import client_connection, header
+from .http import client_connection, header, parse_retry_after
 from .net import Network
 
 CONNECT_TIMEOUT_S = 1.0
@@ -29,6 +29,13 @@
 _MIN_BACKOFF_S = 0.2
 _MAX_BACKOFF_S = 5.0
 REQUEST_ID_HEADER = b"x-request-id"
+# The endpoint is shutting down. With status 503 it did not run the request.
+LEAVING_HEADER = b"x-endpoint-leaving"
+_UNAVAILABLE = 503
+# Random fraction that is added to a pause, and its limit, so that hosts do not return
+# in the same moment.
+_PAUSE_JITTER = 0.25
+_MAX_PAUSE_JITTER_S = 1.0
 
 
 @attrs.define(eq=False)
@@ -53,7 +60,9 @@
         For each other host of the zone, its requests at the endpoint and the time
         of its report, in seconds.
     leaving : bool
-        True once it refused a request because it is shutting down.
+        True once it said that it is shutting down.
+    paused_until : float
+        Time until which it wants no requests from this host, in seconds.
     ttfb_s : float
         Exponentially smoothed time to first byte, in seconds.
     recovered_at : float
@@ -70,10 +79,20 @@
     reported_at: float = 0.0
     peer_loads: dict = attrs.field(factory=dict)
     leaving: bool = False
+    paused_until: float = float("-inf")
     ttfb_s: float = 0.0
     recovered_at: float = float("-inf")
     idle: collections.deque = attrs.field(factory=collections.deque)
 
+    def takes_requests(self, now):
+        """Return whether it takes requests, by what it said in its responses."""
+        return not self.leaving and now >= self.paused_until
+
+    def record_pause(self, pause_s, now):
+        """Send nothing for a time, in seconds; then its usable capacity grows."""
+        self.paused_until = max(self.paused_until, now + pause_s)
+        self.recovered_at = self.paused_until
+
     def record_failure(self, now):
         """Back off exponentially, starting at `now`, in seconds."""
         backoff = min(_MAX_BACKOFF_S, _MIN_BACKOFF_S * 2**self.failures)
@@ -157,6 +176,28 @@
             if self._states[name].in_flight == 0:
                 del self._states[name]
 
+    def pause_left_s(self, names, now):
+        """Return when the first of some endpoints takes requests again.
+
+        Parameters
+        ----------
+        names : iterable of str
+            Names of the endpoints.
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        float or None
+            Seconds from now; None if not all of them are paused or leaving, or all
+            are leaving.
+        """
+        states = [self.state(name) for name in names]
+        if any(state.takes_requests(now) for state in states):
+            return None
+        left_s = [s.paused_until - now for s in states if not s.leaving]
+        return min(left_s, default=None)
+
     def own_loads(self):
         """Return this host's requests in flight, by endpoint key."""
         return {load_key(s.name): s.in_flight for s in self._states.values()}
@@ -296,6 +337,18 @@
         raise CrossedAnswerError(f"answer to {echoed!r}, not to {req.request_id!r}")
 
 
+def record_notices(host, state, exchange):
+    """Record what an endpoint says of itself in the head of any response."""
+    if header(exchange.headers, LEAVING_HEADER) is not None and not state.leaving:
+        state.leaving = True
+        host.send_heartbeats_now()
+    if exchange.status == _UNAVAILABLE:
+        pause_s = parse_retry_after(exchange.headers)
+        if pause_s is not None:
+            jitter_s = min(_MAX_PAUSE_JITTER_S, _PAUSE_JITTER * pause_s)
+            state.record_pause(pause_s + jitter_s * host.rng.random(), host.now())
+
+
 async def receive_data(exchange):
     """Return the next chunk of the response body, or None at its end.
 
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import re
 import select
 import socket
 import struct
@@ -12,6 +13,7 @@
 import attrs
 import h11
 import trio
+from absl import logging
 
 from ..errors import (
     BadRequestError,
@@ -30,6 +32,9 @@
 # Events of received bytes that are handled before other tasks get a turn.
 _EVENTS_PER_TURN = 64
 _LINGER = struct.Struct("ii")
+# A time in seconds. Longer texts are no time that anyone waits.
+_SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
+_MAX_LOGGED_CHARS = 64
 _HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -361,6 +366,26 @@
     return default
 
 
+def parse_retry_after(headers):
+    """Return the seconds of ``retry-after``, whole or with a fraction.
+
+    Returns
+    -------
+    float or None
+        None if it is missing, malformed, zero or repeated.
+    """
+    texts = [value for name, value in headers if name == b"retry-after"]
+    if not texts:
+        return None
+    text = texts[0].decode("latin-1").strip()
+    if len(texts) == 1 and _SECONDS.fullmatch(text) and float(text) > 0:
+        return float(text)
+    logging.warning(
+        "retry-after is ignored: %d times %r", len(texts), text[:_MAX_LOGGED_CHARS]
+    )
+    return None
+
+
 def is_chunked(headers):
     """Return whether chunked is the only transfer coding of a body."""
     return header(headers, b"transfer-encoding", "").strip().lower() == "chunked"
--- a/src/cactusmill/internal/repeatable.py
+++ b/src/cactusmill/internal/repeatable.py
@@ -186,10 +186,14 @@
         if c.endpoint.live and c.endpoint.name not in progress.tried
     ]
     if not any(c.usable for c in candidates):
+        names = [c.endpoint.name for c in candidates]
+        pause_s = host.pool.pause_left_s(names, host.now())
         return NoEndpoint(
             detail=f"no permitted endpoint that serves {req.service!r} is reachable",
             outcome=Outcome.UNKNOWN if progress.was_sent else Outcome.NOT_RUN,
-            retry_after_s=_NO_ENDPOINT_RETRY_AFTER_S,
+            retry_after_s=_NO_ENDPOINT_RETRY_AFTER_S
+            if pause_s is None
+            else pause_s + host.rng.random(),
         )
     queue = host.queue_for(req.service)
     wait_s = expected_wait_s(host, req, candidates)
--- a/src/cactusmill/internal/routing.py
+++ b/src/cactusmill/internal/routing.py
@@ -76,7 +76,9 @@
         endpoint=endpoint,
         in_flight=state.in_flight,
         other_hosts_load=_other_hosts_load(state, now),
-        usable=endpoint.live and not state.leaving and now >= state.backoff_until,
+        usable=endpoint.live
+        and state.takes_requests(now)
+        and now >= state.backoff_until,
         ramp_up_fraction=_ramp_up_fraction(state, now),
     )
 
--- a/src/cactusmill/platform/dialect.py
+++ b/src/cactusmill/platform/dialect.py
@@ -8,7 +8,7 @@
 
 import json
 
-from ..internal.http import end_to_end_headers, header
+from ..internal.http import end_to_end_headers, header, parse_retry_after
 from ..internal.request import request_priority
 from ..serving.dialect import CallerHead, Dialect, ResponseMetadata
 
@@ -211,6 +211,8 @@
         work=_parse_load(header(headers, b"instance-load")),
         idle_s=_parse_keep_alive(header(headers, b"keep-alive")),
         will_close="close" in header(headers, b"connection", "").lower(),
+        is_leaving=header(headers, b"server-leaving", "").strip() == "1",
+        pause_s=parse_retry_after(headers) if status == _UNAVAILABLE else None,
     )
 
 
--- a/src/cactusmill/serving/dialect.py
+++ b/src/cactusmill/serving/dialect.py
@@ -66,6 +66,11 @@
         Idle timeout of the connection, in seconds; None if not announced.
     will_close : bool
         True if the endpoint closes the connection.
+    is_leaving : bool
+        True if the endpoint says that it is leaving.
+    pause_s : float or None
+        How long the endpoint wants no requests from this host, in seconds; None if it
+        does not say so.
     """
 
     request_id: str | None
@@ -75,6 +80,8 @@
     work: tuple | None
     idle_s: float | None
     will_close: bool
+    is_leaving: bool = False
+    pause_s: float | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -85,6 +85,8 @@
         if host.now() >= req.deadline:
             return _final_refusal(progress, deadline_exceeded(progress))
         step = _next_step(host, req, progress, is_forwarded)
+        if isinstance(step, NoEndpoint) and (paused := _paused(host, req)) is not None:
+            return _final_refusal(progress, refusal or paused)
         if isinstance(step, NoEndpoint) and refusal is None:
             step = await _wait_for_endpoint(host, req, progress, is_forwarded, step)
         if isinstance(step, Refusal):
@@ -101,6 +103,26 @@
             return _final_refusal(progress, refusal)
 
 
+def _paused(host, req):
+    """Return the refusal if all endpoints of the region want no requests, or None.
+
+    Its retry time is when the first of them takes requests, spread over the time in
+    which the load there may grow.
+    """
+    if not is_permitted(host.cfg.region, req.team, req.route):
+        return None
+    now = host.now()
+    left_s = host.placement.pause_left_s(
+        host.catalog, req.service, now, host.removal_grace_s(now)
+    )
+    if left_s is None:
+        return None
+    return NoEndpoint(
+        detail=f"all endpoints want no requests, the first for {left_s:.2f} s more",
+        retry_after_s=left_s + host.rng.random(),
+    )
+
+
 async def _wait_for_endpoint(host, req, progress, is_forwarded, step):
     """Wait briefly for an endpoint; return the step that is possible then.
 
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -293,6 +293,12 @@
         wait_s = min(_REGION_BACKOFF_S, refusal.retry_after_s or _REGION_BACKOFF_S)
         self.region_backoff_until[region, service_name] = self.now() + wait_s
 
+    def record_notices(self, endpoint, metadata):
+        """Record what an endpoint says of itself in the head of a response."""
+        self.placement.notices.record(endpoint, metadata, self.now())
+        if metadata.is_leaving and not metadata.is_misdirected:
+            self.pool.close_idle(endpoint.name)
+
     def record_misdirected(self, endpoint):
         """Ignore an endpoint's entry because another endpoint has its address.
 
@@ -443,6 +449,9 @@
         """Return the values of all gauges, by name."""
         configuration = self.catalog.configuration
         listed = self.catalog.listed()
+        leaving, paused = self.placement.notices.count(
+            [entry.endpoint for entry in listed], now
+        )
         return {
             "ready": float(self.is_ready(now)),
             "configuration_version": configuration.version if configuration else 0,
@@ -453,6 +462,8 @@
             "members_silent": len(self.membership.unresponsive(now)),
             "endpoints_listed": len(listed),
             "endpoints_live": sum(e.endpoint.live for e in listed),
+            "endpoints_leaving": leaving,
+            "endpoints_paused": paused,
             "endpoint_connections_opened": self.pool.opened,
             "caller_connections": len(self.caller_connections),
             "requests_running": len(self.busy_connections),
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -26,6 +26,7 @@
 
 from ..internal.request import request_priority
 from .budgets import warmup_hosts
+from .endpoint_notices import EndpointNotices
 from .endpoint_view import DEFAULT_EVENT_GAP_S, EndpointView
 from .heartbeats import REGION_HEARTBEAT_S, count_rounds
 from .service_pace import ServicePace
@@ -151,17 +152,24 @@
         When the host began to run, in seconds.
     rng : random.Random
         Source of the random samples.
+    notices : EndpointNotices
+        What endpoints said of themselves in responses.
     """
 
     region: str
     host_name: str
     started_at: float = float("-inf")
     rng: random.Random = attrs.field(factory=random.Random)
+    notices: EndpointNotices = attrs.field(init=False)
     _views: dict = attrs.field(factory=dict)
     _response_s: dict = attrs.field(factory=dict)
     _paces: dict = attrs.field(factory=dict)
     _endpoint_started_ms: dict = attrs.field(factory=dict)
 
+    def __attrs_post_init__(self):
+        """Create the component that shares the source of randomness."""
+        self.notices = EndpointNotices(self.rng)
+
     def view(self, name):
         """Return what this host observed of an endpoint, created on first use."""
         if name not in self._views:
@@ -234,8 +242,9 @@
         """Return the listed endpoints of the region that may receive requests.
 
         An endpoint is left out if its entry is not live, its zone is evacuated, the
-        entry was removed longer ago than the grace period, or another endpoint
-        responded at the address in this revision of the entry.
+        entry was removed longer ago than the grace period, another endpoint responded
+        at the address in this revision of the entry, or it said in a response that it
+        is leaving or wants no requests now.
 
         Parameters
         ----------
@@ -253,6 +262,36 @@
         -------
         list of ListedEndpoint
         """
+        found = self._listed_endpoints(catalog, service, now, removal_grace_s)
+        if not self.notices.has_any():
+            return found
+        return [entry for entry in found if self.may_send(entry.endpoint, now)]
+
+    def may_send(self, endpoint, now):
+        """Return whether what an endpoint said in responses permits a request now."""
+        in_flight = self.view(endpoint.name).in_flight
+        return self.notices.may_send(endpoint, in_flight, now)
+
+    def pause_left_s(self, catalog, service, now, removal_grace_s=0.0):
+        """Return the time until an endpoint that wants no requests takes them again.
+
+        Parameters are those of :meth:`eligible_endpoints`.
+
+        Returns
+        -------
+        float or None
+            Seconds until the first of the region's endpoints does. None if they are
+            not all left out for what they said, or all are leaving.
+        """
+        left_s = [
+            self.notices.pause_left_s(listed.endpoint, now)
+            for listed in self._listed_endpoints(catalog, service, now, removal_grace_s)
+        ]
+        shortest_s = min(left_s, default=0.0)
+        return shortest_s if 0.0 < shortest_s < float("inf") else None
+
+    def _listed_endpoints(self, catalog, service, now, removal_grace_s):
+        """Return the endpoints that may receive requests by their entries."""
         found = []
         for listed in catalog.listed_for(service):
             endpoint = listed.endpoint
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -93,6 +93,12 @@
             host.pool.put_back(endpoint.name, conn, now)
             sink.check_open()
             return deadline_exceeded(progress)
+        if not host.placement.notices.may_send(endpoint, view.in_flight - 1, now):
+            # The endpoint said so while this request waited for its connection.
+            host.pool.put_back(endpoint.name, conn, now)
+            return NoEndpoint(
+                detail="the endpoint takes no requests now", retry_after_s=BUSY_RETRY_S
+            )
         progress.sends += 1
         response = None
         try:
@@ -168,6 +174,12 @@
     progress.attempts_left -= 1
     progress.may_have_run_before = progress.may_have_run
     progress.may_have_run = True
+
+    def read_metadata(status, headers):
+        metadata = host.dialect.read_response_head(status, headers)
+        host.record_notices(endpoint, metadata)
+        return metadata
+
     return await exchange(
         host.pool,
         endpoint.name,
@@ -175,7 +187,7 @@
         request,
         req.body,
         req.request_id,
-        host.dialect.read_response_head,
+        read_metadata,
         (ttfb_timeout_s, stall_timeout_s(req, remaining_s)),
     )
 
--- /dev/null
+++ b/tests/internal/test_endpoints.py
@@ -0,0 +1,177 @@
+"""What endpoints say of themselves, and the last look before a request is sent."""
+
+import random
+import types
+
+import attrs
+import pytest
+import trio
+import trio.testing
+from returns.result import Failure
+
+from cactusmill.errors import CallerGoneError, NoEndpoint, Outcome
+from cactusmill.internal import at_most_once, attempts
+from cactusmill.internal.crash_suspects import CrashSuspects
+from cactusmill.internal.endpoints import (
+    LEAVING_HEADER,
+    EndpointPool,
+    Exchange,
+    record_notices,
+)
+from cactusmill.internal.http import client_connection
+from cactusmill.internal.request import Request, Sink
+from cactusmill.internal.routing import make_candidate
+from cactusmill.records import Endpoint, Route
+
+ROUTE = Route(name="r", prefix="/r", kind="service", service="s", repeatable=True)
+ENDPOINT = Endpoint(
+    name="e", zone="z", region="r", address="127.0.0.1:1", serves=("s",)
+)
+REQUEST = Request(
+    request_id="q",
+    route=ROUTE,
+    team=None,
+    records_version=1,
+    method="POST",
+    target="/r",
+    headers=[],
+    body=b"{}",
+    deadline=10.0,
+    service="s",
+    identifier=types.SimpleNamespace(text="i"),
+)
+
+
+@attrs.define
+class HostStub:
+    """Stands for a host with one endpoint, to which it has a connection."""
+
+    time: float = 0.0
+    pool: EndpointPool = attrs.field(factory=lambda: EndpointPool(None))
+    suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    rng: random.Random = attrs.field(factory=lambda: random.Random(1))
+    cfg: object = types.SimpleNamespace(zone="z")
+
+    def now(self):
+        return self.time
+
+    def wall_time(self):
+        return self.time
+
+    def send_heartbeats_now(self):
+        pass
+
+    def endpoints_for(self, service):
+        return [ENDPOINT]
+
+
+def exchange(status=200, headers=()):
+    return Exchange(None, False, status=status, headers=list(headers))
+
+
+def is_usable(host):
+    state = host.pool.state(ENDPOINT.name)
+    return make_candidate(ENDPOINT, state, host.now()).usable
+
+
+@pytest.mark.parametrize("status", [200, 404, 500, 503])
+def test_endpoint_that_leaves_by_any_response_is_not_used(status):
+    host = HostStub()
+    state = host.pool.state(ENDPOINT.name)
+    record_notices(host, state, exchange(status, [(LEAVING_HEADER, b"1")]))
+    assert not is_usable(host)
+    # A response that was begun before.
+    record_notices(host, state, exchange())
+    assert not is_usable(host)
+
+
+def test_endpoint_that_wants_no_requests_is_used_again_by_degrees():
+    host = HostStub()
+    state = host.pool.state(ENDPOINT.name)
+    record_notices(host, state, exchange(503, [(b"retry-after", b"2")]))
+    host.time = 1.99
+    assert not is_usable(host)
+    assert host.pool.pause_left_s([ENDPOINT.name], host.now()) > 0
+    host.time = 2.51
+    assert is_usable(host)
+    assert host.pool.pause_left_s([ENDPOINT.name], host.now()) is None
+    assert make_candidate(ENDPOINT, state, host.now()).ramp_up_fraction < 0.5
+
+
+@pytest.mark.parametrize("text", [b"", b"0", b"-1", b"nan", b"9" * 3000, b"soon"])
+def test_malformed_retry_after_is_ignored(text):
+    host = HostStub()
+    state = host.pool.state(ENDPOINT.name)
+    record_notices(host, state, exchange(503, [(b"retry-after", text)]))
+    assert is_usable(host)
+
+
+def attempt(host, sink, meanwhile):
+    """Make one attempt on each path; return the results and what was sent.
+
+    `meanwhile` is called while the requests wait for their connections.
+    """
+    sent, results = [], []
+
+    async def main():
+        async def acquire(pool, endpoint, now, new_connection):
+            near, far = trio.testing.memory_stream_pair()
+            fars.append(far)
+            meanwhile(host)
+            return Exchange(client_connection(near), reused=False)
+
+        host.pool = types.SimpleNamespace(
+            state=host.pool.state,
+            put_back=host.pool.put_back,
+            pause_left_s=host.pool.pause_left_s,
+            acquire=lambda endpoint, now, new_connection: acquire(
+                host.pool, endpoint, now, new_connection
+            ),
+        )
+        fars = []
+        progress = attempts.RequestProgress(set(), "", None)
+        state = host.pool.state(ENDPOINT.name)
+        results.append(
+            await attempts._attempt(host, REQUEST, sink, progress, ENDPOINT, state)
+        )
+        state.leaving = False
+        results.append(await at_most_once._send_to_any(host, REQUEST))
+        for far in fars:
+            with trio.move_on_after(0.01):
+                sent.append(await far.receive_some())
+
+    trio.run(main)
+    return results, sent
+
+
+def test_nothing_is_sent_to_an_endpoint_that_left_during_the_wait():
+    def leave(host):
+        host.pool.state(ENDPOINT.name).leaving = True
+
+    sink = Sink(head=None, data=None, end=None)
+    results, sent = attempt(HostStub(), sink, leave)
+    assert isinstance(results[0], NoEndpoint)
+    match results[1]:
+        case Failure(refusal):
+            assert refusal.outcome is Outcome.NOT_RUN
+    assert not sent
+
+
+def test_nothing_is_sent_after_the_deadline_passed_during_the_wait():
+    def wait(host):
+        host.time = REQUEST.deadline
+
+    sink = Sink(head=None, data=None, end=None)
+    host = HostStub()
+    results, sent = attempt(host, sink, wait)
+    assert isinstance(results[0], NoEndpoint)
+    assert not any(sent)
+
+
+def test_nothing_is_sent_after_the_caller_left_during_the_wait():
+    has_left = []
+    sink = Sink(head=None, data=None, end=None, is_abandoned=lambda: bool(has_left))
+    host = HostStub()
+    with pytest.raises(CallerGoneError):
+        attempt(host, sink, lambda host: has_left.append(True))
+    assert len(host.pool.state(ENDPOINT.name).idle) == 1
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,7 +3,7 @@
 import pytest
 import trio
 
-from cactusmill.internal import at_most_once, attempts, record_sync
+from cactusmill.internal import at_most_once, attempts, endpoints, record_sync
 from cactusmill.internal.crash_suspects import CrashSuspects
 from cactusmill.internal.http import client_connection, perform_request
 from standins.engine import CRASH_MARKER
@@ -93,7 +93,8 @@
 
 
 def test_check_detects_an_ignored_leaving_refusal(monkeypatch):
-    monkeypatch.setattr(attempts, "LEAVING_HEADER", b"x-never-sent")
+    for module in (attempts, endpoints):
+        monkeypatch.setattr(module, "LEAVING_HEADER", b"x-never-sent")
     _, received = requests_after_leaving(is_list_stale=True)
     assert received > 0
 
