Tell callers the end of the pause when every endpoint refused; twin of the last look

A caller whose request the last endpoint refused with Retry-After was told to return after 0.3 to 0.6 s, although no endpoint would take it then: the refusal of the attempt went before what is known of all endpoints.

Heartbeats carry the lag only while something is shed, so that a decision draws no random number for each host. Loopback tests do not shed, since their processor time is shared with whatever else runs on the machine; those of shedding switch it on. test_without_a_look_requests_are_sent_after_their_callers_have_left is the twin of the check before the send.

--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -85,8 +85,10 @@
         if host.now() >= req.deadline:
             return _final_refusal(progress, deadline_exceeded(progress))
         step = _next_step(host, req, progress, is_forwarded)
-        if isinstance(step, NoEndpoint) and (paused := _paused(host, req)) is not None:
-            return _final_refusal(progress, refusal or paused)
+        if isinstance(step, NoEndpoint):
+            paused = _paused(host, req)
+            if paused is not None:
+                return _final_refusal(progress, paused)
         if isinstance(step, NoEndpoint) and refusal is None:
             step = await _wait_for_endpoint(host, req, progress, is_forwarded, step)
         if isinstance(step, Refusal):
@@ -100,6 +102,8 @@
             return None
         refusal = outcome
         if not _may_retry(host, req, progress):
+            if refusal.outcome is Outcome.NOT_RUN:
+                refusal = _paused(host, req) or refusal
             return _final_refusal(progress, refusal)
 
 
@@ -107,7 +111,7 @@
     """Return the refusal if all endpoints of the region want no requests, or None.
 
     Its retry time is when the first of them takes requests, spread over the time in
-    which the load there may grow.
+    which the load there grows.
     """
     if not is_permitted(host.cfg.region, req.team, req.route):
         return None
@@ -190,7 +194,7 @@
         for m in host.membership.serving(now)
         if m.id.region != host.cfg.region
         and m.id.name not in progress.tried_remote_hosts
-        and not would_shed(m, host.rng.random(), now)
+        and not (m.lag_s and would_shed(m, host.rng.random(), now))
     ]
     return choose_remote_host(
         members,
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -110,6 +110,9 @@
         Source of all random choices.
     now : callable
         Returns the monotonic time, in seconds.
+    sheds : bool
+        Whether new requests may be refused for lack of processor time. False in tests
+        whose processor time others use as well.
     started_at : float
         When the process began to run, in seconds; infinity before.
     is_leaving : bool
@@ -137,6 +140,7 @@
     net: object = TCP
     rng: random.Random = attrs.field(factory=random.Random)
     now: object = trio.current_time
+    sheds: bool = True
     started_at: float = float("inf")
     is_leaving: bool = False
     leaving_since: float = float("inf")
@@ -249,7 +253,7 @@
 
         A refusal is counted here, and the maintenance logs their number.
         """
-        if not is_shed(self.loop.lag_s(now), self.rng.random()):
+        if not self.sheds or not is_shed(self.loop.lag_s(now), self.rng.random()):
             return False
         self.requests_shed += 1
         return True
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -39,6 +39,7 @@
 from .events import log_event
 from .heartbeats import MAX_REGION_RECEIVERS, REGION_HEARTBEAT_S
 from .membership import HostId, RegionTotals
+from .shedding import MIN_LAG_S
 
 # Interval of heartbeats to hosts of other regions. Traffic between regions is
 # expensive, and their waits change slowly.
@@ -315,7 +316,7 @@
             regions = host.membership.regions() if with_regions else []
         else:
             regions = [self._own_totals(now)]
-        source = host.source_health
+        source, lag_s = host.source_health, host.loop.lag_s(now)
         return Beat(
             sender=_member_entry(host.membership.own_id, host.is_leaving, 0.0),
             sequence=self._sequence,
@@ -344,7 +345,7 @@
                 for zone, revision, reopened_at in host.catalog.reopenings(now)
             ][:MAX_REOPENINGS]
             or None,
-            lag_ms=int(host.loop.lag_s(now) * 1000) or None,
+            lag_ms=int(lag_s * 1000) if lag_s > MIN_LAG_S else None,
         )
 
     def _select_entries(self, now, max_others):
--- a/src/cactusmill/serving/membership.py
+++ b/src/cactusmill/serving/membership.py
@@ -81,7 +81,7 @@
     demands : dict of int to int
         Tokens per second requested from it, by team key.
     lag_s : float
-        Lag of its event loop, in seconds.
+        Lag of its event loop, in seconds; 0 if it is short.
     source_responded_at : float
         When its source last responded, in seconds; minus infinity if never, or
         while the source fails.
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -399,7 +399,8 @@
             return stream
 
         client = StoreClient(self.store_address, Network(connect, TCP.serve), ZONES)
-        host = GatewayHost(cfg, DIALECT, client.source(), rng=random.Random(number))
+        rng = random.Random(number)
+        host = GatewayHost(cfg, DIALECT, client.source(), rng=rng, sheds=False)
         self.hosts[name] = host
         scope = trio.CancelScope()
         self.scopes[name] = scope
--- a/tests/serving/test_late_reads.py
+++ b/tests/serving/test_late_reads.py
@@ -9,6 +9,7 @@
 from cactusmill.internal.link import encode
 from cactusmill.internal.net import split_address
 from cactusmill.internal.wire.ttypes import Forward, Frame, Header
+from cactusmill.serving import edge
 from standins.loopback import KEY, configuration, not_executed, running_deployment
 
 EAST = (("e1", "east-a"),)
@@ -74,6 +75,19 @@
     on_deployment(scenario, endpoints=ENDPOINTS)
 
 
+def test_without_a_look_requests_are_sent_after_their_callers_have_left(monkeypatch):
+    async def scenario(deployment):
+        await open_connections(deployment)
+        caller = connect(deployment.hosts["e1"].cfg.callers)
+        caller.sendall(encode_request("/look/1"))
+        caller.close()
+        await trio.sleep(SETTLED_S)
+        assert len(deployment.endpoints["desk-1"].received) == 1
+
+    monkeypatch.setattr(edge, "has_other_end_closed", lambda stream: False)
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
 def test_request_is_not_sent_again_after_its_caller_has_left():
     async def scenario(deployment):
         await open_connections(deployment)
--- a/tests/serving/test_shedding.py
+++ b/tests/serving/test_shedding.py
@@ -129,6 +129,7 @@
     def lag_s(self, now):
         return 2 * MAX_LAG_S if self is host.loop else 0.0
 
+    host.sheds = True
     monkeypatch.setattr(LoopMonitor, "lag_s", lag_s)
 
 
