--- a/tests/internal/test_endpoints.py
+++ b/tests/internal/test_endpoints.py
@@ -19,27 +19,12 @@
     record_notices,
 )
 from cactusmill.internal.http import client_connection
-from cactusmill.internal.request import Request, Sink
+from cactusmill.internal.request import Sink
 from cactusmill.internal.routing import make_candidate
-from cactusmill.records import Endpoint, Route
 
-ROUTE = Route(name="r", prefix="/r", kind="service", service="s", repeatable=True)
-ENDPOINT = Endpoint(
-    name="e", zone="z", region="r", address="127.0.0.1:1", serves=("s",)
-)
-REQUEST = Request(
-    request_id="q",
-    route=ROUTE,
-    team=None,
-    records_version=1,
-    method="POST",
-    target="/r",
-    headers=[],
-    body=b"{}",
-    deadline=10.0,
-    service="s",
-    identifier=types.SimpleNamespace(text="i"),
-)
+from .test_attempts import ENDPOINT, request
+
+REQUEST = attrs.evolve(request(), identifier=types.SimpleNamespace(text="i"))
 
 
 @attrs.define
--- a/tests/serving/test_endpoint_notices.py
+++ b/tests/serving/test_endpoint_notices.py
@@ -15,26 +15,16 @@
 from cactusmill.records import Endpoint
 from cactusmill.serving.connections import ConnectionPool
 from cactusmill.serving.endpoint_notices import EndpointNotices
-from standins.loopback import configuration, event, running_deployment
+from standins.loopback import configuration, event
+
+from .test_whole_path import BOTH, on_deployment
 
 LEAVING = ("server-leaving", "1")
 NOT_EXECUTED = ("not-executed", "1")
-BOTH = (("e1", "east-a"), ("w1", "west-a"))
 DESKS = (("desk-1", "east-a", "desk"), ("desk-2", "east-a", "desk"))
 ENGINES = (("engine-1", "east-a", "engines"), ("engine-2", "east-a", "engines"))
 
 
-def on_deployment(scenario, **deployment):
-    """Run a scenario on a loopback deployment."""
-
-    async def main():
-        with trio.fail_after(20):
-            async with running_deployment(**deployment) as running:
-                await scenario(running)
-
-    trio.run(main)
-
-
 def answer(status, *headers):
     """Return a handler that gives complete responses with a status and headers."""
 
--- a/tests/serving/test_late_reads.py
+++ b/tests/serving/test_late_reads.py
@@ -10,10 +10,10 @@
 from cactusmill.internal.net import split_address
 from cactusmill.internal.wire.ttypes import Forward, Frame, Header
 from cactusmill.serving import edge
-from standins.loopback import KEY, configuration, not_executed, running_deployment
+from standins.loopback import KEY, configuration, not_executed
+
+from .test_whole_path import BOTH, on_deployment
 
-EAST = (("e1", "east-a"),)
-BOTH = (("e1", "east-a"), ("w1", "west-a"))
 ENDPOINTS = (
     ("engine-1", "east-a", "engines"),
     ("desk-1", "east-a", "desk"),
@@ -22,17 +22,6 @@
 SETTLED_S = 0.4
 
 
-def on_deployment(scenario, **deployment):
-    """Run a scenario on a loopback deployment."""
-
-    async def main():
-        with trio.fail_after(20):
-            async with running_deployment(**deployment) as running:
-                await scenario(running)
-
-    trio.run(main)
-
-
 def encode_request(path, budget_ms=2500):
     model = b"model: m\r\ntoken-usage: 100,30\r\n" if "chat" in path else b""
     return (
