See a caller leave that has sent more than is read ahead

Endpoints went on working for callers that had left, if these had sent further bytes meanwhile: 64 KB on the users' platform, any on the own interface. Cause: the watcher of the connection stopped there, since it must not read on without limit. It now looks at the connection ten times a second without reading it.

test_close_behind_much_that_a_caller_sent_ahead_cancels_its_request and test_caller_that_sent_ahead_is_still_seen_to_leave failed before.

--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -30,7 +30,13 @@
 from .caller_request import CallerRequest, caller_sink, send_refusal
 from .chat import error_event
 from .directory import DIRECTORY_PATH, list_permitted_hosts, serve_directory
-from .http import header, lingering_close, read_body, server_connection
+from .http import (
+    header,
+    lingering_close,
+    read_body,
+    server_connection,
+    wait_other_end_closed,
+)
 from .problems import render_problem
 from .repeatable import run_repeatable
 from .request import is_permitted
@@ -282,5 +288,6 @@
     except (trio.BrokenResourceError, trio.ClosedResourceError):
         data = b""
     conn.h11.receive_data(data)
-    if not data:
-        scope.cancel()
+    if data:
+        await wait_other_end_closed(conn.stream)
+    scope.cancel()
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -35,6 +35,8 @@
 # A time in seconds. Longer texts are no time that anyone waits.
 _SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 _MAX_LOGGED_CHARS = 64
+# Interval at which a connection that is not read is looked at for its close.
+_CLOSE_POLL_S = 0.1
 _HOP_BY_HOP = frozenset(
     {
         b"connection",
@@ -251,6 +253,12 @@
     return bool(poller.poll(0))
 
 
+async def wait_other_end_closed(stream):
+    """Wait until the other end has closed a connection, without reading from it."""
+    while not has_other_end_closed(stream):
+        await trio.sleep(_CLOSE_POLL_S)
+
+
 def server_connection(stream, max_head_bytes):
     """Return a server's connection on an accepted stream."""
     return Connection(
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -29,6 +29,7 @@
     lingering_close,
     read_body,
     server_connection,
+    wait_other_end_closed,
 )
 from ..internal.request import Request, Sink
 from .dispatch import run_request
@@ -367,7 +368,7 @@
     """Cancel the request when the caller disconnects.
 
     What the caller sends meanwhile is kept for its next request, up to a limit; beyond
-    it, or without room on this host, a disconnect goes unnoticed.
+    it, or without room on this host, the connection is not read.
 
     A request that may run at most once continues once it has been sent:
     cancelling it halfway would leave its outcome unknown.
@@ -379,9 +380,10 @@
         try:
             count_held(data)
         except BufferLimitError:
-            return
+            received = _MAX_READ_AHEAD_BYTES
         if received >= _MAX_READ_AHEAD_BYTES:
-            return
+            await wait_other_end_closed(conn.stream)
+            break
         try:
             data = await conn.stream.receive_some()
         except (trio.BrokenResourceError, trio.ClosedResourceError):
--- a/tests/internal/test_http.py
+++ b/tests/internal/test_http.py
@@ -9,6 +9,7 @@
 import trio.testing
 
 from cactusmill.errors import BadRequestError
+from cactusmill.internal import edge
 from cactusmill.internal.http import (
     has_other_end_closed,
     read_body,
@@ -100,3 +101,24 @@
         assert has_other_end_closed(stream)
 
     trio.run(main)
+
+
+def test_caller_that_sent_ahead_is_still_seen_to_leave():
+    async def main():
+        listener = socket.create_server(("127.0.0.1", 0))
+        theirs = socket.create_connection(listener.getsockname())
+        ours, _ = listener.accept()
+        listener.close()
+        stream = trio.SocketStream(trio.socket.from_stdlib_socket(ours))
+        with trio.move_on_after(5) as scope:
+            async with trio.open_nursery() as nursery:
+                conn = server_connection(stream, 16 * 1024)
+                nursery.start_soon(edge._cancel_on_hangup, conn, nursery.cancel_scope)
+                theirs.sendall(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+                await trio.sleep(0.1)
+                theirs.close()
+                await trio.sleep_forever()
+        assert not scope.cancelled_caught
+        await stream.aclose()
+
+    trio.run(main)
--- a/tests/serving/test_late_reads.py
+++ b/tests/serving/test_late_reads.py
@@ -156,3 +156,19 @@
         caller.close()
 
     on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+def test_close_behind_much_that_a_caller_sent_ahead_cancels_its_request():
+    async def scenario(deployment):
+        endpoint = deployment.endpoints["engine-1"]
+        endpoint.event_gap_s = 1.5
+        caller = connect(deployment.hosts["e1"].cfg.callers)
+        caller.sendall(encode_request("/chat/1"))
+        caller.sendall(encode_request("/look/2") * 600)
+        await trio.sleep(0.2)
+        assert endpoint.runs
+        caller.close()
+        host = deployment.hosts["e1"]
+        await deployment.wait_until(lambda: not host.busy_connections, 0.6)
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
