Answer a request whose body does not come at its deadline

Cause: the wait for the body had a limit of its own only. It now ends with the request's time, with 408, which is true: it has not run. test_request_whose_body_does_not_come_is_answered_at_its_deadline failed before.

--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -197,7 +197,8 @@
     try:
         await _wait_for_configuration(host)
         route, team = _authorize(host, head)
-        body = await _read_body(host, caller, count_held)
+        limit_s = caller.arrived_at + _time_limit_s(head, route) - host.now()
+        body = await _read_body(host, caller, count_held, limit_s)
         req = _build_request(host, caller, event, route, team, body)
         _check_draining(host)
         _charge_tokens(host, req)
@@ -254,9 +255,16 @@
     return route, team
 
 
-async def _read_body(host, caller, count_held):
+def _time_limit_s(head, route):
+    """Return the time from a request's arrival to its deadline, in seconds."""
+    if head.budget_s is None:
+        return route.timeout_s
+    return min(route.timeout_s, head.budget_s)
+
+
+async def _read_body(host, caller, count_held, limit_s=_BODY_TIMEOUT_S):
     try:
-        with trio.fail_after(_BODY_TIMEOUT_S):
+        with trio.fail_after(max(0.0, min(limit_s, _BODY_TIMEOUT_S))):
             return await read_body(caller.conn, host.limits.max_body_bytes, count_held)
     except BufferLimitError as exc:
         raise _Refused(
@@ -276,9 +284,6 @@
 
 def _build_request(host, caller, event, route, team, body):
     head = caller.head
-    limit_s = route.timeout_s
-    if head.budget_s is not None:
-        limit_s = min(limit_s, head.budget_s)
     size = head.size_tokens
     if size is None:
         size = team.default_cost_tokens if team else 0.0
@@ -291,7 +296,7 @@
         target=event.target.decode("latin-1"),
         headers=head.forwardable_headers,
         body=body,
-        deadline=caller.arrived_at + limit_s,
+        deadline=caller.arrived_at + _time_limit_s(head, route),
         service=choose_service(route, host.rng),
         cost_tokens=size,
         prompt_tokens=head.prompt_tokens,
--- a/tests/serving/test_late_reads.py
+++ b/tests/serving/test_late_reads.py
@@ -172,3 +172,16 @@
         await deployment.wait_until(lambda: not host.busy_connections, 0.6)
 
     on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+def test_request_whose_body_does_not_come_is_answered_at_its_deadline():
+    async def scenario(deployment):
+        caller = connect(deployment.hosts["e1"].cfg.callers)
+        head = encode_request("/look/1", budget_ms=500)
+        caller.sendall(head.replace(b"content-length: 0", b"content-length: 9"))
+        await trio.sleep(0.9)
+        caller.setblocking(False)
+        assert caller.recv(65536).startswith(b"HTTP/1.1 408")
+        caller.close()
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
