Log why endpoints are left out for what they said, and since when

An operator saw that a request went to another endpoint or to none, and not that an endpoint had been left out for what it said in a response. The line of a request now names these endpoints with the reason and its age; on the own interface the operators' page has the rest of a pause. No decision has changed.

--- a/src/cactusmill/internal/operators.py
+++ b/src/cactusmill/internal/operators.py
@@ -155,6 +155,7 @@
                 "endpoint": e.name,
                 "zone": e.zone,
                 "leaving": not e.live or host.pool.state(e.name).leaving,
+                "paused_s": max(0.0, host.pool.state(e.name).paused_until - now),
                 "usable": make_candidate(e, host.pool.state(e.name), now).usable,
                 "in_flight": host.pool.state(e.name).in_flight,
             }
@@ -225,7 +226,7 @@
         if not is_permitted(endpoint.region, team, route):
             why = "region not permitted"
         elif not candidate.usable:
-            why = "leaving or backed off"
+            why = "leaving, paused by its Retry-After, or backed off"
         elif not candidate.has_capacity:
             why = "full"
         elif endpoint.zone != host.cfg.zone:
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -165,6 +165,9 @@
         listed = host.placement.eligible_endpoints(
             host.catalog, req.service, now, host.removal_grace_s(now)
         )
+        progress.left_out = host.placement.explain_left_out(
+            host.catalog, req.service, now
+        )
         listed = host.with_connection_room(listed, service, now)
         local = host.placement.choose(
             req, service, listed, host.membership, now, progress.tried
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -455,6 +455,7 @@
         took_s=_round_to_ms(now - caller.began_at),
         unread_s=_round_to_ms(caller.began_at - caller.arrived_at),
         is_abandoned=progress.is_abandoned if progress else None,
+        left_out=progress.left_out if progress else None,
         first_s=_round_to_ms(first_s),
         endpoint=progress.endpoint if progress else None,
         sends=progress.sends if progress else 0,
--- a/src/cactusmill/serving/endpoint_notices.py
+++ b/src/cactusmill/serving/endpoint_notices.py
@@ -37,12 +37,13 @@
         Its start time, in Unix milliseconds.
     leaving_since : float or None
         When it was first heard to be leaving, in seconds.
-    paused_until : float
-        End of the pause, in seconds.
+    paused_at, paused_until : float
+        When it last asked for a pause, and the end of the pause, in seconds.
     """
 
     started_ms: int
     leaving_since: float | None = None
+    paused_at: float = float("-inf")
     paused_until: float = float("-inf")
 
 
@@ -82,6 +83,7 @@
             jitter_s = min(_MAX_JITTER_S, _JITTER * metadata.pause_s)
             until = now + metadata.pause_s + jitter_s * self.rng.random()
             notice = self._notice(endpoint)
+            notice.paused_at = now
             notice.paused_until = max(notice.paused_until, until)
             log_event(
                 "endpoint_paused",
@@ -145,6 +147,19 @@
             return float("inf")
         return max(0.0, notice.paused_until - now)
 
+    def explain(self, endpoint, now):
+        """Return why an endpoint gets no requests, for the log; None if it does.
+
+        With the age of what it said, in seconds.
+        """
+        notice = self._current(endpoint)
+        if notice is None or not self.pause_left_s(endpoint, now):
+            return None
+        if notice.leaving_since is not None:
+            return f"leaving, heard {now - notice.leaving_since:.2f} s ago"
+        left_s = notice.paused_until - now
+        return f"paused for {left_s:.2f} s, heard {now - notice.paused_at:.2f} s ago"
+
     def count(self, endpoints, now):
         """Return how many of some endpoints are leaving, and how many paused."""
         left_s = [self.pause_left_s(endpoint, now) for endpoint in endpoints]
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -611,6 +611,7 @@
         sends=progress.sends,
         took_s=round(host.now() - began_at, 3),
         is_abandoned=progress.is_abandoned,
+        left_out=progress.left_out,
         sent_s=None
         if progress.sent_at is None
         else round(progress.sent_at - began_at, 3),
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -272,6 +272,22 @@
         in_flight = self.view(endpoint.name).in_flight
         return self.notices.may_send(endpoint, in_flight, now)
 
+    def explain_left_out(self, catalog, service, now):
+        """Return why endpoints are left out for what they said, by name, for the log.
+
+        Returns
+        -------
+        dict of str to str or None
+            None if none of the region's endpoints of the service is.
+        """
+        if not self.notices.has_any():
+            return None
+        reasons = {
+            listed.endpoint.name: self.notices.explain(listed.endpoint, now)
+            for listed in self._listed_endpoints(catalog, service, now, 0.0)
+        }
+        return {name: why for name, why in reasons.items() if why} or None
+
     def pause_left_s(self, catalog, service, now, removal_grace_s=0.0):
         """Return the time until an endpoint that wants no requests takes them again.
 
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -37,6 +37,8 @@
         Number of times it was sent.
     is_abandoned : bool
         True if the caller had left when it was last to be sent.
+    left_out : dict of str to str or None
+        Why endpoints were left out of the latest choice for what they had said.
     endpoint : str
         Endpoint or host of the latest attempt.
     ttft_s, total_s : float or None
@@ -69,6 +71,7 @@
     scanner: EventScanner = attrs.field(factory=EventScanner)
     sends: int = 0
     is_abandoned: bool = False
+    left_out: dict | None = None
     endpoint: str = ""
     ttft_s: float | None = None
     total_s: float | None = None
--- a/tests/serving/test_endpoint_notices.py
+++ b/tests/serving/test_endpoint_notices.py
@@ -290,6 +290,28 @@
     assert admitted[1] < endpoint(1).capacity
 
 
+def test_log_tells_why_an_endpoint_is_left_out_and_since_when():
+    notices = EndpointNotices(random.Random(1))
+    assert notices.explain(endpoint(1), 0.0) is None
+    notices.record(endpoint(1), response(503, [(b"retry-after", b"4")]), 1.0)
+    assert notices.explain(endpoint(1), 2.5).endswith("heard 1.50 s ago")
+    assert "paused" in notices.explain(endpoint(1), 2.5)
+    assert notices.explain(endpoint(1), 9.0) is None
+    notices.record(endpoint(1), response(200, [(b"server-leaving", b"1")]), 3.0)
+    assert notices.explain(endpoint(1), 9.0) == "leaving, heard 6.00 s ago"
+    assert notices.explain(endpoint(2), 9.0) is None
+
+
+def test_liveness_probe_of_an_endpoint_sends_no_request():
+    async def scenario(deployment):
+        host, desk = deployment.hosts["e1"], deployment.endpoints["desk-1"]
+        assert await host.pool.is_alive("desk-1", desk.address, host.now())
+        await trio.sleep(0.1)
+        assert not desk.received
+
+    on_deployment(scenario, endpoints=DESKS[:1])
+
+
 def test_hosts_do_not_return_in_the_same_moment():
     ends = set()
     for seed in range(20):
