--- a/tests/serving/test_whole_path.py
+++ b/tests/serving/test_whole_path.py
@@ -670,7 +670,14 @@
         assert replies[0].is_complete
         assert replies[0].body == b"".join(event(n) for n in range(1, 55))
 
-    on_deployment(scenario, hosts=BOTH, endpoints=(("engine-w", "west-a", "engines"),))
+    # The stream takes nearly the usual time-out of its route.
+    routes = [{**r, "timeout_ms": 10_000} for r in configuration()["routes"]]
+    on_deployment(
+        scenario,
+        hosts=BOTH,
+        endpoints=(("engine-w", "west-a", "engines"),),
+        published=configuration(routes=routes),
+    )
 
 
 def test_deadline_ends_a_request_at_once():
