Ignore what a late response says of an earlier life of an endpoint

A new life of an endpoint that had spoken itself was left out for what its earlier life had said, if a response that was begun before came late: the notice of a name was taken for that of whichever life spoke. The start time in the entry by which the request was sent now decides. test_late_response_of_an_earlier_life_does_not_concern_the_next failed before.

--- a/src/cactusmill/serving/endpoint_notices.py
+++ b/src/cactusmill/serving/endpoint_notices.py
@@ -72,17 +72,19 @@
         now : float
             Current time, in seconds.
         """
-        if metadata.is_misdirected:
+        if metadata.is_misdirected or not (metadata.is_leaving or metadata.pause_s):
+            return
+        notice = self._notice(endpoint)
+        if endpoint.started_ms < notice.started_ms:
+            # A late response of an earlier life.
             return
         if metadata.is_leaving:
-            notice = self._notice(endpoint)
             if notice.leaving_since is None:
                 notice.leaving_since = now
                 log_event("endpoint_leaving", endpoint=endpoint.name)
         if metadata.pause_s is not None:
             jitter_s = min(_MAX_JITTER_S, _JITTER * metadata.pause_s)
             until = now + metadata.pause_s + jitter_s * self.rng.random()
-            notice = self._notice(endpoint)
             notice.paused_at = now
             notice.paused_until = max(notice.paused_until, until)
             log_event(
@@ -97,7 +99,7 @@
         return bool(self._notices)
 
     def _notice(self, endpoint):
-        """Return the notice of an endpoint's life, created on first use."""
+        """Return the notice of an endpoint's latest life, created on first use."""
         notice = self._notices.get(endpoint.name)
         if notice is None or endpoint.started_ms > notice.started_ms:
             notice = self._notices[endpoint.name] = _Notice(endpoint.started_ms)
--- a/tests/serving/test_endpoint_notices.py
+++ b/tests/serving/test_endpoint_notices.py
@@ -365,6 +365,13 @@
     assert count_sends_to_left(steps, hears=True) == 0
 
 
+def test_late_response_of_an_earlier_life_does_not_concern_the_next():
+    notices = EndpointNotices(random.Random(1))
+    notices.record(endpoint(2), response(503, [(b"retry-after", b"1")]), 0.0)
+    notices.record(endpoint(1), response(200, [(b"server-leaving", b"1")]), 0.5)
+    assert notices.may_send(endpoint(2), 0, 9.0)
+
+
 def test_histories_detect_a_host_that_does_not_hear():
     found = find(STEPS, lambda steps: count_sends_to_left(steps, hears=False) > 0)
     assert found
