Log closes behind responses whose request was not read whole, and why connections break

Callers' requests ended without an answer and without a line in the log. A connection that is closed behind an early refusal now logs how much was discarded and whether the close was announced; the error of a broken connection has the operating system's reason, which tells its limits on silence from a reset by the other end.

--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -128,7 +128,7 @@
             data = await self.stream.receive_some(RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self.is_broken = True
-            raise ExchangeError("the connection broke while receiving") from exc
+            raise ExchangeError(_broken("receiving", exc)) from exc
         if not data and self.is_broken:
             # A socket reports a reset once. After a send has failed with it, receiving
             # looks as if the other end had closed the connection.
@@ -229,13 +229,20 @@
             await self.stream.send_all(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self.is_broken = True
-            raise ExchangeError("the connection broke while sending") from exc
+            raise ExchangeError(_broken("sending", exc)) from exc
 
     async def close(self):
         """Close the transport without waiting for the other end."""
         await trio.aclose_forcefully(self.stream)
 
 
+def _broken(action, exc):
+    """Return the text for a failed connection, with the operating system's reason."""
+    cause = exc.__cause__
+    reason = f": {cause.strerror}" if isinstance(cause, OSError) else ""
+    return f"the connection broke while {action}{reason}"
+
+
 def has_other_end_closed(stream):
     """Return whether the other end has closed a connection, even if that is unread.
 
@@ -355,15 +362,21 @@
     Closing a socket with unread bytes sends a reset, which may discard the
     response before the caller has read it. At most `LINGER_S` seconds and
     `_LINGER_BYTES` bytes are spent on this.
+
+    Returns
+    -------
+    int
+        Number of bytes that were discarded.
     """
+    received = 0
     with trio.move_on_after(LINGER_S), contextlib.suppress(trio.BrokenResourceError):
         await conn.stream.send_eof()
-        received = 0
         while received < _LINGER_BYTES:
             data = await conn.stream.receive_some()
             if not data:
-                return
+                break
             received += len(data)
+    return received
 
 
 def header(headers, name, default=None):
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -126,7 +126,14 @@
         host.busy_connections.discard(conn)
     if conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE:
         return not caller.closes
-    await lingering_close(conn)
+    discarded_bytes = await lingering_close(conn)
+    log_event(
+        "connection_closed_early",
+        request_id=caller.head.request_id,
+        status=caller.status,
+        is_announced=caller.closes,
+        discarded_bytes=discarded_bytes,
+    )
     return False
 
 
