Announce the close of a connection behind a refusal whose body has not come

The refusal now carries Connection: close unless the body has been received; what has been received of it is discarded first, so that short requests keep their connection.

--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -323,6 +323,22 @@
             )
 
 
+def discard_received_body(conn):
+    """Discard the part of a request's body that has been received.
+
+    Nothing is awaited. The state of the connection tells whether that was the whole
+    body.
+
+    Parameters
+    ----------
+    conn : Connection
+        A server's connection, after the head of the request.
+    """
+    with contextlib.suppress(h11.RemoteProtocolError):
+        while isinstance(conn.h11.next_event(), h11.Data):
+            pass
+
+
 async def read_page_request(conn, timeout_s):
     """Read a request for a page of this host, and discard its body.
 
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -24,6 +24,7 @@
 )
 from ..internal.buffer_budget import BUFFER_RETRY_S
 from ..internal.http import (
+    discard_received_body,
     has_other_end_closed,
     header,
     lingering_close,
@@ -192,7 +193,8 @@
         except _Refused as exc:
             refusal = exc.refusal
     rendered = host.dialect.render_refusal(refusal, caller.head.request_id)
-    caller.closes = host.is_leaving or _wants_close(event)
+    caller.status = rendered[0]
+    caller.closes = _closes_after_refusal(host, caller.conn, event)
     await _send_refusal(caller.conn, rendered, caller.closes)
 
 
@@ -224,7 +226,7 @@
     if failure is not None:
         raise failure
     if refusal is not None:
-        caller.closes = host.is_leaving or _wants_close(event)
+        caller.closes = _closes_after_refusal(host, caller.conn, event)
         await _send_refusal(caller.conn, rendered, caller.closes)
 
 
@@ -436,6 +438,18 @@
     return Sink(head=head, data=data, end=end, is_abandoned=is_abandoned)
 
 
+def _closes_after_refusal(host, conn, event):
+    """Return whether a connection closes behind the refusal of its request.
+
+    It does if the rest of the body is still to come: the caller is told, so that it
+    sends no request behind it.
+    """
+    if conn.h11.their_state is h11.SEND_BODY:
+        discard_received_body(conn)
+    is_body_read = conn.h11.their_state in (h11.DONE, h11.MUST_CLOSE)
+    return host.is_leaving or _wants_close(event) or not is_body_read
+
+
 def _wants_close(event):
     return "close" in header(event.headers, b"connection", "").lower()
 
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -62,6 +62,20 @@
     on_deployment(scenario, endpoints=ENDPOINTS)
 
 
+def test_connection_is_kept_behind_a_refusal_whose_body_has_come():
+    async def scenario(deployment):
+        caller = connect(deployment.hosts["e1"].cfg.callers)
+        caller.sendall(b"".join(encode_with_body("/look/1", "revoked")))
+        await trio.sleep(0.1)
+        refusal = caller.recv(65536)
+        assert refusal.startswith(b"HTTP/1.1 401")
+        assert b"connection: close" not in refusal.lower()
+        caller.sendall(encode_request("/look/2"))
+        assert (await receive_responses(caller)).startswith(b"HTTP/1.1 200")
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
 @pytest.mark.parametrize("path", ["/chat/1", "/draft/1"])
 def test_stream_of_an_endpoint_that_is_silent_for_a_while_is_not_cut(path):
     async def scenario(deployment):
