Let test runs on one machine begin at different ports

A test failed with 'address already in use' while other runs of the tests were under way on the machine: all began at the same port and moved on in step, apart from a random number under seven that often coincided. Each run now begins at a random one of 1,500 places.

--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -30,12 +30,13 @@
 ZONES = {"east-a": "east", "west-a": "west", "north-a": "north"}
 KEY = "key-of-red"
 SLOW_S = 30.0
-_PORTS = iter(range(21000, 60000, 7))
+# Test runs on the same machine begin at different ports.
+_PORTS = iter(range(21000 + 7 * random.SystemRandom().randrange(1500), 60000, 7))
 
 
 def next_port():
     """Return a port that no earlier deployment of this process has used."""
-    return next(_PORTS) + random.SystemRandom().randrange(7)
+    return next(_PORTS)
 
 
 @attrs.define(eq=False)
