Keep idle callers' connections for a longer limit that takes force meanwhile

Found while looking for other closes that callers cannot expect. A caller relies on the newest idle limit; a host that had begun to wait under a shorter one closed the connection, with the caller's next request on its way. The limit in force when the wait ends decides now. The new test failed before.

--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -144,16 +144,29 @@
     A caller may be idle for long before a head, but once a head has begun, it must
     be complete within a shorter time.
     """
-    if not conn.h11.trailing_data[0]:
-        with trio.move_on_after(host.limits.idle_timeout_s) as idle:
-            await conn.receive()
-        if idle.cancelled_caught:
-            return None
+    if not conn.h11.trailing_data[0] and not await _receive_while_idle(host, conn):
+        return None
     with trio.move_on_after(host.limits.head_timeout_s):
         return await conn.next_event()
     return None
 
 
+async def _receive_while_idle(host, conn):
+    """Wait for the first bytes of a request; return whether they came in time.
+
+    A longer limit that takes force meanwhile applies, since callers rely on it.
+    """
+    idle_since = trio.current_time()
+    while True:
+        limit_s = host.limits.idle_timeout_s
+        with trio.move_on_at(idle_since + limit_s) as idle:
+            await conn.receive()
+        if not idle.cancelled_caught:
+            return True
+        if host.limits.idle_timeout_s <= limit_s:
+            return False
+
+
 async def _refuse_malformed(host, conn, status, problem):
     refusal = MalformedRequest(status_code=status, detail=problem)
     log_event("request_malformed", status=status, reason=problem)
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -76,6 +76,30 @@
     on_deployment(scenario, endpoints=ENDPOINTS)
 
 
+@pytest.mark.parametrize(("idle_ms", "is_kept"), [(1500, True), (600, False)])
+def test_idle_connection_is_kept_for_a_longer_limit_that_takes_force(idle_ms, is_kept):
+    def limits(idle_ms):
+        return {**configuration()["limits"], "idle_timeout_ms": idle_ms}
+
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        caller = connect(host.cfg.callers)
+        await trio.sleep(0.1)
+        deployment.store.put(
+            "op/config", configuration(version=2, limits=limits(idle_ms))
+        )
+        await deployment.wait_until(lambda: host.catalog.configuration.version == 2)
+        await trio.sleep(0.8)
+        caller.sendall(encode_request("/look/1"))
+        assert bool(await receive_responses(caller)) == is_kept
+
+    on_deployment(
+        scenario,
+        endpoints=ENDPOINTS,
+        published=configuration(limits=limits(600)),
+    )
+
+
 @pytest.mark.parametrize("path", ["/chat/1", "/draft/1"])
 def test_stream_of_an_endpoint_that_is_silent_for_a_while_is_not_cut(path):
     async def scenario(deployment):
