Deliver complete answers with one write, for as long as the socket takes bytes

Callers and forwarding hosts lost complete answers (cut behind the head, or 502 for an enrolment that had run): head, body and end took a turn of the event loop each, and 0.3 s for all three ran on a late loop. They now leave in one write, which is tried before anything else, and the limit counts only polls that found the socket unwritable. A deadline no longer cuts a complete answer, and reads what has arrived before it ends a wait.

--- a/src/cactusmill/internal/answer_frames.py
+++ b/src/cactusmill/internal/answer_frames.py
@@ -9,10 +9,33 @@
 from ..errors import TruncatedAnswerError
 from .http import has_other_end_closed
 from .request import Sink
-from .wire.ttypes import AnswerData, AnswerEnd
+from .wire.ttypes import AnswerData, AnswerEnd, Frame
 
+# Far below the limit of a frame.
+_MAX_DATA_BYTES = 1024 * 1024
 
-def answer_sink(send, call, encode_head, stream=None):
+
+def whole_answer(call, head, body):
+    """Return the frames of a complete response.
+
+    Parameters
+    ----------
+    call : int
+        Number of the call on the link.
+    head : AnswerHead
+        Head of the response.
+    body : bytes
+        The complete body.
+    """
+    data = [
+        Frame(answer_data=AnswerData(call, body[at : at + _MAX_DATA_BYTES], at))
+        for at in range(0, len(body), _MAX_DATA_BYTES)
+    ]
+    end = Frame(answer_end=AnswerEnd(call, True, len(body)))
+    return [Frame(answer_head=head), *data, end]
+
+
+def answer_sink(send, call, encode_head, stream=None, deliver=None):
     """Return a sink that sends a response over a link.
 
     Parameters
@@ -25,6 +48,9 @@
         ``encode_head(status, headers)`` returns an ``AnswerHead``.
     stream : trio.abc.Stream or None
         Transport of the link; None if its end is not looked for.
+    deliver : callable or None
+        ``await deliver(frames)`` sends the frames of a complete response; None for a
+        sink that never gets one.
     """
     size = 0
 
@@ -39,10 +65,13 @@
     async def end():
         await send(answer_end=AnswerEnd(call, True, size))
 
+    async def whole(status, headers, body):
+        await deliver(whole_answer(call, encode_head(status, headers), body))
+
     def is_abandoned():
         return has_other_end_closed(stream)
 
-    return Sink(head=head, data=data, end=end, is_abandoned=is_abandoned)
+    return Sink(head, data, end, whole, is_abandoned=is_abandoned)
 
 
 def read_body_frame(frame, received):
--- a/src/cactusmill/internal/at_most_once.py
+++ b/src/cactusmill/internal/at_most_once.py
@@ -90,9 +90,7 @@
 
 
 async def _send_response(response, sink):
-    await sink.head(response.status, response.headers)
-    await sink.data(response.body)
-    await sink.end()
+    await sink.whole(response.status, response.headers, response.body)
     return Success(None)
 
 
--- a/src/cactusmill/internal/caller_request.py
+++ b/src/cactusmill/internal/caller_request.py
@@ -1,5 +1,7 @@
 """A request on a caller's connection, and the responses to it."""
 
+import contextlib
+
 import attrs
 import h11
 import trio
@@ -97,6 +99,12 @@
     async def end():
         await _send(conn, h11.EndOfMessage())
 
+    async def whole(status, headers, body):
+        caller.has_response_started = True
+        caller.first_byte_s = host.now() - caller.received_at
+        with _caller_gone():
+            await send_response(host, caller, status, headers, body)
+
     def chunked_stream():
         is_chunked = (
             isinstance(conn.stream, trio.SocketStream)
@@ -112,12 +120,18 @@
     def is_abandoned():
         return has_other_end_closed(conn.stream)
 
-    return Sink(head, data, end, chunked_stream, end_chunked, is_abandoned)
+    return Sink(head, data, end, whole, chunked_stream, end_chunked, is_abandoned)
 
 
 async def _send(conn, event):
-    try:
+    with _caller_gone():
         await conn.send(event)
+
+
+@contextlib.contextmanager
+def _caller_gone():
+    try:
+        yield
     except ExchangeError as exc:
         raise CallerGoneError("the caller disconnected") from exc
 
@@ -146,4 +160,4 @@
     response = h11.Response(
         status_code=status, headers=[*headers, *_connection_headers(host, caller)]
     )
-    await caller.conn.send(response, h11.Data(data=body), h11.EndOfMessage())
+    await caller.conn.deliver(response, h11.Data(data=body), h11.EndOfMessage())
--- /dev/null
+++ b/src/cactusmill/internal/delivery.py
@@ -0,0 +1,115 @@
+"""Delivery of complete responses, for as long as the other end takes bytes."""
+
+import os
+
+import trio
+
+from ..errors import AnswerCutError
+
+# A socket that a poll finds unwritable this long after the one before counts as
+# blocked for this time, however late the event loop polls.
+_STEP_S = 0.5
+# Time for which the other end may take nothing. A host whose own event loop has turns
+# of 3 s still reads within it.
+MAX_BLOCKED_S = 4.0
+# Bytes with which the other end earns another second of it, so that the time of a
+# delivery is bounded by its size.
+MIN_BYTES_PER_S = 64 * 1024
+
+
+async def deliver(stream, data):
+    """Send the bytes of a complete response, with one write if the socket takes them.
+
+    What the socket takes at once is sent even if the task is cancelled. The other end
+    is given up once polls over more than `MAX_BLOCKED_S` seconds, and one more for each
+    `MIN_BYTES_PER_S` bytes that it took, have found the socket unwritable. Turns of a
+    late event loop do not count.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The transport.
+    data : bytes
+        Head, body and end of the response, as encoded.
+
+    Raises
+    ------
+    AnswerCutError
+        If the other end does not take the response.
+    trio.BrokenResourceError, trio.ClosedResourceError
+        If the connection fails.
+    """
+    sock = getattr(stream, "socket", None)
+    if sock is None:
+        await _deliver_in_memory(stream, data)
+        return
+    left, blocked_s = memoryview(data), 0.0
+    while True:
+        left = left[_write(sock, left) :]
+        if not left:
+            break
+        with trio.move_on_after(_STEP_S) as scope:
+            await trio.lowlevel.wait_writable(sock)
+        if not scope.cancelled_caught:
+            continue
+        blocked_s += _STEP_S
+        sent = len(data) - len(left)
+        if blocked_s > MAX_BLOCKED_S + sent / MIN_BYTES_PER_S:
+            raise AnswerCutError(
+                f"the other end took {sent} of the {len(data)} bytes of a complete "
+                f"answer and then none for {blocked_s:.1f} s in all"
+            )
+    # The response has left: being cancelled now must not make a failure of it.
+    await trio.lowlevel.cancel_shielded_checkpoint()
+
+
+def _write(sock, data):
+    """Write what a socket takes at once; return the number of bytes."""
+    if sock.fileno() < 0:
+        raise trio.ClosedResourceError("the connection was closed meanwhile")
+    try:
+        return os.write(sock.fileno(), data)
+    except BlockingIOError:
+        return 0
+    except OSError as exc:
+        raise trio.BrokenResourceError(f"the socket failed: {exc}") from exc
+
+
+async def _deliver_in_memory(stream, data):
+    """Send bytes on a transport without a socket, as in tests."""
+    with trio.move_on_after(MAX_BLOCKED_S) as scope:
+        await stream.send_all(data)
+    if scope.cancelled_caught:
+        raise AnswerCutError(f"the other end took nothing for {MAX_BLOCKED_S} s")
+
+
+async def receive_some(stream, max_bytes):
+    """Receive bytes; what has already arrived is returned even if cancelled.
+
+    A deadline that passes while the event loop is late must not lose what lies in the
+    socket. The task is cancelled at its next checkpoint.
+
+    Raises
+    ------
+    trio.BrokenResourceError, trio.ClosedResourceError
+        If the connection fails.
+    """
+    try:
+        return await stream.receive_some(max_bytes)
+    except trio.Cancelled:
+        data = _read_arrived(stream, max_bytes)
+        if not data:
+            raise
+    await trio.lowlevel.cancel_shielded_checkpoint()
+    return data
+
+
+def _read_arrived(stream, max_bytes):
+    """Return bytes that lie in the socket of a transport; empty if there are none."""
+    sock = getattr(stream, "socket", None)
+    if sock is None or sock.fileno() < 0:
+        return b""
+    try:
+        return os.read(sock.fileno(), max_bytes)
+    except OSError:
+        return b""
--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -99,7 +99,7 @@
         status, headers, body = render_problem(refusal, new_request_id())
         headers.append((b"connection", b"close"))
         response = h11.Response(status_code=status, headers=headers)
-        await conn.send(response, h11.Data(data=body), h11.EndOfMessage())
+        await conn.deliver(response, h11.Data(data=body), h11.EndOfMessage())
     await lingering_close(conn)
 
 
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -5,6 +5,7 @@
 """
 
 import contextlib
+import functools
 import re
 import select
 import socket
@@ -21,6 +22,7 @@
     OversizedAnswerError,
     TruncatedAnswerError,
 )
+from .delivery import deliver, receive_some
 from .framing import ReceivedBody, are_pieces_too_small, response_framing
 
 RECEIVE_BYTES = 64 * 1024
@@ -105,7 +107,8 @@
         """
         if self._events_in_turn >= _EVENTS_PER_TURN:
             self._events_in_turn = 0
-            await trio.lowlevel.checkpoint()
+            # Bytes that have arrived are handled though a deadline passes meanwhile.
+            await trio.lowlevel.cancel_shielded_checkpoint()
         while True:
             event = self.h11.next_event()
             if event is not h11.NEED_DATA:
@@ -125,7 +128,7 @@
             If the connection has failed.
         """
         try:
-            data = await self.stream.receive_some(RECEIVE_BYTES)
+            data = await receive_some(self.stream, RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self.is_broken = True
             raise ExchangeError(_broken("receiving", exc)) from exc
@@ -186,11 +189,26 @@
         ExchangeError
             If the connection fails.
         """
+        await self._send(self.stream.send_all, events)
+
+    async def deliver(self, *events):
+        """Send the events of a complete response, as :func:`.deliver` does.
+
+        Raises
+        ------
+        AnswerCutError
+            If the other end does not take them.
+        ExchangeError
+            If the connection fails.
+        """
+        await self._send(functools.partial(deliver, self.stream), events)
+
+    async def _send(self, write, events):
         data = b"".join(self.h11.send(event) or b"" for event in events)
         if any(self._ends_with_connection(event) for event in events):
             self._set_reset_on_close(True)
         if data:
-            await self.send_bytes(data)
+            await self._write(write, data)
         if self._resets_on_close and self.h11.our_state is not h11.SEND_BODY:
             self._set_reset_on_close(False)
 
@@ -225,8 +243,11 @@
         ExchangeError
             If the connection fails.
         """
+        await self._write(self.stream.send_all, data)
+
+    async def _write(self, write, data):
         try:
-            await self.stream.send_all(data)
+            await write(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self.is_broken = True
             raise ExchangeError(_broken("sending", exc)) from exc
--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import functools
 import hmac
 import secrets
 import struct
@@ -15,7 +16,8 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.transport.TTransport import TMemoryBuffer
 
-from ..errors import BufferLimitError, LinkClosedError
+from ..errors import AnswerCutError, BufferLimitError, LinkClosedError
+from .delivery import deliver, receive_some
 from .wire.ttypes import Frame, Hello, Proof
 
 MAX_FRAME_BYTES = 16 * 1024 * 1024
@@ -108,17 +110,37 @@
         LinkClosedError
             If the connection is broken.
         """
-        data = encode(Frame(**field))
-        async with self._send_lock:
-            try:
-                await self.stream.send_all(data)
-            except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
-                raise LinkClosedError("the link broke while sending") from exc
-            except trio.Cancelled:
-                # A partly sent frame would corrupt all frames after it.
-                with trio.CancelScope(shield=True):
-                    await self.close()
-                raise
+        await self._write(self.stream.send_all, encode(Frame(**field)))
+
+    async def deliver(self, frames):
+        """Send the frames of a complete response, as :func:`.deliver` does.
+
+        Raises
+        ------
+        AnswerCutError
+            If the other end does not take them; the link is closed.
+        LinkClosedError
+            If the connection is broken.
+        """
+        data = b"".join(encode(frame) for frame in frames)
+        await self._write(functools.partial(deliver, self.stream), data)
+
+    async def _write(self, write, data):
+        try:
+            self._send_lock.acquire_nowait()
+        except trio.WouldBlock:
+            await self._send_lock.acquire()
+        try:
+            await write(data)
+        except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
+            raise LinkClosedError("the link broke while sending") from exc
+        except (trio.Cancelled, AnswerCutError):
+            # A partly sent frame would corrupt all frames after it.
+            with trio.CancelScope(shield=True):
+                await self.close()
+            raise
+        finally:
+            self._send_lock.release()
         self.traffic.bytes_sent += len(data)
 
     async def receive(self):
@@ -164,7 +186,7 @@
 
     async def _receive_some(self):
         try:
-            data = await self.stream.receive_some(_RECEIVE_BYTES)
+            data = await receive_some(self.stream, _RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise LinkClosedError("the link broke while receiving") from exc
         if not data:
--- a/src/cactusmill/internal/link_server.py
+++ b/src/cactusmill/internal/link_server.py
@@ -15,7 +15,7 @@
     OutcomeUnknown,
     WrongRegion,
 )
-from .answer_frames import answer_sink
+from .answer_frames import answer_sink, whole_answer
 from .at_most_once import is_owner, run_at_most_once
 from .configuration import change_to_json
 from .identifiers import parse_identifier
@@ -27,7 +27,6 @@
 from .request import is_permitted
 from .request_builder import build_request
 from .wire.ttypes import (
-    AnswerData,
     AnswerEnd,
     AnswerHead,
     ChangesReply,
@@ -125,6 +124,7 @@
         message.call,
         functools.partial(_encode_head, message),
         link.stream,
+        functools.partial(_deliver, link),
     )
     try:
         with scope:
@@ -145,9 +145,7 @@
     status, headers, body = render_problem(refusal, message.request_id)
     head = _encode_head(message, status, headers)
     head.refusal = refusal.type_name
-    await _send(link, answer_head=head)
-    await _send(link, answer_data=AnswerData(message.call, body, 0))
-    await _send(link, answer_end=AnswerEnd(message.call, True, len(body)))
+    await _deliver(link, whole_answer(message.call, head, body))
 
 
 def _encode_head(message, status, headers):
@@ -202,7 +200,18 @@
 
 
 async def _send(link, **field):
-    try:
+    with _caller_gone():
         await link.send(**field)
+
+
+async def _deliver(link, frames):
+    with _caller_gone():
+        await link.deliver(frames)
+
+
+@contextlib.contextmanager
+def _caller_gone():
+    try:
+        yield
     except LinkClosedError as exc:
         raise CallerGoneError("the forwarding host disconnected") from exc
--- a/src/cactusmill/internal/request.py
+++ b/src/cactusmill/internal/request.py
@@ -91,6 +91,10 @@
         ``await data(chunk)``, for each chunk of the body.
     end : callable
         ``await end()``, once the body is complete.
+    whole : callable or None
+        ``await whole(status, headers, body)`` instead of these three, for a response
+        that is complete: sends it with one write where it fits, for as long as the
+        other end takes bytes; raises `AnswerCutError` if it takes none.
     chunked_stream : callable or None
         ``chunked_stream()`` returns the caller's transport if a body in
         chunked transfer coding may be written to it unchanged, else None.
@@ -104,6 +108,7 @@
     head: object
     data: object
     end: object
+    whole: object = None
     chunked_stream: object = None
     end_chunked: object = None
     is_abandoned: object = _never
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -6,6 +6,9 @@
 the endpoint reported that it did not run it.
 """
 
+import math
+
+import attrs
 import trio
 
 from ..errors import (
@@ -63,6 +66,7 @@
     """
     result = None
     with trio.move_on_after(max(0.0, req.deadline - host.now())) as scope:
+        sink = _lift_deadline(sink, scope)
         result = await _run_attempts(host, req, sink, progress, is_forwarded)
     if not scope.cancelled_caught:
         return result
@@ -71,6 +75,17 @@
     return deadline_exceeded(progress)
 
 
+def _lift_deadline(sink, scope):
+    """Return a sink whose complete responses a request's deadline does not cut."""
+
+    async def whole(status, headers, body):
+        scope.deadline = math.inf
+        with trio.CancelScope(shield=scope.cancel_called):
+            await sink.whole(status, headers, body)
+
+    return attrs.evolve(sink, whole=whole)
+
+
 async def _run_attempts(host, req, sink, progress, is_forwarded):
     """Make attempts until one completes the response or none may follow."""
     if host.suspects.is_blocked(progress.digest, host.now()):
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -182,7 +182,7 @@
     if closes:
         headers = [*headers, (b"connection", b"close")]
     response = h11.Response(status_code=status, headers=headers)
-    await conn.send(response, h11.Data(data=body), h11.EndOfMessage())
+    await conn.deliver(response, h11.Data(data=body), h11.EndOfMessage())
 
 
 async def _serve_request(host, caller, event):
@@ -426,29 +426,36 @@
     """Return a sink that sends the response on the caller's connection."""
     conn = caller.conn
 
-    async def send(*events):
+    async def send(write, *events):
         try:
-            await conn.send(*events)
+            await write(*events)
         except ExchangeError as exc:
             raise CallerGoneError("the caller disconnected") from exc
 
-    async def head(status, headers):
+    def begin(status, headers):
         caller.first_at, caller.status = host.now(), status
         caller.closes = host.is_leaving
         if caller.closes:
             headers = [*headers, (b"connection", b"close")]
-        await send(h11.Response(status_code=status, headers=headers))
+        return h11.Response(status_code=status, headers=headers)
+
+    async def head(status, headers):
+        await send(conn.send, begin(status, headers))
 
     async def data(chunk):
-        await send(h11.Data(data=chunk))
+        await send(conn.send, h11.Data(data=chunk))
 
     async def end():
-        await send(h11.EndOfMessage())
+        await send(conn.send, h11.EndOfMessage())
+
+    async def whole(status, headers, body):
+        events = begin(status, headers), h11.Data(data=body), h11.EndOfMessage()
+        await send(conn.deliver, *events)
 
     def is_abandoned():
         return has_other_end_closed(conn.stream)
 
-    return Sink(head=head, data=data, end=end, is_abandoned=is_abandoned)
+    return Sink(head, data, end, whole, is_abandoned=is_abandoned)
 
 
 def _closes_after_refusal(host, conn, event):
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -33,6 +33,7 @@
     ChangesPull,
     ChangesReply,
     Forward,
+    Frame,
     Header,
 )
 from .connections import enable_dead_peer_detection
@@ -340,9 +341,8 @@
 
 async def _run_forward(host, link, message, req, run):
     """Run a forwarded request; return whether the link can be reused."""
-    sink = answer_sink(
-        link.send, 0, functools.partial(_encode_head, message), link.stream
-    )
+    encode_head = functools.partial(_encode_head, message)
+    sink = answer_sink(link.send, 0, encode_head, link.stream, link.deliver)
     refusal, is_complete = None, False
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_cancel_on_close, link, nursery.cancel_scope)
@@ -383,7 +383,7 @@
         retry_after_ms=None if retry_s is None else int(retry_s * 1000),
         not_run=refusal.outcome is Outcome.NOT_RUN,
     )
-    await link.send(answer_head=head)
+    await link.deliver([Frame(answer_head=head)])
 
 
 def _encode_head(message, status, headers):
--- a/src/cactusmill/serving/response_relay.py
+++ b/src/cactusmill/serving/response_relay.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ..errors import AnswerCutError, ExchangeError
+from ..errors import ExchangeError
 from ..internal.event_stream import (
     check_last_event,
     count_events,
@@ -15,10 +15,6 @@
 # What is discarded of a response so that its connection can be reused.
 _MAX_DRAINED_BYTES = 64 * 1024
 _MAX_DRAIN_S = 0.1
-# Bodies up to this size fit the buffer of a socket.
-_SHORT_BODY_BYTES = 16 * 1024
-# Time in which a complete response is delivered whatever is cancelled meanwhile.
-_DELIVERY_S = 0.3
 # Longest time without data before a stream is resumed at another endpoint. Callers
 # give up after two seconds or more.
 STREAM_STALL_S = 1.6
@@ -70,30 +66,17 @@
 
 
 async def relay_body(host, sink, progress, response, body):
-    """Relay a response with its complete body.
-
-    A short body is delivered also if the deadline has just passed, and any body that
-    was complete by then.
+    """Relay a response with its complete body, also after the deadline.
 
     Raises
     ------
     AnswerCutError
-        If the caller does not read it in time.
+        If the caller does not take it.
     """
     headers = host.dialect.filter_response_headers(response.headers)
     headers = [*headers, (b"content-length", str(len(body)).encode())]
-    is_late = trio.current_effective_deadline() <= trio.current_time()
-    is_shielded = is_late or len(body) <= _SHORT_BODY_BYTES
     progress.has_response_started = True
-    with trio.CancelScope(shield=is_shielded) as scope:
-        if is_shielded:
-            scope.deadline = trio.current_time() + _DELIVERY_S
-        await sink.head(response.status, headers)
-        if body:
-            await sink.data(body)
-        await sink.end()
-    if scope.cancelled_caught:
-        raise AnswerCutError("the caller did not read the response")
+    await sink.whole(response.status, headers, body)
 
 
 async def relay_stream(host, req, sink, progress, choice, response, load, sent_at):
