Look at idle links before reuse; leaving hosts tell what they have not begun

After a planned restart, enrolments forwarded on idle links that the restarted host had closed got 502 within 1 ms, though no host had them. The pool of links now looks for a close before it reuses one, as that of connections to endpoints does. A host that no longer takes requests ends each link with a last message, and a forward that crosses it is known not to have begun: it is tried at another host without a pause for the region. A link that closes without a word still leaves open whether the request ran. The tests fail without the look, and without the handling of the last message (both tried).

--- a/src/cactusmill/errors.py
+++ b/src/cactusmill/errors.py
@@ -95,6 +95,10 @@
     """A peer had no capacity for a forwarded request; another may be tried."""
 
 
+class HostLeavingError(CactusmillError):
+    """A host that leaves has not begun a forwarded request; another may be tried."""
+
+
 class CallerGoneError(CactusmillError):
     """The caller or the forwarding host has disconnected or stopped reading."""
 
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -281,6 +281,24 @@
     return bool(poller.poll(0))
 
 
+def is_idle_and_open(stream):
+    """Return whether a connection is open and has no received data that is unread.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The transport. One without a socket, as in tests, counts as such.
+    """
+    sock = getattr(stream, "socket", None)
+    if sock is None:
+        return True
+    if sock.fileno() < 0:
+        return False
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLIN | select.POLLHUP)
+    return not poller.poll(0)
+
+
 async def wait_other_end_closed(stream):
     """Wait until the other end has closed a connection, without reading from it."""
     while not has_other_end_closed(stream):
--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -2,7 +2,6 @@
 
 import collections
 import contextlib
-import select
 import socket
 
 import attrs
@@ -17,7 +16,7 @@
     TruncatedAnswerError,
 )
 from ..internal.framing import ReceivedBody, response_framing
-from ..internal.http import Connection, client_connection
+from ..internal.http import Connection, client_connection, is_idle_and_open
 from .responses import EndpointResponse
 
 # Limit of a connection attempt, which crosses at most one region.
@@ -66,16 +65,6 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
-def _is_idle_and_open(stream):
-    """Return whether an idle connection is open and has received nothing."""
-    sock = getattr(stream, "socket", None)
-    if sock is None:
-        return True
-    poller = select.poll()
-    poller.register(sock.fileno(), select.POLLIN | select.POLLHUP)
-    return not poller.poll(0)
-
-
 @attrs.define(eq=False)
 class _Idle:
     conn: Connection
@@ -125,7 +114,7 @@
         idle = self._idle.get(name, ())
         while idle:
             entry = idle.pop()
-            if now < entry.expires_at and _is_idle_and_open(entry.conn.stream):
+            if now < entry.expires_at and is_idle_and_open(entry.conn.stream):
                 self._count(name, 1)
                 return entry.conn, True
             await entry.conn.close()
--- a/src/cactusmill/serving/cross_region.py
+++ b/src/cactusmill/serving/cross_region.py
@@ -5,6 +5,7 @@
     ConnectError,
     EndpointFailed,
     ExchangeError,
+    HostLeavingError,
     LinkClosedError,
     NoEndpoint,
     Outcome,
@@ -100,7 +101,7 @@
             progress.sends -= 1
             progress.is_abandoned = True
         raise
-    except ConnectError as exc:
+    except (ConnectError, HostLeavingError) as exc:
         progress.may_have_run = may_have_run_before
         progress.sends -= 1
         return NoEndpoint(detail=str(exc), retry_after_s=BUSY_RETRY_S)
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -6,6 +6,7 @@
 """
 
 import collections
+import contextlib
 import functools
 
 import attrs
@@ -17,6 +18,7 @@
     CallerGoneError,
     EndpointFailed,
     ExchangeError,
+    HostLeavingError,
     LinkClosedError,
     NoEndpoint,
     Outcome,
@@ -26,6 +28,7 @@
 )
 from ..internal.answer_frames import answer_sink, read_body_frame
 from ..internal.framing import Framing, ReceivedBody
+from ..internal.http import is_idle_and_open
 from ..internal.link import Link
 from ..internal.request import Request
 from ..internal.wire.ttypes import (
@@ -49,6 +52,10 @@
 _RESPONSE_MARGIN_S = 0.3
 _ITEMS_TIMEOUT_S = 1.0
 _ITEMS = "items"
+# Last message of a host that leaves on a link that its other end opened. It begins no
+# request that it receives there after that, nor one that it has not answered.
+_LEAVING = "Leaving"
+_FAREWELL_S = 0.5
 
 
 def _headers_to_wire(headers):
@@ -89,7 +96,7 @@
         idle = self._idle.get(ip, ())
         while idle:
             link, since = idle.pop()
-            if now - since < _IDLE_S:
+            if now - since < _IDLE_S and is_idle_and_open(link.stream):
                 return link, True
             await link.close()
         stream = await self.net.connect(f"{ip}:{self.port}", CONNECT_TIMEOUT_S)
@@ -147,6 +154,8 @@
     ------
     CallerGoneError, ConnectError
         If the other host has received nothing.
+    HostLeavingError
+        If it leaves and has not begun the request.
     ExchangeError
         If the link failed after that.
     """
@@ -206,12 +215,16 @@
 async def _exchange(link, message, timeout_s):
     try:
         with trio.fail_after(max(0.0, timeout_s)):
-            await link.send(forward=message)
+            # A link that breaks may hold the other host's last message.
+            with contextlib.suppress(LinkClosedError):
+                await link.send(forward=message)
             head = (await link.receive()).answer_head
     except trio.TooSlowError as exc:
         raise SilentEndpointError(f"no answer within {timeout_s:.2f} s") from exc
     except LinkClosedError as exc:
         raise ExchangeError(str(exc)) from exc
+    if head is not None and head.refusal == _LEAVING and head.not_run:
+        raise HostLeavingError("the other host is leaving")
     if head is None or head.request_id != message.request_id:
         raise ExchangeError("the other host answered another request")
     return head
@@ -298,10 +311,16 @@
     """
     enable_dead_peer_detection(stream)
     link = Link(stream, buffers=host.buffers)
+    host.served_links.add(link)
     start = host.loop.mark_start()
     try:
         while True:
-            frame = await link.receive()
+            frame = await _next_frame(host, link)
+            if host.refuses_requests(host.now()):
+                await _say_farewell(host, link)
+                return
+            if frame is None:
+                continue
             arrived_at = host.loop.estimate_arrival(start, host.now())
             if frame.changes_pull is not None:
                 since = frame.changes_pull.since_version
@@ -321,9 +340,39 @@
         # Closing the link also cancels the request on it.
         return
     finally:
+        host.served_links.discard(link)
         await link.close()
 
 
+async def _next_frame(host, link):
+    """Return the next frame, or None if this host leaves before it is complete."""
+    if host.refuses_requests(host.now()):
+        return None
+    with host.idle_links.wait():
+        return await link.receive()
+    return None
+
+
+async def _say_farewell(host, link):
+    """Tell the other host that nothing more is begun on a link.
+
+    It is closed once the other host has done so, since a close with a request unread
+    could destroy what was told.
+    """
+    head = AnswerHead(
+        call=0,
+        request_id="",
+        status=Overloaded.status,
+        headers=[],
+        refusal=_LEAVING,
+        not_run=True,
+    )
+    with trio.move_on_after(_FAREWELL_S):
+        await link.send(answer_head=head)
+        host.served_links.discard(link)
+        await link.wait_closed()
+
+
 async def _serve_forward(host, link, message, req, run):
     """Serve one request; return whether the link can be reused."""
     if req is None:
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -25,6 +25,7 @@
 from .events import log_event
 from .forwarding import LinkPool, serve_link
 from .gossip import Gossip
+from .idle_waits import IdleWaits
 from .membership import HostId, Membership
 from .placement import WARMUP_HOLDOFF_S, Placement
 from .progress import new_progress
@@ -121,6 +122,10 @@
         When shutdown began, in seconds; infinity before.
     caller_connections, busy_connections : set of Connection
         Open connections of callers, and those with a request in progress.
+    served_links : set of Link
+        Open links of other hosts that have not been told that this host leaves.
+    idle_links : IdleWaits
+        Those that wait for the next request.
     buffers : BufferBudget
         Limits the bytes of bodies and frames that are held at once.
     loop : LoopMonitor
@@ -146,6 +151,8 @@
     leaving_since: float = float("inf")
     caller_connections: set = attrs.field(factory=set)
     busy_connections: set = attrs.field(factory=set)
+    served_links: set = attrs.field(factory=set)
+    idle_links: IdleWaits = attrs.field(init=False)
     forwards_running: int = 0
     requests_shed: int = 0
     _shed_logged: int = 0
@@ -180,6 +187,7 @@
             incarnation=secrets.token_hex(8),
         )
         self.loop = LoopMonitor(self.now)
+        self.idle_links = IdleWaits(self.now)
         port = int(cfg.peers.rpartition(":")[2])
         self.membership = Membership(own_id)
         self.placement = Placement(cfg.region, cfg.host, rng=self.rng)
@@ -575,8 +583,9 @@
         self._accepting.cancel()
         for conn in self.caller_connections - self.busy_connections:
             await conn.close()
+        self.idle_links.end_since(self.now())
         exit_at = self.leaving_since + self.cfg.grace_s - _EXIT_MARGIN_S
-        while self.now() < exit_at and (self.busy_connections or self.forwards_running):
+        while self.now() < exit_at and (self.busy_connections or self.served_links):
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
 
 
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -3,16 +3,19 @@
 import struct
 
 import attrs
+import pytest
 import trio
 import trio.testing
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from cactusmill.errors import ExchangeError
+from cactusmill.errors import ExchangeError, HostLeavingError
 from cactusmill.internal.link import Link
+from cactusmill.internal.net import TCP
 from cactusmill.internal.request import Sink
 from cactusmill.platform.dialect import DIALECT
-from cactusmill.serving.forwarding import forward, serve_link
+from cactusmill.serving import gateway_host
+from cactusmill.serving.forwarding import LinkPool, forward, serve_link
 from cactusmill.serving.membership import Member
 
 from .test_membership import host_id
@@ -114,3 +117,101 @@
     received, is_complete = relay(delivered)
     assert received == CHUNKS[: len(received)]
     assert not is_complete or received == CHUNKS
+
+
+def test_idle_link_that_the_other_host_has_closed_is_not_used_again():
+    async def main():
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        port = listeners[0].socket.getsockname()[1]
+        pool = LinkPool(TCP, port)
+        first, _ = await pool.acquire("127.0.0.1", 0.0)
+        far = await listeners[0].accept()
+        await pool.release("127.0.0.1", first, 0.0)
+        await far.aclose()
+        await trio.sleep(0.05)
+        second, was_used = await pool.acquire("127.0.0.1", 0.1)
+        assert not was_used
+        far = await listeners[0].accept()
+        await pool.release("127.0.0.1", second, 0.2)
+        assert await pool.acquire("127.0.0.1", 0.3) == (second, True)
+        await second.close()
+        await far.aclose()
+        await listeners[0].aclose()
+
+    trio.run(main)
+
+
+@attrs.define
+class LastMessages:
+    """A link stream on which a request crosses what the other end sent before it."""
+
+    stream: trio.abc.Stream
+    is_broken: bool = False
+
+    async def send_all(self, data):
+        if self.is_broken:
+            raise trio.BrokenResourceError
+        await self.stream.send_all(data)
+
+    async def receive_some(self, max_bytes=None):
+        return await self.stream.receive_some(max_bytes)
+
+    async def aclose(self):
+        await self.stream.aclose()
+
+
+async def forward_on(near):
+    host = new_host("near", Clock(), dialect=DIALECT, routes=(ROUTE,))
+    host.links = OneLink(Link(near))
+    member = Member(id=host_id("far", "west"), last_seen_at=0.0)
+    request = attrs.evolve(
+        req([("own", 10)]), deadline=host.now() + 4, objective_at=host.now()
+    )
+    return await forward(host, member, request, SINK, 1, "", 1.0)
+
+
+@pytest.mark.parametrize("is_broken", [False, True])
+@pytest.mark.parametrize("is_idle", [False, True])
+def test_leaving_host_says_that_it_has_not_begun_a_forward(is_idle, is_broken):
+    # It closed its idle links without a word, and a request that crossed the close
+    # counted as one that may have run.
+    runs = []
+
+    async def run(host, request, *args):
+        runs.append(request)
+
+    async def main():
+        near, far = trio.testing.memory_stream_pair()
+        other = new_host("far", Clock(), dialect=DIALECT, routes=(ROUTE,))
+        with trio.fail_after(5):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(serve_link, other, far, run)
+                if is_idle:
+                    await trio.testing.wait_all_tasks_blocked()
+                other.leaving_since = other.now() - gateway_host.DRAIN_S - 1.0
+                other.idle_links.end_since(other.now())
+                await trio.testing.wait_all_tasks_blocked()
+                assert not other.served_links
+                with pytest.raises(HostLeavingError):
+                    await forward_on(LastMessages(near, is_broken))
+                nursery.cancel_scope.cancel()
+
+    trio.run(main)
+    assert not runs
+
+
+def test_link_that_closes_without_a_word_leaves_open_whether_the_request_ran():
+    async def main():
+        near, far = trio.testing.memory_stream_pair()
+        with trio.fail_after(5):
+            async with trio.open_nursery() as nursery:
+
+                async def close():
+                    await far.receive_some()
+                    await far.aclose()
+
+                nursery.start_soon(close)
+                with pytest.raises(ExchangeError):
+                    await forward_on(near)
+
+    trio.run(main)
--- a/tests/serving/test_whole_path.py
+++ b/tests/serving/test_whole_path.py
@@ -6,6 +6,7 @@
 
 from cactusmill.internal.http import client_connection, header, read_body
 from cactusmill.platform.directory import respond
+from cactusmill.serving.gateway_host import DRAIN_S
 from standins.loopback import (
     KEY,
     configuration,
@@ -680,6 +681,23 @@
     )
 
 
+def test_forwards_to_a_host_that_leaves_run_elsewhere():
+    async def scenario(deployment):
+        leaving = deployment.hosts["w1"]
+        # The other hosts don't know yet.
+        leaving.leaving_since = leaving.now() - DRAIN_S - 1.0
+        for number in range(8):
+            reply = await deployment.send_request("e1", f"/order/{number}")
+            assert reply.status == 200
+        assert deployment.endpoints["desk-w"].runs == ["r-1"] * 8
+
+    on_deployment(
+        scenario,
+        hosts=(*BOTH, ("w2", "west-a")),
+        endpoints=(("desk-w", "west-a", "desk"),),
+    )
+
+
 def test_deadline_ends_a_request_at_once():
     async def scenario(deployment):
         deployment.endpoints["desk-1"].work_s = 5.0
