--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -127,14 +127,16 @@
         host.busy_connections.discard(conn)
     if conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE:
         return not caller.closes
+    is_body_read = _is_body_read(conn)
     discarded_bytes = await lingering_close(conn)
-    log_event(
-        "connection_closed_early",
-        request_id=caller.head.request_id,
-        status=caller.status,
-        is_announced=caller.closes,
-        discarded_bytes=discarded_bytes,
-    )
+    if not is_body_read:
+        log_event(
+            "connection_closed_early",
+            request_id=caller.head.request_id,
+            status=caller.status,
+            is_announced=caller.closes,
+            discarded_bytes=discarded_bytes,
+        )
     return False
 
 
@@ -466,8 +468,11 @@
     """
     if conn.h11.their_state is h11.SEND_BODY:
         discard_received_body(conn)
-    is_body_read = conn.h11.their_state in (h11.DONE, h11.MUST_CLOSE)
-    return host.is_leaving or _wants_close(event) or not is_body_read
+    return host.is_leaving or _wants_close(event) or not _is_body_read(conn)
+
+
+def _is_body_read(conn):
+    return conn.h11.their_state not in (h11.SEND_BODY, h11.ERROR)
 
 
 def _wants_close(event):
