Send short answers of the own interface, and first events, with their head

Forwarded and short answers of the own interface took three writes, and a stream's first event a turn of the event loop more than its head, so that a late host broke them off halfway. What has arrived is now collected and leaves in one write; an answer that breaks off before anything of it was sent on is a refusal or a retry, not a cut connection.

--- a/src/cactusmill/internal/answer_frames.py
+++ b/src/cactusmill/internal/answer_frames.py
@@ -54,8 +54,10 @@
     """
     size = 0
 
-    async def head(status, headers):
+    async def head(status, headers, first=b""):
         await send(answer_head=encode_head(status, headers))
+        if first:
+            await data(first)
 
     async def data(chunk):
         nonlocal size
--- a/src/cactusmill/internal/attempts.py
+++ b/src/cactusmill/internal/attempts.py
@@ -31,7 +31,7 @@
 )
 from .event_stream import check_last_event, is_event_stream, last_bytes
 from .framing import Framing
-from .http import end_to_end_headers, header, is_chunked
+from .http import collect_body, end_to_end_headers, header, is_chunked
 
 # The endpoint's number of requests in progress, from all hosts.
 LOAD_HEADER = b"x-endpoint-load"
@@ -39,6 +39,8 @@
 # Also the timeout of the connection that checks whether an endpoint has crashed.
 _RETRY_AFTER_S = 1.0
 _STATUSES_WITHOUT_BODY = (204, 304)
+# Bodies up to this size are collected before their head is sent on.
+_SHORT_BODY_BYTES = 16 * 1024
 # A reused connection is replaced if no response arrives within this time and within
 # several times the usual time to first byte.
 _MIN_REUSED_HEAD_TIMEOUT_S = 1.0
@@ -142,8 +144,11 @@
         refusal = await _send_and_receive_head(
             host, req, progress, endpoint, state, exchange
         )
-        if refusal is None:
+        if refusal is None and _is_short(req, exchange):
+            refusal = await _relay_short(host, req, sink, progress, endpoint, exchange)
+        elif refusal is None:
             await _relay(host, req, sink, progress, endpoint, exchange)
+        if refusal is None:
             host.suspects.clear(progress.digest)
         is_complete = True
     finally:
@@ -162,21 +167,7 @@
         await receive_head(exchange, req, timeout_s)
         record_notices(host, state, exchange)
     except ExchangeError as exc:
-        await exchange.conn.close()
-        has_crashed = await _record_if_crashed(
-            host, req, progress, endpoint, exchange, exc
-        )
-        if exchange.reused:
-            # Other idle connections may be closed or unresponsive too.
-            await host.pool.drop_idle(endpoint)
-        if has_crashed or not exchange.reused:
-            progress.tried.add(endpoint.name)
-            state.record_failure(host.now())
-        return EndpointFailed(
-            detail=f"the endpoint failed: {exc}",
-            outcome=Outcome.UNKNOWN,
-            retry_after_s=_RETRY_AFTER_S,
-        )
+        return await _record_failure(host, req, progress, endpoint, exchange, exc)
     load = header(exchange.headers, LOAD_HEADER)
     if load is not None and load.isdigit():
         state.reported_load, state.reported_at = int(load), host.now()
@@ -189,6 +180,23 @@
     return None
 
 
+async def _record_failure(host, req, progress, endpoint, exchange, exc):
+    """Return the refusal after a failure before the caller got any of the response."""
+    await exchange.conn.close()
+    has_crashed = await _record_if_crashed(host, req, progress, endpoint, exchange, exc)
+    if exchange.reused:
+        # Other idle connections may be closed or unresponsive too.
+        await host.pool.drop_idle(endpoint)
+    if has_crashed or not exchange.reused:
+        progress.tried.add(endpoint.name)
+        host.pool.state(endpoint.name).record_failure(host.now())
+    return EndpointFailed(
+        detail=f"the endpoint failed: {exc}",
+        outcome=Outcome.UNKNOWN,
+        retry_after_s=_RETRY_AFTER_S,
+    )
+
+
 def _head_timeout_s(host, req, progress, state, exchange):
     """Return how long to wait for the response head, in seconds."""
     remaining_s = req.deadline - host.now()
@@ -202,6 +210,27 @@
     return remaining_s * (1.0 if progress.was_sent else _FIRST_ATTEMPT_FRACTION)
 
 
+def _is_short(req, exchange):
+    """Return whether a response is collected, so that it leaves with one write."""
+    length = header(exchange.headers, b"content-length", "")
+    is_framed = exchange.received.framing is Framing.LENGTH and length.isdigit()
+    return not req.is_stream and is_framed and int(length) <= _SHORT_BODY_BYTES
+
+
+async def _relay_short(host, req, sink, progress, endpoint, exchange):
+    """Relay a response whose body is short; return a refusal if that broke off."""
+    try:
+        body = await collect_body(lambda: receive_data(exchange))
+    except ExchangeError as exc:
+        return await _record_failure(host, req, progress, endpoint, exchange, exc)
+    if progress.meter is not None:
+        progress.meter.feed(body)
+    await host.pool.release(endpoint, exchange, host.now())
+    await sink.whole(exchange.status, end_to_end_headers(exchange.headers), body)
+    host.retry_budgets.record_success(req.team_name, host.records.policy().retry_share)
+    return None
+
+
 async def _relay(host, req, sink, progress, endpoint, exchange):
     try:
         await sink.head(exchange.status, end_to_end_headers(exchange.headers))
--- a/src/cactusmill/internal/caller_request.py
+++ b/src/cactusmill/internal/caller_request.py
@@ -82,7 +82,7 @@
     """Return the sink that sends a response to a caller."""
     conn = caller.conn
 
-    async def head(status, headers):
+    async def head(status, headers, first=b""):
         caller.has_response_started = True
         caller.first_byte_s = host.now() - caller.received_at
         await _send(
@@ -91,6 +91,7 @@
                 status_code=status,
                 headers=[*headers, *_connection_headers(host, caller)],
             ),
+            h11.Data(data=first),
         )
 
     async def data(chunk):
@@ -123,9 +124,9 @@
     return Sink(head, data, end, whole, chunked_stream, end_chunked, is_abandoned)
 
 
-async def _send(conn, event):
+async def _send(conn, *events):
     with _caller_gone():
-        await conn.send(event)
+        await conn.send(*events)
 
 
 @contextlib.contextmanager
--- a/src/cactusmill/internal/forward_client.py
+++ b/src/cactusmill/internal/forward_client.py
@@ -4,6 +4,7 @@
 endpoints of its own zone or refuses it.
 """
 
+import trio
 from returns.result import Success
 
 from ..errors import (
@@ -62,20 +63,44 @@
             if req.route.repeatable and head.refusal in _RETRIABLE_REFUSALS:
                 is_complete = True
                 raise ForwardRefusedError(f"{peer.host.name}: {head.refusal}")
-            await sink.head(
-                head.status, [(h.name.encode(), h.value.encode()) for h in head.headers]
-            )
-            await _relay_body(frames, req, sink)
-            is_complete = True
+            headers = [(h.name.encode(), h.value.encode()) for h in head.headers]
+            received = new_received_body(Framing.LINK, req.cost_tokens)
+            chunks, is_complete = _read_arrived(frames, received)
+            if not is_complete:
+                await sink.head(head.status, headers)
+                for data in chunks:
+                    await sink.data(data)
+                await _relay_body(frames, received, sink)
+                is_complete = True
+                await sink.end()
+                return Success(None)
         finally:
             if not is_complete and peer.link is link:
                 host.cancel_forward(link, Cancel(call_id))
-    await sink.end()
+    await sink.whole(head.status, headers, b"".join(chunks))
     return Success(None)
 
 
-async def _relay_body(frames, req, sink):
-    received = new_received_body(Framing.LINK, req.cost_tokens)
+def _read_arrived(frames, received):
+    """Return the data of the frames that have arrived, and whether they are all.
+
+    Raises
+    ------
+    LinkClosedError
+        If the response broke off already.
+    """
+    chunks = []
+    try:
+        while (data := read_body_frame(frames.receive_nowait(), received)) is not None:
+            chunks.append(data)
+    except trio.WouldBlock:
+        return chunks, False
+    except (trio.EndOfChannel, ExchangeError) as exc:
+        raise LinkClosedError(f"the response broke off: {exc}") from exc
+    return chunks, True
+
+
+async def _relay_body(frames, received, sink):
     while True:
         try:
             data = read_body_frame(await next_frame(frames), received)
--- a/src/cactusmill/internal/repeatable.py
+++ b/src/cactusmill/internal/repeatable.py
@@ -146,7 +146,11 @@
         progress.meter.feed(chunk)
         await sink.data(chunk)
 
-    return attrs.evolve(sink, data=data)
+    async def whole(status, headers, body):
+        progress.meter.feed(body)
+        await sink.whole(status, headers, body)
+
+    return attrs.evolve(sink, data=data, whole=whole)
 
 
 def _deadline_exceeded(progress):
--- a/src/cactusmill/internal/request.py
+++ b/src/cactusmill/internal/request.py
@@ -86,7 +86,8 @@
     Attributes
     ----------
     head : callable
-        ``await head(status, headers)``, once.
+        ``await head(status, headers, first=b"")``, once, with the first data if there
+        are any.
     data : callable
         ``await data(chunk)``, for each chunk of the body.
     end : callable
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -441,8 +441,8 @@
             headers = [*headers, (b"connection", b"close")]
         return h11.Response(status_code=status, headers=headers)
 
-    async def head(status, headers):
-        await send(conn.send, begin(status, headers))
+    async def head(status, headers, first=b""):
+        await send(conn.send, begin(status, headers), h11.Data(data=first))
 
     async def data(chunk):
         await send(conn.send, h11.Data(data=chunk))
--- a/src/cactusmill/serving/response_relay.py
+++ b/src/cactusmill/serving/response_relay.py
@@ -109,22 +109,22 @@
                 host.placement.record_response_start(
                     choice, host.service(req.service), host.now() - sent_at, host.now()
                 )
-        if complete_events:
-            await _send_head(host, sink, progress, response)
+        if complete_events and progress.has_response_started:
             await sink.data(complete_events)
+        elif complete_events:
+            await _send_head(host, sink, progress, response, complete_events)
     check_last_event(tail, response.received.framing)
     await response.release(host.now())
     load.is_complete = True
-    await _send_head(host, sink, progress, response)
+    if not progress.has_response_started:
+        await _send_head(host, sink, progress, response, b"")
     await sink.end()
 
 
-async def _send_head(host, sink, progress, response):
-    """Relay the head unless it has been sent: a resumed stream keeps its first."""
-    if progress.has_response_started:
-        return
+async def _send_head(host, sink, progress, response, first):
+    """Relay the head with the first events; a resumed stream keeps its first head."""
     # After this, cancellation can only take effect once the head has been sent.
     await trio.lowlevel.checkpoint_if_cancelled()
     progress.has_response_started = True
     headers = host.dialect.filter_response_headers(response.headers)
-    await sink.head(response.status, headers)
+    await sink.head(response.status, headers, first)
