Prove deliveries on late event loops, between hosts and to callers that read little

The first limit gave up a late reader of 4 MB; it now begins anew with each byte taken, and a second one bounds the whole.

--- a/src/cactusmill/internal/delivery.py
+++ b/src/cactusmill/internal/delivery.py
@@ -12,18 +12,19 @@
 # Time for which the other end may take nothing. A host whose own event loop has turns
 # of 3 s still reads within it.
 MAX_BLOCKED_S = 4.0
-# Bytes with which the other end earns another second of it, so that the time of a
-# delivery is bounded by its size.
-MIN_BYTES_PER_S = 64 * 1024
+# Time for which it may take nothing in all, and the bytes with which it earns another
+# second of it: they bound the time of a delivery by its size.
+MAX_TOTAL_BLOCKED_S = 30.0
+MIN_BYTES_PER_S = 32 * 1024
 
 
 async def deliver(stream, data):
     """Send the bytes of a complete response, with one write if the socket takes them.
 
     What the socket takes at once is sent even if the task is cancelled. The other end
-    is given up once polls over more than `MAX_BLOCKED_S` seconds, and one more for each
-    `MIN_BYTES_PER_S` bytes that it took, have found the socket unwritable. Turns of a
-    late event loop do not count.
+    is given up once polls over `MAX_BLOCKED_S` seconds have all found the socket
+    unwritable, or polls over `MAX_TOTAL_BLOCKED_S` in all and one second more for each
+    `MIN_BYTES_PER_S` bytes that it took. Turns of a late event loop do not count.
 
     Parameters
     ----------
@@ -43,9 +44,11 @@
     if sock is None:
         await _deliver_in_memory(stream, data)
         return
-    left, blocked_s = memoryview(data), 0.0
+    left, blocked_s, total_blocked_s = memoryview(data), 0.0, 0.0
     while True:
-        left = left[_write(sock, left) :]
+        taken = _write(sock, left)
+        if taken:
+            left, blocked_s = left[taken:], 0.0
         if not left:
             break
         with trio.move_on_after(_STEP_S) as scope:
@@ -53,11 +56,13 @@
         if not scope.cancelled_caught:
             continue
         blocked_s += _STEP_S
+        total_blocked_s += _STEP_S
         sent = len(data) - len(left)
-        if blocked_s > MAX_BLOCKED_S + sent / MIN_BYTES_PER_S:
+        most_s = MAX_TOTAL_BLOCKED_S + sent / MIN_BYTES_PER_S
+        if blocked_s >= MAX_BLOCKED_S or total_blocked_s >= most_s:
             raise AnswerCutError(
                 f"the other end took {sent} of the {len(data)} bytes of a complete "
-                f"answer and then none for {blocked_s:.1f} s in all"
+                f"answer, none for {blocked_s:.1f} s ({total_blocked_s:.1f} in all)"
             )
     # The response has left: being cancelled now must not make a failure of it.
     await trio.lowlevel.cancel_shielded_checkpoint()
--- /dev/null
+++ b/tests/internal/test_delivery.py
@@ -0,0 +1,191 @@
+"""Complete responses leave as long as the other end takes bytes, however late."""
+
+import math
+import socket
+
+import pytest
+import trio
+import trio.testing
+
+from cactusmill.errors import AnswerCutError
+from cactusmill.internal import delivery
+from cactusmill.internal.delivery import (
+    MAX_BLOCKED_S,
+    MAX_TOTAL_BLOCKED_S,
+    MIN_BYTES_PER_S,
+    deliver,
+    receive_some,
+)
+from standins.late_loop import late_loop
+
+LONG = b"x" * 4 * 1024 * 1024
+TURNS_S = [0.0, 0.4, 1.0, 3.0]
+# A wait for the socket, and the time that the bytes earn that a socket takes unread.
+SLACK_S = 1.0
+
+
+def run_with_streams(scenario):
+    """Run a scenario on a mock clock with both ends of a connection."""
+    clock = trio.testing.MockClock(autojump_threshold=0.01)
+
+    async def main():
+        near, far = map(trio.socket.from_stdlib_socket, socket.socketpair())
+        for sock in (near, far):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 16 * 1024)
+        near, far = trio.SocketStream(near), trio.SocketStream(far)
+        await scenario(clock, near, far)
+        await trio.aclose_forcefully(near)
+        await trio.aclose_forcefully(far)
+
+    trio.run(main, clock=clock)
+
+
+async def read_all(stream, received, pause_s=0.0, max_bytes=65536):
+    """Read until the other end closes, with a pause before each piece."""
+    while True:
+        await trio.sleep(pause_s)
+        data = await stream.receive_some(max_bytes)
+        if not data:
+            return
+        received += data
+
+
+@pytest.mark.parametrize("turn_s", TURNS_S)
+def test_long_response_is_delivered_to_one_that_reads_on_a_late_event_loop(turn_s):
+    async def scenario(clock, near, far):
+        received = bytearray()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read_all, far, received)
+            with late_loop(turn_s, clock.jump):
+                await deliver(near, LONG)
+            await near.send_eof()
+        assert received == LONG
+
+    run_with_streams(scenario)
+
+
+def test_with_a_limit_on_the_whole_it_is_cut_on_a_late_event_loop():
+    async def scenario(clock, near, far):
+        received = bytearray()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read_all, far, received)
+            with late_loop(1.0, clock.jump), trio.move_on_after(0.3):
+                await near.send_all(LONG)
+            await near.send_eof()
+        assert 0 < len(received) < len(LONG)
+
+    run_with_streams(scenario)
+
+
+def test_response_that_the_socket_takes_leaves_though_its_task_is_cancelled():
+    async def scenario(clock, near, far):
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await deliver(near, b"complete")
+        assert not scope.cancelled_caught
+        assert await far.receive_some() == b"complete"
+
+    run_with_streams(scenario)
+
+
+@pytest.mark.parametrize("turn_s", TURNS_S)
+def test_other_end_that_reads_nothing_is_given_up_in_time(turn_s):
+    async def scenario(clock, near, far):
+        began_at = trio.current_time()
+        with late_loop(turn_s, clock.jump) as loop, pytest.raises(AnswerCutError):
+            await deliver(near, LONG)
+        used_s = trio.current_time() - began_at
+        assert used_s >= MAX_BLOCKED_S
+        if turn_s == 0.0:
+            assert used_s <= MAX_BLOCKED_S + SLACK_S
+        # Every turn is one poll that finds the socket unwritable for a step.
+        most = math.ceil((MAX_BLOCKED_S + SLACK_S) / delivery._STEP_S)
+        assert turn_s < delivery._STEP_S or loop.turns <= most
+
+    run_with_streams(scenario)
+
+
+def test_other_end_that_takes_a_byte_a_second_is_given_up_in_time():
+    async def scenario(clock, near, far):
+        received = bytearray()
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read_all, far, received, 1.0, 1)
+            began_at = trio.current_time()
+            with pytest.raises(AnswerCutError, match="bytes of a complete answer"):
+                await deliver(near, LONG)
+            assert trio.current_time() - began_at <= MAX_BLOCKED_S + SLACK_S
+            nursery.cancel_scope.cancel()
+
+    run_with_streams(scenario)
+
+
+def test_time_of_a_delivery_is_bounded_by_its_size():
+    async def scenario(clock, near, far):
+        received, pause_s = bytearray(), MAX_BLOCKED_S - SLACK_S
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(read_all, far, received, pause_s)
+            began_at = trio.current_time()
+            with pytest.raises(AnswerCutError):
+                await deliver(near, LONG)
+            most_s = MAX_TOTAL_BLOCKED_S + len(received) / MIN_BYTES_PER_S
+            # The step in which the other end takes bytes is not counted.
+            uncounted = delivery._STEP_S / pause_s
+            used_s = trio.current_time() - began_at
+            assert used_s <= most_s / (1 - uncounted) + SLACK_S
+            nursery.cancel_scope.cancel()
+
+    run_with_streams(scenario)
+
+
+def test_other_end_that_reads_slowly_gets_all():
+    async def scenario(clock, near, far):
+        received, data = bytearray(), LONG[: 1024 * 1024]
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(
+                read_all, far, received, 0.1, round(2 * MIN_BYTES_PER_S * 0.1)
+            )
+            await deliver(near, data)
+            await near.send_eof()
+        assert received == data
+
+    run_with_streams(scenario)
+
+
+def test_broken_connection_ends_a_delivery():
+    async def scenario(clock, near, far):
+        async with trio.open_nursery() as nursery:
+
+            @nursery.start_soon
+            async def leave():
+                await trio.sleep(1.0)
+                await trio.aclose_forcefully(far)
+
+            with pytest.raises(trio.BrokenResourceError):
+                await deliver(near, LONG)
+
+    run_with_streams(scenario)
+
+
+@pytest.mark.parametrize("receive", [receive_some, trio.SocketStream.receive_some])
+def test_bytes_that_have_arrived_are_read_though_a_deadline_passes(receive):
+    async def scenario(clock, near, far):
+        received = b""
+        with trio.move_on_after(0.5) as scope:
+            await near.send_all(b"whole")
+            clock.jump(1.0)
+            await trio.lowlevel.cancel_shielded_checkpoint()
+            received = await receive(far, 100)
+        # The receipt of trio, which looks for cancellation first, is the twin.
+        assert received == (b"whole" if receive is receive_some else b"")
+        assert scope.cancel_called
+
+    run_with_streams(scenario)
+
+
+def test_nothing_to_read_is_a_cancellation():
+    async def scenario(clock, near, far):
+        with trio.move_on_after(0.5) as scope:
+            await receive_some(far, 100)
+        assert scope.cancelled_caught
+
+    run_with_streams(scenario)
