Prove one-write deliveries of the own interface on late event loops

Its answers, refusals and forwarded frames had no test on a slow loop. Twins: in pieces it takes more turns, without the last look the outcome is unknown.

--- a/tests/serving/test_late_deliveries.py
+++ b/tests/serving/test_late_deliveries.py
@@ -15,14 +15,14 @@
 from cactusmill.internal.answer_frames import whole_answer
 from cactusmill.internal.delivery import MAX_BLOCKED_S
 from cactusmill.internal.framing import Framing, ReceivedBody
-from cactusmill.internal.http import read_body
+from cactusmill.internal.http import collect_body, read_body
 from cactusmill.internal.link import Link, encode
 from cactusmill.internal.net import split_address
 from cactusmill.internal.request import Sink
 from cactusmill.internal.wire.ttypes import AnswerHead
 from cactusmill.platform.dialect import DIALECT
 from cactusmill.records import Route
-from cactusmill.serving import dispatch, forwarding, response_relay
+from cactusmill.serving import dispatch, edge, forwarding, response_relay
 from cactusmill.serving.membership import Member
 from cactusmill.serving.overload import ForwardTo
 from cactusmill.serving.progress import new_progress
@@ -30,6 +30,7 @@
 
 from .test_forwarding import OneLink
 from .test_late_reads import encode_request
+from .test_lost_requests import tcp_connections
 from .test_membership import host_id
 from .test_placement import req
 from .test_source_sync import Clock, new_host
@@ -103,6 +104,25 @@
     assert forward_late(1.0, relay_in_pieces)[-1] == "broke off"
 
 
+def test_in_pieces_with_a_limit_a_response_to_a_caller_is_cut():
+    async def main():
+        conn, caller, head = await tcp_connections()
+        host = types.SimpleNamespace(now=trio.current_time, is_leaving=False)
+        request = edge.CallerRequest(conn, DIALECT.read_head(head), 0.0, 0.0)
+        sink = edge._caller_sink(host, request, None)
+        framed = types.SimpleNamespace(
+            status=200, headers=[(b"content-length", b"%d" % len(BODY))]
+        )
+        with late_loop(1.0), pytest.raises(AnswerCutError):
+            await relay_in_pieces(host, sink, None, framed, BODY)
+        await conn.close()
+        await caller.next_response()
+        with pytest.raises(h11.RemoteProtocolError):
+            await collect_body(caller.next_data)
+
+    trio.run(main)
+
+
 def answer_at_once(sock):
     """Stand for a host that answers a forwarded request at once, frame by frame."""
     sock.recv(65536)
