Let a deadline not cut the end of a stream that is complete

A stream whose last event had been sent lost its end, and so was cut for its caller, when its deadline passed in the turn between them. The end now leaves as a complete answer does, past the deadline. Tests with and without the lifted deadline.

--- a/src/cactusmill/internal/answer_frames.py
+++ b/src/cactusmill/internal/answer_frames.py
@@ -49,8 +49,8 @@
     stream : trio.abc.Stream or None
         Transport of the link; None if its end is not looked for.
     deliver : callable or None
-        ``await deliver(frames)`` sends the frames of a complete response; None for a
-        sink that never gets one.
+        ``await deliver(frames)`` sends the frames of a complete response, or its last
+        one; None for a sink that never gets a complete one.
     """
     size = 0
 
@@ -65,7 +65,11 @@
         await send(answer_data=AnswerData(call, chunk, position))
 
     async def end():
-        await send(answer_end=AnswerEnd(call, True, size))
+        message = AnswerEnd(call, True, size)
+        if deliver is None:
+            await send(answer_end=message)
+        else:
+            await deliver([Frame(answer_end=message)])
 
     async def whole(status, headers, body):
         await deliver(whole_answer(call, encode_head(status, headers), body))
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -78,12 +78,15 @@
 def _lift_deadline(sink, scope):
     """Return a sink whose complete responses a request's deadline does not cut."""
 
-    async def whole(status, headers, body):
-        scope.deadline = math.inf
-        with trio.CancelScope(shield=scope.cancel_called):
-            await sink.whole(status, headers, body)
+    def lifted(send):
+        async def send_complete(*args):
+            scope.deadline = math.inf
+            with trio.CancelScope(shield=scope.cancel_called):
+                await send(*args)
 
-    return attrs.evolve(sink, whole=whole)
+        return send_complete
+
+    return attrs.evolve(sink, whole=lifted(sink.whole), end=lifted(sink.end))
 
 
 async def _run_attempts(host, req, sink, progress, is_forwarded):
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -448,7 +448,7 @@
         await send(conn.send, h11.Data(data=chunk))
 
     async def end():
-        await send(conn.send, h11.EndOfMessage())
+        await send(conn.deliver, h11.EndOfMessage())
 
     async def whole(status, headers, body):
         events = begin(status, headers), h11.Data(data=body), h11.EndOfMessage()
--- a/tests/serving/test_late_deliveries.py
+++ b/tests/serving/test_late_deliveries.py
@@ -181,38 +181,52 @@
     assert refusal.status == 504 and not responses
 
 
-def run_past_deadline():
+async def send_whole(sink):
+    await sink.whole(200, [], BODY)
+
+
+async def send_stream(sink):
+    await sink.head(200, [], BODY)
+    await sink.end()
+
+
+def run_past_deadline(respond):
     """Run a request whose answer takes longer to send than its deadline allows."""
-    sent = []
+    ended = []
 
-    async def whole(status, headers, body):
+    async def begin(status, headers, first):
+        pass
+
+    async def send_late(*args):
         await trio.sleep(2 * DEADLINE_S)
-        sent.append(body)
+        ended.append(True)
 
     async def attempt(host, request, sink, progress, is_forwarded):
         progress.has_response_started = True
-        await sink.whole(200, [], BODY)
+        await respond(sink)
 
     async def main():
         host = types.SimpleNamespace(now=trio.current_time)
         request = attrs.evolve(req(), deadline=host.now() + DEADLINE_S)
-        sink = Sink(head=None, data=None, end=None, whole=whole)
+        sink = Sink(head=begin, data=None, end=send_late, whole=send_late)
         with pytest.MonkeyPatch.context() as patch:
             patch.setattr(dispatch, "_run_attempts", attempt)
             await dispatch.run_request(host, request, sink, new_progress(request, 1))
 
     trio.run(main)
-    return sent
+    return ended
 
 
-def test_deadline_does_not_cut_a_complete_answer():
-    assert run_past_deadline() == [BODY]
+@pytest.mark.parametrize("respond", [send_whole, send_stream])
+def test_deadline_does_not_cut_a_complete_answer(respond):
+    assert run_past_deadline(respond) == [True]
 
 
-def test_deadline_that_is_not_lifted_cuts_a_complete_answer(monkeypatch):
+@pytest.mark.parametrize("respond", [send_whole, send_stream])
+def test_deadline_that_is_not_lifted_cuts_a_complete_answer(monkeypatch, respond):
     monkeypatch.setattr(dispatch, "_lift_deadline", lambda sink, scope: sink)
     with pytest.raises(AnswerCutError):
-        run_past_deadline()
+        run_past_deadline(respond)
 
 
 CALLERS = 100
