Give up a silent endpoint only if another step takes over at once

The next step is now reserved first: attempts, retry credit, a step of the overload policy without the silent endpoint, and a connection to the endpoint that it names. Until there is one, the exchange is kept and read on until its deadline, looked at every 0.3 s. A frame of a link whose reception is cancelled is kept for the next call.

--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -146,6 +146,8 @@
     async def receive(self):
         """Return the next frame.
 
+        If it is cancelled, what has been received of a frame is kept for the next call.
+
         Raises
         ------
         LinkClosedError
@@ -163,26 +165,30 @@
             ) from exc
 
     async def _receive_frame(self):
-        size = _LENGTH.unpack(await self._read_exactly(_LENGTH.size))[0]
+        await self._fill(_LENGTH.size)
+        size = _LENGTH.unpack_from(self._received)[0]
         limit = self.max_frame_bytes
         if size > limit:
             raise LinkClosedError(f"frame of {size} bytes is over {limit}")
+        end = _LENGTH.size + size
         if self.buffers is None:
-            return decode(await self._read_exactly(size))
-        try:
-            with self.buffers.hold() as count_held:
-                return decode(await self._read_exactly(size, count_held))
-        except BufferLimitError as exc:
-            raise LinkClosedError(str(exc)) from exc
-
-    async def _read_exactly(self, size, count_held=None):
+            await self._fill(end)
+        else:
+            try:
+                with self.buffers.hold() as count_held:
+                    await self._fill(end, count_held)
+            except BufferLimitError as exc:
+                raise LinkClosedError(str(exc)) from exc
+        data = bytes(self._received[_LENGTH.size : end])
+        del self._received[:end]
+        return decode(data)
+
+    async def _fill(self, size, count_held=None):
+        """Receive until a number of bytes are there, and count what came."""
         while len(self._received) < size:
             data = await self._receive_some()
             if count_held is not None:
                 count_held(data)
-        data = bytes(self._received[:size])
-        del self._received[:size]
-        return data
 
     async def _receive_some(self):
         try:
--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -9,7 +9,6 @@
 import trio
 
 from ..errors import (
-    ConnectError,
     CrossedAnswerError,
     ExchangeError,
     SilentEndpointError,
@@ -39,6 +38,8 @@
 _CONNECTION_FRACTION = 0.8
 # Number of responses read before the exchange fails because none is its own.
 _MAX_SKIPPED_RESPONSES = 3
+# Interval at which a silent endpoint is looked at again.
+_LOOK_AGAIN_S = 0.3
 # Requests up to this size fit the socket's send buffer, so that sending does not
 # wait for the endpoint.
 _MAX_UNBLOCKED_BYTES = 8 * 1024
@@ -65,6 +66,43 @@
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
 
 
+async def receive_patiently(receive, stream, limit_s, may_give_up):
+    """Receive from an endpoint or host that may fall silent and go on.
+
+    Parameters
+    ----------
+    receive : callable
+        ``await receive()`` returns what was received. It may be cancelled and called
+        again without loss.
+    stream : trio.abc.Stream
+        The transport. On a late event loop, bytes may wait there when the limit passes.
+    limit_s : float
+        Silence after which to ask whether to give up, in seconds.
+    may_give_up : callable
+        ``await may_give_up(is_silent)`` returns whether something else takes over. If
+        not, it is asked again after `_LOOK_AGAIN_S` seconds; the caller limits the
+        whole. ``is_silent()`` tells whether there is nothing to read.
+
+    Raises
+    ------
+    SilentEndpointError
+        Once it may be given up.
+    """
+    silent_s = 0.0
+    while True:
+        with trio.move_on_after(max(0.0, limit_s)):
+            return await receive()
+        silent_s += limit_s
+        limit_s = _LOOK_AGAIN_S
+        if await may_give_up(lambda: is_idle_and_open(stream)):
+            raise SilentEndpointError(f"no progress for {silent_s:.2f} s")
+
+
+async def give_up_always(is_silent):
+    """Give up whatever is silent for its limit, as in :func:`receive_patiently`."""
+    return is_silent()
+
+
 @attrs.define(eq=False)
 class _Idle:
     conn: Connection
@@ -124,19 +162,19 @@
         self._count(name, 1)
         return client_connection(stream), False
 
-    async def is_alive(self, name, address, now):
-        """Return whether an endpoint still accepts connections.
+    async def probe(self, name, address, now):
+        """Connect to an endpoint, and keep the connection for the next request.
 
-        The probing connection is kept in the pool for the next request.
+        Raises
+        ------
+        ConnectError
+            If it does not accept the connection at once. Only
+            :class:`ConnectRefusedError` is evidence that its process has ended.
         """
-        try:
-            stream = await self.net.connect(address, _PROBE_TIMEOUT_S)
-        except ConnectError:
-            return False
+        stream = await self.net.connect(address, _PROBE_TIMEOUT_S)
         enable_dead_peer_detection(stream)
         self.opened += 1
         self._put_idle(name, client_connection(stream), _DEFAULT_IDLE_S, now)
-        return True
 
     def _put_idle(self, name, conn, idle_s, now):
         expires_at = now + min(_MAX_IDLE_S, idle_s * _IDLE_FRACTION)
@@ -195,7 +233,17 @@
         sock.close()
 
 
-async def exchange(pool, name, conn, request, body, request_id, read_metadata, limits):
+async def exchange(
+    pool,
+    name,
+    conn,
+    request,
+    body,
+    request_id,
+    read_metadata,
+    limits,
+    may_give_up=give_up_always,
+):
     """Send a request and receive the head of its response.
 
     The response is awaited while the body is still being sent, since an endpoint
@@ -218,8 +266,10 @@
     read_metadata : callable
         ``read_metadata(status, headers)`` returns :class:`ResponseMetadata`.
     limits : tuple of (float, float)
-        Time limits for the response head and between two chunks of the body, in
-        seconds.
+        Silence before the response head and between two chunks of the body after
+        which `may_give_up` is asked, in seconds.
+    may_give_up : callable
+        As in :func:`receive_patiently`; :func:`give_up_always` by default.
 
     Returns
     -------
@@ -233,18 +283,20 @@
     ttfb_timeout_s, stall_timeout_s = limits
     events = [request, *([h11.Data(data=body)] if body else []), h11.EndOfMessage()]
     data = b"".join(conn.h11.send(event) or b"" for event in events)
-    head = None
-    with trio.move_on_after(max(0.0, ttfb_timeout_s)):
-        if len(data) <= _MAX_UNBLOCKED_BYTES:
-            await _send(conn, data)
-            head = await _receive_own_head(conn, request, request_id, read_metadata)
-        else:
-            head = await _send_and_receive(
-                conn, data, request, request_id, read_metadata
-            )
-    if head is None:
-        raise SilentEndpointError(f"no answer within {ttfb_timeout_s:.2f} s")
-    response, metadata = head
+
+    def receive_before_head(receive):
+        return receive_patiently(receive, conn.stream, ttfb_timeout_s, may_give_up)
+
+    async def receive_own_head():
+        return await _receive_own_head(
+            conn, request, request_id, read_metadata, receive_before_head
+        )
+
+    if len(data) <= _MAX_UNBLOCKED_BYTES:
+        await _send(conn, data)
+        response, metadata = await receive_own_head()
+    else:
+        response, metadata = await _send_and_receive(conn, data, receive_own_head)
     headers = list(response.headers)
     received = ReceivedBody(
         response_framing(request.method, response.status_code, headers)
@@ -252,12 +304,12 @@
 
     async def next_data():
         try:
-            with trio.fail_after(stall_timeout_s):
-                return await conn.next_data(received)
-        except trio.TooSlowError as exc:
-            raise SilentEndpointError(
-                f"no progress for {stall_timeout_s:.2f} s"
-            ) from exc
+            return await receive_patiently(
+                lambda: conn.next_data(received),
+                conn.stream,
+                stall_timeout_s,
+                may_give_up,
+            )
         except h11.RemoteProtocolError as exc:
             raise TruncatedAnswerError(str(exc)) from exc
 
@@ -278,14 +330,14 @@
     )
 
 
-async def _send_and_receive(conn, data, request, request_id, read_metadata):
+async def _send_and_receive(conn, data, receive_own_head):
     """Receive the response head while a long body is still being sent."""
     head, failure = None, None
 
     async def receive():
         nonlocal head, failure
         try:
-            head = await _receive_own_head(conn, request, request_id, read_metadata)
+            head = await receive_own_head()
         except ExchangeError as exc:
             failure = exc
         nursery.cancel_scope.cancel()
@@ -308,31 +360,34 @@
         conn.is_partly_sent = False
 
 
-async def _receive_own_head(conn, request, request_id, read_metadata):
-    """Receive the response head, skipping late responses to other requests."""
+async def _receive_own_head(conn, request, request_id, read_metadata, wait):
+    """Receive the response head, skipping late responses to other requests.
+
+    ``await wait(receive)`` limits each wait for received bytes.
+    """
     for _ in range(_MAX_SKIPPED_RESPONSES):
-        response = await _receive_head(conn)
+        response = await _receive_head(conn, wait)
         metadata = read_metadata(response.status_code, list(response.headers))
         if metadata.request_id is None or metadata.request_id == request_id:
             return response, metadata
-        await _skip_response(conn, request, response)
+        await _skip_response(conn, request, response, wait)
     raise CrossedAnswerError(f"only answers to others than {request_id!r}")
 
 
-async def _receive_head(conn):
+async def _receive_head(conn, wait):
     try:
-        return await conn.next_response()
+        return await wait(conn.next_response)
     except h11.RemoteProtocolError as exc:
         raise TruncatedAnswerError(str(exc)) from exc
 
 
-async def _skip_response(conn, request, response):
+async def _skip_response(conn, request, response, wait):
     """Discard a response to another request, and prepare to receive the next."""
     received = ReceivedBody(
         response_framing(request.method, response.status_code, response.headers)
     )
     try:
-        while await conn.next_data(received) is not None:
+        while await wait(lambda: conn.next_data(received)) is not None:
             pass
     except h11.RemoteProtocolError as exc:
         raise TruncatedAnswerError(str(exc)) from exc
--- a/src/cactusmill/serving/cross_region.py
+++ b/src/cactusmill/serving/cross_region.py
@@ -15,18 +15,13 @@
 from .events import log_event
 from .forwarding import forward
 from .progress import BUSY_RETRY_S
-from .response_relay import (
-    has_events,
-    relay_body,
-    relay_stream,
-    stall_timeout_s,
-)
+from .response_relay import STALL_S, has_events, relay_body, relay_stream
 
 # Round trip between regions, added to the stall timeout.
 _RTT_MARGIN_S = 0.2
 
 
-async def run_in_other_region(host, req, sink, progress, step):
+async def run_in_other_region(host, req, sink, progress, step, may_give_up):
     """Forward a request to a host of another region and relay the response.
 
     Parameters
@@ -41,6 +36,9 @@
         State of the request.
     step : ForwardTo
         The host to forward it to.
+    may_give_up : callable
+        Looks for a step that takes over from a silent host, as in
+        :func:`.connections.receive_patiently`.
 
     Returns
     -------
@@ -64,7 +62,8 @@
             sink,
             progress.attempts_left,
             progress.scanner.last_id,
-            stall_timeout_s(req, left_s) + _RTT_MARGIN_S,
+            min(left_s, STALL_S) + _RTT_MARGIN_S,
+            may_give_up,
         )
         if isinstance(response, Refusal):
             refusal, response = response, None
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -13,6 +13,8 @@
 
 from ..errors import (
     AnswerCutError,
+    ConnectError,
+    ConnectRefusedError,
     EndpointFailed,
     NoEndpoint,
     Outcome,
@@ -21,7 +23,8 @@
 )
 from ..internal.request import is_permitted
 from .cross_region import run_in_other_region
-from .overload import ForwardTo, choose_remote_host, decide
+from .events import log_event
+from .overload import ForwardTo, Send, choose_remote_host, decide
 from .progress import deadline_exceeded, may_repeat
 from .sending import send_to_endpoint
 from .shedding import would_shed
@@ -97,12 +100,18 @@
             outcome=progress.outcome,
             retry_after_s=_BLOCKED_RETRY_S,
         )
+
+    async def may_give_up(is_silent):
+        return await _reserve_step(host, req, progress, is_forwarded, is_silent)
+
     refusal = None
     while True:
         sink.check_open()
         if host.now() >= req.deadline:
             return _final_refusal(progress, deadline_exceeded(progress))
-        step = _next_step(host, req, progress, is_forwarded)
+        step, progress.reserved_step = progress.reserved_step, None
+        if step is None:
+            step = _next_step(host, req, progress, is_forwarded)
         if isinstance(step, NoEndpoint):
             paused = _paused(host, req)
             if paused is not None:
@@ -113,13 +122,17 @@
             # A refusal by an endpoint or another region tells more about the cause.
             return _final_refusal(progress, refusal or step)
         if isinstance(step, ForwardTo):
-            outcome = await run_in_other_region(host, req, sink, progress, step)
+            outcome = await run_in_other_region(
+                host, req, sink, progress, step, may_give_up
+            )
         else:
-            outcome = await send_to_endpoint(host, req, sink, progress, step.choice)
+            outcome = await send_to_endpoint(
+                host, req, sink, progress, step.choice, may_give_up
+            )
         if outcome is None:
             return None
         refusal = outcome
-        if not _may_retry(host, req, progress):
+        if progress.reserved_step is None and not _may_retry(host, req, progress):
             if refusal.outcome is Outcome.NOT_RUN:
                 refusal = _paused(host, req) or refusal
             return _final_refusal(progress, refusal)
@@ -174,8 +187,11 @@
     return refusal
 
 
-def _next_step(host, req, progress, is_forwarded):
-    """Return the next step by the overload policy: send, forward or refuse."""
+def _next_step(host, req, progress, is_forwarded, silent=()):
+    """Return the next step by the overload policy: send, forward or refuse.
+
+    Endpoints whose names are in `silent` are left out, besides those tried.
+    """
     now = host.now()
     local, listed = None, []
     service = host.service(req.service)
@@ -188,7 +204,7 @@
         )
         listed = host.with_connection_room(listed, service, now)
         local = host.placement.choose(
-            req, service, listed, host.membership, now, progress.tried
+            req, service, listed, host.membership, now, progress.tried.union(silent)
         )
     remote = None if is_forwarded else _remote_host(host, req, progress, now)
     objective_s = req.objective_at - now
@@ -237,3 +253,54 @@
     if progress.sends == 0:
         return True
     return host.retry_budget(req.service, host.now()).spend()
+
+
+async def _reserve_step(host, req, progress, is_forwarded, is_silent):
+    """Reserve the step that takes over from a silent endpoint; return whether one does.
+
+    A sound endpoint may fall silent for a while and go on, so that it is only given up
+    if the request can go on elsewhere at once.
+    """
+    if not is_silent():
+        return False
+    problem = await _try_reserve_step(host, req, progress, is_forwarded, is_silent)
+    seen = (progress.endpoint, problem or "another step takes over")
+    if seen != progress.silence:
+        progress.silence = seen
+        log_event(
+            "endpoint_silent",
+            request_id=req.request_id,
+            endpoint=progress.endpoint,
+            reason=seen[1],
+            has_response_started=progress.has_response_started,
+        )
+    return not problem
+
+
+async def _try_reserve_step(host, req, progress, is_forwarded, is_silent):
+    """Reserve a step; return why none could be reserved, or an empty text."""
+    if not may_repeat(req.route):
+        return "the request runs once"
+    if progress.attempts_left <= 0:
+        return "no attempt is left"
+    budget = host.retry_budget(req.service, host.now())
+    if budget.credit < 1.0:
+        return "no retry is left in the budget"
+    step = _next_step(host, req, progress, is_forwarded, {progress.endpoint})
+    if isinstance(step, Refusal):
+        return "no other endpoint can take it"
+    if isinstance(step, Send):
+        choice = step.choice
+        endpoint, now = choice.endpoint, host.now()
+        try:
+            await host.pool.probe(endpoint.name, endpoint.address, now)
+        except ConnectError as exc:
+            is_refused = isinstance(exc, ConnectRefusedError)
+            host.placement.record_unreachable(choice.entry, is_refused, host.now())
+            return "the other endpoint does not accept connections"
+    if not is_silent():
+        return "it went on meanwhile"
+    if not budget.spend():
+        return "no retry is left in the budget"
+    progress.reserved_step = step
+    return ""
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -39,7 +39,11 @@
     Frame,
     Header,
 )
-from .connections import enable_dead_peer_detection
+from .connections import (
+    enable_dead_peer_detection,
+    give_up_always,
+    receive_patiently,
+)
 from .events import log_event
 from .responses import EndpointResponse
 
@@ -124,7 +128,16 @@
         sock.close()
 
 
-async def forward(host, member, req, sink, attempts, last_event_id, stall_timeout_s):
+async def forward(
+    host,
+    member,
+    req,
+    sink,
+    attempts,
+    last_event_id,
+    stall_timeout_s,
+    may_give_up=give_up_always,
+):
     """Forward a request to a host of another region.
 
     Parameters
@@ -142,7 +155,10 @@
     last_event_id : str
         Event after which a stream resumes; empty at its beginning.
     stall_timeout_s : float
-        Longest time without data inside the response, in seconds.
+        Time without data inside the response after which `may_give_up` is asked, in
+        seconds.
+    may_give_up : callable
+        As in :func:`.connections.receive_patiently`.
 
     Returns
     -------
@@ -196,7 +212,7 @@
     received = ReceivedBody(Framing.LINK)
 
     async def next_data():
-        return await _next_data(link, received, stall_timeout_s)
+        return await _next_data(link, received, stall_timeout_s, may_give_up)
 
     async def release(now):
         await host.links.release(member.id.ip, link, now)
@@ -230,13 +246,12 @@
     return head
 
 
-async def _next_data(link, received, stall_timeout_s):
+async def _next_data(link, received, stall_timeout_s, may_give_up):
     """Return the next chunk of a forwarded response's body, or None at its end."""
     try:
-        with trio.fail_after(stall_timeout_s):
-            frame = await link.receive()
-    except trio.TooSlowError as exc:
-        raise SilentEndpointError(f"no progress for {stall_timeout_s:.2f} s") from exc
+        frame = await receive_patiently(
+            link.receive, link.stream, stall_timeout_s, may_give_up
+        )
     except LinkClosedError as exc:
         raise TruncatedAnswerError(str(exc)) from exc
     return read_body_frame(frame, received)
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -57,6 +57,10 @@
         Longest time between two chunks of a stream, in seconds.
     received : ReceivedBody or None
         Body of the latest response; None before a response.
+    reserved_step : Send or ForwardTo or None
+        Step that takes over from a silent endpoint; its retry has been paid for.
+    silence : (str, str) or None
+        Silent endpoint or host that was logged last, and what followed.
     partial_event_bytes : int
         Bytes after the last complete event when the latest response ended.
     """
@@ -82,6 +86,8 @@
     max_event_gap_s: float | None = None
     received: object = None
     partial_event_bytes: int = 0
+    reserved_step: object = None
+    silence: tuple | None = None
 
     def body_fields(self):
         """Return the fields of log lines that tell how the latest response ended."""
--- a/src/cactusmill/serving/response_relay.py
+++ b/src/cactusmill/serving/response_relay.py
@@ -15,24 +15,9 @@
 # What is discarded of a response so that its connection can be reused.
 _MAX_DRAINED_BYTES = 64 * 1024
 _MAX_DRAIN_S = 0.1
-# Longest time without data before a stream is resumed at another endpoint. Callers
+# Time without data in a response after which another endpoint may take over. Callers
 # give up after two seconds or more.
-STREAM_STALL_S = 1.6
-
-
-def stall_timeout_s(req, remaining_s):
-    """Return the longest permitted time without data in a response, in seconds.
-
-    Parameters
-    ----------
-    req : Request
-        The request.
-    remaining_s : float
-        Time until its deadline, in seconds.
-    """
-    if req.is_stream and req.route.resumable:
-        return min(remaining_s, STREAM_STALL_S)
-    return remaining_s
+STALL_S = 1.6
 
 
 async def drain(host, response):
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -19,18 +19,18 @@
 from .placement import DEFAULT_KV_CACHE_TOKENS
 from .progress import BUSY_RETRY_S, deadline_exceeded, may_repeat
 from .response_relay import (
+    STALL_S,
     drain,
     has_events,
     relay_body,
     relay_stream,
-    stall_timeout_s,
 )
 
-# An attempt at a stream that another endpoint may serve is given up if the first event
-# takes longer than this many times the prediction, and longer than the minimum.
+# Another endpoint may take over a stream if the first event takes longer than this many
+# times the prediction, and longer than the minimum.
 _FIRST_EVENT_FACTOR = 4.0
 _MIN_FIRST_EVENT_S = 1.5
-# A repeatable request is sent to another endpoint after this fraction of its
+# Another endpoint may take over a repeatable request after this fraction of its
 # remaining time.
 _FIRST_TRY_FRACTION = 0.5
 # A reused connection that fails this soon after sending is assumed to have been closed
@@ -42,7 +42,7 @@
 _MIN_RETRIED_STATUS = 500
 
 
-async def send_to_endpoint(host, req, sink, progress, choice):
+async def send_to_endpoint(host, req, sink, progress, choice, may_give_up):
     """Send a request to an endpoint.
 
     Parameters
@@ -57,6 +57,9 @@
         State of the request over its attempts.
     choice : Choice
         The endpoint and the predictions for it.
+    may_give_up : callable
+        Looks for a step that takes over from a silent endpoint, as in
+        :func:`.connections.receive_patiently`.
 
     Returns
     -------
@@ -102,7 +105,7 @@
         progress.sends += 1
         response = None
         try:
-            response = await _exchange(host, req, progress, choice, conn)
+            response = await _exchange(host, req, progress, choice, conn, may_give_up)
             progress.received = response.received
             return await _handle_response(
                 host, req, sink, progress, choice, response, load, sent_at
@@ -159,7 +162,7 @@
         self.view.in_flight -= 1
 
 
-async def _exchange(host, req, progress, choice, conn):
+async def _exchange(host, req, progress, choice, conn, may_give_up):
     """Send a request on a connection and return the response with its head."""
     endpoint = choice.endpoint
     now = host.now()
@@ -188,12 +191,13 @@
         req.body,
         req.request_id,
         read_metadata,
-        (ttfb_timeout_s, stall_timeout_s(req, remaining_s)),
+        (ttfb_timeout_s, min(remaining_s, STALL_S)),
+        may_give_up,
     )
 
 
 def _response_timeout_s(req, choice, remaining_s):
-    """Return how long to wait before another endpoint is tried, in seconds."""
+    """Return how long to wait before another endpoint may be tried, in seconds."""
     if req.is_stream:
         return min(
             remaining_s, max(_MIN_FIRST_EVENT_S, _FIRST_EVENT_FACTOR * choice.ttft_s)
@@ -222,10 +226,15 @@
         # Other idle connections may be closed or unresponsive as well.
         host.pool.close_idle(endpoint.name)
         return
-    # A live endpoint may lose a response; only a crash makes the request a suspect.
-    if not await host.pool.is_alive(endpoint.name, endpoint.address, now):
+    # A live endpoint may lose a response, and a silent one may be alive; only a crash
+    # makes the request a suspect.
+    try:
+        await host.pool.probe(endpoint.name, endpoint.address, now)
+    except ConnectRefusedError:
         host.pool.close_idle(endpoint.name)
         host.record_crash(req, progress, endpoint.name, now)
+    except ConnectError:
+        host.pool.close_idle(endpoint.name)
 
 
 async def _handle_response(host, req, sink, progress, choice, response, load, sent_at):
