Let the operating system outlast a silence on connections in use

Exchanges with sound endpoints and hosts ended with 'the connection broke while receiving' after 1.5 s without an acknowledgement, after 1 s of idleness and a lost probe, and also when an end read nothing for 1.5 s (shown with a real socket: a body of 1 MB to an end that reads nothing for 2.5 s breaks with the limit of 1.5 s and arrives with the new one). Connections in use now have 5 s, more than twice a silence of 1.9 s with the repetition after it; idle ones and those to the store keep 1.5 s, so that a dead peer is still found.

--- a/src/cactusmill/platform/store.py
+++ b/src/cactusmill/platform/store.py
@@ -4,6 +4,7 @@
 store updates its configuration and endpoints.
 """
 
+import functools
 import json
 import urllib.parse
 import zlib
@@ -12,7 +13,7 @@
 
 from ..errors import PlatformError, RecordError
 from ..internal.service_client import ServiceClient
-from ..serving.connections import enable_dead_peer_detection
+from ..serving.connections import IDLE_SILENCE_MS, enable_dead_peer_detection
 from ..serving.source_sync import HistoryLostError, Source
 from .items import change_from_item
 
@@ -51,7 +52,10 @@
 
     def __attrs_post_init__(self):
         """Create the HTTP client."""
-        self._client = ServiceClient(self.address, self.net, enable_dead_peer_detection)
+        prepare = functools.partial(
+            enable_dead_peer_detection, silence_ms=IDLE_SILENCE_MS
+        )
+        self._client = ServiceClient(self.address, self.net, prepare)
 
     def source(self):
         """Return this client as the source of configuration and endpoint changes."""
--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -22,12 +22,16 @@
 CONNECT_TIMEOUT_S = 0.6
 # A host of the same region accepts a connection within a millisecond or two.
 _PROBE_TIMEOUT_S = 0.1
-# A connection whose data stays unacknowledged this long is closed: acknowledgements
-# inside a region take milliseconds.
-_UNACKNOWLEDGED_TIMEOUT_MS = 1500
+# The operating system closes a connection whose other end has acknowledged nothing, or
+# taken nothing, for this long. In use: a silence of up to two seconds may swallow a
+# repetition of a segment, and the next comes when as much time has passed again.
+IN_USE_SILENCE_MS = 5000
+# While idle, and for connections that are replaced without harm.
+IDLE_SILENCE_MS = 1500
+# Probes of a connection without unacknowledged data. Their number is not limited, since
+# the limits above hold for them too.
 _KEEPALIVE_IDLE_S = 1
 _KEEPALIVE_INTERVAL_S = 1
-_KEEPALIVE_PROBES = 2
 # Fraction of the endpoint's announced idle timeout for which connections are reused.
 _IDLE_FRACTION = 0.6
 # Idle timeout that is assumed if the endpoint announces none.
@@ -45,25 +49,33 @@
 _MAX_UNBLOCKED_BYTES = 8 * 1024
 
 
-def enable_dead_peer_detection(stream):
+def enable_dead_peer_detection(stream, silence_ms=IN_USE_SILENCE_MS):
     """Let the operating system close a connection whose other end is gone.
 
     Parameters
     ----------
     stream : trio.SocketStream
         The connection; streams without a socket, as in tests, are left unchanged.
+    silence_ms : int
+        Time without acknowledgement after which it is, in milliseconds.
     """
     sock = getattr(stream, "socket", None)
     if sock is None:
         return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     for option, value in (
-        (socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_TIMEOUT_MS),
         (socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S),
         (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
-        (socket.TCP_KEEPCNT, _KEEPALIVE_PROBES),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
+    _limit_silence(stream, silence_ms)
+
+
+def _limit_silence(stream, silence_ms):
+    """Set the time without acknowledgement after which a connection is closed."""
+    sock = getattr(stream, "socket", None)
+    if sock is not None:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
 
 
 async def receive_patiently(receive, stream, limit_s, may_give_up):
@@ -153,6 +165,7 @@
         while idle:
             entry = idle.pop()
             if now < entry.expires_at and is_idle_and_open(entry.conn.stream):
+                _limit_silence(entry.conn.stream, IN_USE_SILENCE_MS)
                 self._count(name, 1)
                 return entry.conn, True
             await entry.conn.close()
@@ -177,6 +190,7 @@
         self._put_idle(name, client_connection(stream), _DEFAULT_IDLE_S, now)
 
     def _put_idle(self, name, conn, idle_s, now):
+        _limit_silence(conn.stream, IDLE_SILENCE_MS)
         expires_at = now + min(_MAX_IDLE_S, idle_s * _IDLE_FRACTION)
         self._idle.setdefault(name, collections.deque()).append(_Idle(conn, expires_at))
 
