Endpoints that are silent at each place, as stand-ins and tests

Shows what callers get of endpoints silent for 0.8, 1.2 and 1.9 s before the head, inside it, inside a body and between pieces, on safe, unsafe, resumable and other streams, in the region and forwarded: whole answers with one run each; a stopped process; a silence without end, bounded by the deadline, logged and counted. A silent stream goes on at another endpoint only where one accepts a connection and attempts and retries are left.

--- a/tests/serving/test_silent_endpoints.py
+++ b/tests/serving/test_silent_endpoints.py
@@ -3,16 +3,26 @@
 Whoever is silent is given up only if another endpoint takes over at once.
 """
 
+import pathlib
+import signal
 import socket
+import subprocess
+import sys
 import time
 
 import pytest
 import trio
 
-from cactusmill.errors import SilentEndpointError
-from cactusmill.internal.http import client_connection
+from cactusmill.errors import (
+    ConnectError,
+    ConnectRefusedError,
+    SilentEndpointError,
+)
+from cactusmill.internal.http import client_connection, read_body
 from cactusmill.internal.link import Link, encode
+from cactusmill.internal.net import Network
 from cactusmill.internal.wire.ttypes import AnswerData, Frame
+from cactusmill.serving import events
 from cactusmill.serving.connections import (
     IDLE_SILENCE_MS,
     IN_USE_SILENCE_MS,
@@ -21,8 +31,13 @@
     give_up_always,
     receive_patiently,
 )
+from standins.loopback import EndpointStub, configuration
+from standins.silences import QUERY, Place, silent_handler, whole_body
 
 from .test_connections import tcp_pair
+from .test_whole_path import BOTH, COMPLETE_STREAM, ENDPOINTS, on_deployment
+
+ROOT = pathlib.Path(__file__).parents[2]
 
 LIMIT_S = 0.1
 
@@ -162,3 +177,200 @@
     # after as long, and is then acknowledged over the longest path.
     silence_s, first_repetition_s, round_trip_s = 1.9, 0.4, 0.2
     assert 2 * silence_s + first_repetition_s + round_trip_s < IN_USE_SILENCE_MS / 1000
+
+
+@pytest.mark.parametrize(
+    ("error", "crashes"), [(ConnectError("silent"), 0), (ConnectRefusedError("no"), 1)]
+)
+def test_only_an_endpoint_that_refuses_connections_makes_a_crash_suspect(
+    error, crashes
+):
+    async def connect(address, timeout_s):
+        raise error
+
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+
+        async def reset(endpoint, conn, request):
+            await read_body(conn, 10**6)
+            host.pool.net = Network(connect, None)
+            return False
+
+        deployment.endpoints["desk-1"].handler = reset
+        reply = await deployment.send_request("e1", "/order/1")
+        assert reply.status == 502
+        counts = [count for count, _ in host._recent_suspects.values()]
+        assert counts == [1] * crashes
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+ENGINES = (("engine-1", "east-a", "engines"), ("engine-2", "east-a", "engines"))
+ROUTES = ("look", "order", "chat", "draft")
+SITES = {
+    "local": {"endpoints": ENDPOINTS[::2]},
+    "forwarded": {
+        "hosts": BOTH,
+        "endpoints": (("engine-1", "west-a", "engines"), ("desk-1", "west-a", "desk")),
+    },
+}
+
+
+def patient_configuration(max_attempts=2):
+    """Return a configuration whose routes leave time for silences."""
+    routes = configuration()["routes"]
+    for route in routes:
+        route["timeout_ms"] = route["target_latency_ms"] = 8000
+        if max_attempts < route["max_attempts"]:
+            route["max_attempts"] = max_attempts
+    return configuration(routes=routes)
+
+
+@pytest.mark.parametrize("site", SITES)
+@pytest.mark.parametrize("silence_s", [0.8, 1.2, 1.9])
+def test_response_of_a_silent_endpoint_without_another_is_whole(silence_s, site):
+    """Each kind of route, silent at each place, all at once."""
+    failed = []
+
+    async def scenario(deployment):
+        for endpoint in deployment.endpoints.values():
+            endpoint.handler = silent_handler(silence_s)
+
+        async def call(route, place):
+            request_id = f"{route}-{place.value}"
+            reply = await deployment.send_request(
+                "e1",
+                f"/{route}/1?{QUERY.decode()}{place.value}",
+                request_id=request_id,
+                model="m" if route in ("chat", "draft") else "",
+                budget_ms=8000,
+            )
+            whole = b"".join(whole_body(request_id))
+            if not reply.is_complete or reply.body != whole:
+                failed.append((request_id, reply))
+
+        async with trio.open_nursery() as nursery:
+            for route in ROUTES:
+                for place in Place:
+                    nursery.start_soon(call, route, place)
+        runs = [run for e in deployment.endpoints.values() for run in e.runs]
+        assert not failed
+        assert sorted(runs) == sorted(f"{r}-{p.value}" for r in ROUTES for p in Place)
+
+    on_deployment(scenario, published=patient_configuration(), **SITES[site])
+
+
+def stream_of_two_engines(change, max_attempts=2):
+    """Return the runs of a stream whose first engine is silent for 3 s, and its time.
+
+    ``change(deployment, other)`` is called once it is silent, with the other engine.
+    """
+    found = []
+
+    async def scenario(deployment):
+        started_at = trio.current_time()
+
+        async def hold_stream(endpoint, conn, request):
+            for other in deployment.endpoints.values():
+                if other is not endpoint:
+                    other.handler = silent_handler(0.0)
+                    change(deployment, other)
+            return await silent_handler(3.0)(endpoint, conn, request)
+
+        for endpoint in deployment.endpoints.values():
+            endpoint.handler = hold_stream
+        path = f"/chat/1?{QUERY.decode()}{Place.BETWEEN_PIECES.value}"
+        reply = await deployment.send_request("e1", path, model="m", budget_ms=8000)
+        assert reply.is_complete and reply.body == b"".join(whole_body("r-1"))
+        runs = sum(len(e.runs) for e in deployment.endpoints.values())
+        found.append((runs, trio.current_time() - started_at))
+
+    on_deployment(
+        scenario,
+        endpoints=ENGINES,
+        published=patient_configuration(max_attempts),
+    )
+    return found[0]
+
+
+def test_silent_stream_goes_on_at_another_endpoint_that_takes_it_over():
+    runs, took_s = stream_of_two_engines(lambda deployment, other: None)
+    assert runs == 2 and took_s < 2.9
+
+
+def close_listener(deployment, other):
+    deployment.scopes[other.name].cancel()
+
+
+def spend_retries(deployment, other):
+    for host in deployment.hosts.values():
+        budget = host.retry_budget("engines", host.now())
+        budget.credit = 0.0
+
+
+@pytest.mark.parametrize("change", [close_listener, spend_retries])
+def test_silent_stream_is_kept_if_no_other_endpoint_can_take_it_over(change):
+    runs, took_s = stream_of_two_engines(change)
+    assert runs == 1 and took_s >= 3.0
+
+
+def test_silent_stream_is_kept_without_another_attempt():
+    runs, _ = stream_of_two_engines(lambda deployment, other: None, max_attempts=1)
+    assert runs == 1
+
+
+@pytest.mark.parametrize("route", ROUTES)
+def test_endpoint_silent_for_ever_behind_its_head_is_bounded_by_the_deadline(route):
+    async def scenario(deployment):
+        before = events.counts["endpoint_silent"]
+        for endpoint in deployment.endpoints.values():
+            endpoint.handler = silent_handler(0.0, is_forever=True)
+        started_at = trio.current_time()
+        reply = await deployment.send_request(
+            "e1",
+            f"/{route}/1?{QUERY.decode()}{Place.BETWEEN_PIECES.value}",
+            model="m" if route in ("chat", "draft") else "",
+            budget_ms=2500,
+        )
+        assert not reply.is_complete or reply.status == 504
+        assert 2.4 < trio.current_time() - started_at < 3.0
+        assert events.counts["endpoint_silent"] == before + 1
+
+    on_deployment(scenario, endpoints=ENDPOINTS[::2])
+
+
+def test_stream_of_a_stopped_process_goes_on():
+    process = subprocess.Popen(
+        [sys.executable, "-m", "standins.silences"]
+        + ["--name", "engine-1", "--listen", "127.0.0.1:0"],
+        stdout=subprocess.PIPE,
+        cwd=ROOT,
+    )
+
+    async def scenario(deployment):
+        stub = EndpointStub("engine-1", "east-a", "engines")
+        stub.address = f"127.0.0.1:{int(process.stdout.readline())}"
+        deployment.store.put("servers/engine-1", stub.entry())
+        catalog = deployment.hosts["e1"].catalog
+        await deployment.wait_until(lambda: catalog.listed_for("engines"))
+
+        async def stop_for_a_while():
+            await trio.sleep(0.25)
+            process.send_signal(signal.SIGSTOP)
+            await trio.sleep(1.9)
+            process.send_signal(signal.SIGCONT)
+
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(stop_for_a_while)
+            started_at = trio.current_time()
+            reply = await deployment.send_request(
+                "e1", "/chat/1", model="m", budget_ms=8000
+            )
+            assert reply.is_complete and reply.body == COMPLETE_STREAM
+            assert trio.current_time() - started_at > 1.9
+
+    try:
+        on_deployment(scenario, published=patient_configuration())
+    finally:
+        process.kill()
+        process.wait()
