Own interface: links with calls outlast a silence, and own late heartbeats count for nobody

A link was closed 2 s after the last received frame, with the requests in flight on it: a sound host that is silent for 1.9 s just before it would have acknowledged was cut, and so was any peer whose heartbeat this host had sent late. Silence now counts from a heartbeat that is unanswered; with calls from when it was sent, without from when it was due. Shown on the times of a peer; on a link without calls the bound is what it was.

--- a/src/cactusmill/internal/peers.py
+++ b/src/cactusmill/internal/peers.py
@@ -55,6 +55,9 @@
     heartbeat_requested_at : float
         Time at which a heartbeat was last requested ahead of the interval, in
         seconds.
+    unanswered_since : float or None
+        Time of the first heartbeat sent on the link since the last received frame, in
+        seconds; None if there was none.
     used_at : float
         Time at which the peer was last looked up for a request, in seconds.
     waits : dict of str to float
@@ -73,6 +76,7 @@
     waits: dict = attrs.field(factory=dict)
     scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
     heartbeat_requested_at: float = 0.0
+    unanswered_since: float | None = None
     used_at: float = 0.0
     _heartbeat_requested: trio.Event = attrs.field(factory=trio.Event)
     _calls: dict = attrs.field(factory=dict)
@@ -197,7 +201,7 @@
         )
         if link.peer.host != peer.host.name:
             raise LinkClosedError(f"{peer.host.peers} is {link.peer.host}")
-        peer.link, peer.was_connected = link, True
+        peer.link, peer.was_connected, peer.unanswered_since = link, True, None
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_send_heartbeats, host, peer, link, nursery.cancel_scope)
             if peer.host.zone == host.cfg.zone:
@@ -211,6 +215,8 @@
 async def _send_heartbeats(host, peer, link, scope):
     try:
         for sequence in itertools.count(1):
+            if peer.unanswered_since is None:
+                peer.unanswered_since = host.now()
             await link.send(heartbeat=heartbeat(host, sequence))
             # New versions and leaving states are sent at once, everything else
             # at intervals.
@@ -235,9 +241,23 @@
     return max(host.cfg.heartbeat_s, budget_interval_s)
 
 
-def _silence_timeout_s(host, peer):
-    missed_heartbeats = host.cfg.peer_timeout_s / host.cfg.heartbeat_s
-    return missed_heartbeats * heartbeat_interval_s(host, peer)
+def _silence_left_s(host, peer, last_frame_at):
+    """Return how long a peer may still be silent before its link is closed, in seconds.
+
+    Heartbeats are acknowledged, so silence means that the link or the peer is lost even
+    if the connection is open. It counts from when a heartbeat was due, or was sent if
+    this host was late with it. With calls it counts from the heartbeat itself, since a
+    sound peer may be silent for a while.
+    """
+    interval_s = heartbeat_interval_s(host, peer)
+    timeout_s = host.cfg.peer_timeout_s / host.cfg.heartbeat_s * interval_s
+    if peer.unanswered_since is None:
+        return timeout_s
+    silent_since = peer.unanswered_since
+    if not peer.has_calls:
+        due_at = max(last_frame_at, peer.heartbeat_requested_at)
+        silent_since = max(due_at, silent_since - interval_s)
+    return silent_since + timeout_s - host.now()
 
 
 async def _send_loads(host, link, scope):
@@ -279,20 +299,20 @@
 
 
 async def _read_frames(host, peer, link, scope):
-    last_frame_at = host.now()
+    last_frame_at, wait_s = host.now(), host.cfg.peer_timeout_s
     try:
         while True:
             frame = None
-            with trio.move_on_after(host.cfg.peer_timeout_s):
+            with trio.move_on_after(wait_s):
                 frame = await link.receive()
             if frame is None:
-                silent_since = max(last_frame_at, peer.heartbeat_requested_at)
-                if host.now() - silent_since >= _silence_timeout_s(host, peer):
-                    # Heartbeats are acknowledged, so silence means that the
-                    # link or the peer is lost even if the connection is open.
+                left_s = _silence_left_s(host, peer, last_frame_at)
+                if left_s <= 0:
                     break
+                wait_s = min(left_s, host.cfg.peer_timeout_s)
                 continue
-            last_frame_at = host.now()
+            last_frame_at, wait_s = host.now(), host.cfg.peer_timeout_s
+            peer.unanswered_since = None
             _handle_frame(host, peer, frame)
     except LinkClosedError:
         pass
--- a/tests/internal/test_silences.py
+++ b/tests/internal/test_silences.py
@@ -1,6 +1,7 @@
 """Endpoints and hosts of the own interface that fall silent for a while and go on."""
 
 import time
+import types
 
 import attrs
 import pytest
@@ -11,6 +12,7 @@
 from cactusmill.internal.attempts import RequestProgress
 from cactusmill.internal.endpoints import EndpointPool, EndpointState, Exchange
 from cactusmill.internal.http import client_connection
+from cactusmill.internal.peers import Peer, _silence_left_s
 
 from .test_attempts import ENDPOINT, request
 from .test_relay import chunked, run_relay, tcp_pair
@@ -101,3 +103,29 @@
         time.sleep(0.3)
 
     assert run_relay(scenario, stall_limit_s=0.2) == (True, body)
+
+
+def silence_left_s(now, unanswered_since, has_calls):
+    """Return how long a peer of the same zone, last heard at 10.0 s, may be silent."""
+    cfg = types.SimpleNamespace(zone="z", heartbeat_s=0.5, peer_timeout_s=2.0)
+    host = types.SimpleNamespace(cfg=cfg, now=lambda: now, peers={})
+    peer = Peer(types.SimpleNamespace(zone="z"), unanswered_since=unanswered_since)
+    if has_calls:
+        peer._calls[1] = None
+    return _silence_left_s(host, peer, 10.0)
+
+
+def test_link_without_calls_is_closed_after_the_timeout_from_the_last_frame():
+    assert silence_left_s(12.0, 10.5, has_calls=False) == pytest.approx(0.0)
+
+
+def test_link_with_calls_outlasts_a_silence_of_a_sound_host():
+    # Silent for 1.9 s from 10.4 s on, with the next heartbeat at 10.5 s.
+    assert silence_left_s(12.3, 10.5, has_calls=True) > 0
+    assert silence_left_s(12.3, 10.5, has_calls=False) < 0
+
+
+def test_own_lateness_with_a_heartbeat_does_not_count_as_silence_of_the_peer():
+    # The heartbeat that was due at 10.5 s was sent at 13.5 s.
+    assert silence_left_s(13.6, 13.5, has_calls=False) > 1.0
+    assert silence_left_s(13.6, None, has_calls=False) == 2.0
