Close idle connections of callers only when nothing has arrived on them

A host that left closed all connections without a request in progress, also those on which one had arrived unread, whose caller saw a reset, and those that discarded what still came behind a refusal, logged as a fault (the descriptor was closed under its task). The waits for a next request are now ended one by one; a connection that has received something by then is served, and refused with a 503 that says that it did not run and announces the close. The idle timeout has the same look. A caller that had a response within the last half second has its connection a little longer.

--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -27,6 +27,7 @@
     discard_received_body,
     has_other_end_closed,
     header,
+    is_idle_and_open,
     lingering_close,
     read_body,
     server_connection,
@@ -144,7 +145,8 @@
     """Return the next event, or None if it did not arrive in time.
 
     A caller may be idle for long before a head, but once a head has begun, it must
-    be complete within a shorter time.
+    be complete within a shorter time. A head that has arrived when the wait for it
+    ends is read.
     """
     if not conn.h11.trailing_data[0] and not await _receive_while_idle(host, conn):
         return None
@@ -154,18 +156,21 @@
 
 
 async def _receive_while_idle(host, conn):
-    """Wait for the first bytes of a request; return whether they came in time.
+    """Wait for the first bytes of a request; return whether some have come.
 
-    A longer limit that takes force meanwhile applies, since callers rely on it.
+    A longer limit that takes force meanwhile applies, since callers rely on it. The
+    host may end the wait early (see `IdleWaits`).
     """
     idle_since = trio.current_time()
     while True:
         limit_s = host.limits.idle_timeout_s
-        with trio.move_on_at(idle_since + limit_s) as idle:
+        ends_at = idle_since + limit_s
+        with host.idle_callers.wait(ends_at - trio.current_time()) as idle:
             await conn.receive()
-        if not idle.cancelled_caught:
+        if not idle.cancelled_caught or not is_idle_and_open(conn.stream):
             return True
-        if host.limits.idle_timeout_s <= limit_s:
+        is_ended_early = trio.current_time() < ends_at
+        if is_ended_early or host.limits.idle_timeout_s <= limit_s:
             return False
 
 
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -51,6 +51,9 @@
 # interrupted by the same crash.
 _SAME_CRASH_S = 2.0
 _DRAIN_POLL_INTERVAL_S = 0.02
+# A caller that has just connected, or got a response before the shutdown began, may
+# send at once. Its connection is closed only after this long without a request.
+_IDLE_BEFORE_CLOSE_S = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -122,6 +125,8 @@
         When shutdown began, in seconds; infinity before.
     caller_connections, busy_connections : set of Connection
         Open connections of callers, and those with a request in progress.
+    idle_callers : IdleWaits
+        Those that wait for the next request.
     served_links : set of Link
         Open links of other hosts that have not been told that this host leaves.
     idle_links : IdleWaits
@@ -151,6 +156,7 @@
     leaving_since: float = float("inf")
     caller_connections: set = attrs.field(factory=set)
     busy_connections: set = attrs.field(factory=set)
+    idle_callers: IdleWaits = attrs.field(init=False)
     served_links: set = attrs.field(factory=set)
     idle_links: IdleWaits = attrs.field(init=False)
     forwards_running: int = 0
@@ -187,6 +193,7 @@
             incarnation=secrets.token_hex(8),
         )
         self.loop = LoopMonitor(self.now)
+        self.idle_callers = IdleWaits(self.now)
         self.idle_links = IdleWaits(self.now)
         port = int(cfg.peers.rpartition(":")[2])
         self.membership = Membership(own_id)
@@ -581,11 +588,10 @@
         while not self.refuses_requests(self.now()):
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
         self._accepting.cancel()
-        for conn in self.caller_connections - self.busy_connections:
-            await conn.close()
-        self.idle_links.end_since(self.now())
         exit_at = self.leaving_since + self.cfg.grace_s - _EXIT_MARGIN_S
-        while self.now() < exit_at and (self.busy_connections or self.served_links):
+        while self.now() < exit_at and (self.caller_connections or self.served_links):
+            self.idle_callers.end_since(self.now() - _IDLE_BEFORE_CLOSE_S)
+            self.idle_links.end_since(self.now())
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
 
 
--- /dev/null
+++ b/tests/serving/test_drain.py
@@ -0,0 +1,104 @@
+"""Closes of callers' connections by a host that leaves or limits idle time."""
+
+import time
+
+import pytest
+import trio
+
+from cactusmill.serving.events import counts
+from cactusmill.serving.gateway_host import DRAIN_S
+from standins.loopback import configuration
+
+from .test_late_reads import connect, encode_request
+from .test_lost_requests import encode_with_body, receive_responses
+from .test_whole_path import on_deployment
+
+# A connection that the host closes is seen to be closed within this time.
+CLOSED_S = 2.0
+ENDPOINTS = (("desk-1", "east-a", "desk"),)
+
+
+def end_acceptance(host):
+    """Let a host leave that accepts no more requests from now on."""
+    host.is_leaving, host.leaving_since = True, host.now() - DRAIN_S - 0.01
+    host._leaving.set()
+
+
+async def open_idle_connection(host):
+    """Return a caller's connection on which a response was received."""
+    caller = connect(host.cfg.callers)
+    caller.sendall(encode_request("/look/1"))
+    stream = trio.SocketStream(trio.socket.from_stdlib_socket(caller))
+    caller.setblocking(False)
+    response = b""
+    while not response.endswith(b"desk-1 ran r-1"):
+        response += await stream.receive_some()
+    return caller
+
+
+def is_refused_with_close(response):
+    return response.startswith(b"HTTP/1.1 503") and b"connection: close" in response
+
+
+def test_request_that_has_arrived_on_an_idle_connection_is_refused_at_the_end():
+    # The connection was closed under it, with the request unread.
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        callers = [await open_idle_connection(host) for _ in range(8)]
+        await trio.sleep(0.6)
+        for caller in callers:
+            caller.sendall(encode_request("/look/2"))
+        end_acceptance(host)
+        for caller in callers:
+            response = await receive_responses(caller, CLOSED_S)
+            assert is_refused_with_close(response), response
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+def test_idle_connections_are_closed_at_the_end_of_the_acceptance():
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        caller = await open_idle_connection(host)
+        await trio.sleep(0.6)
+        end_acceptance(host)
+        await deployment.wait_until(lambda: not host.caller_connections, CLOSED_S)
+        assert await receive_responses(caller, CLOSED_S) == b""
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+def test_shutdown_leaves_connections_alone_that_discard_what_still_comes():
+    # They were closed under the task that read from them, which was logged as a fault.
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        faults = counts["fault"]
+        caller = connect(host.cfg.callers)
+        head, body = encode_with_body("/none/1")
+        caller.sendall(head)
+        deployment.endpoints["desk-1"].work_s = 0.6
+        other = connect(host.cfg.callers)
+        other.sendall(encode_request("/look/1"))
+        await trio.sleep(0.1)
+        end_acceptance(host)
+        await trio.sleep(0.1)
+        caller.sendall(body)
+        response = await receive_responses(caller)
+        assert response.startswith(b"HTTP/1.1 404")
+        assert counts["fault"] == faults
+        assert (await receive_responses(other, CLOSED_S)).startswith(b"HTTP/1.1 200")
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+@pytest.mark.parametrize("late_s", [0.3, 1.5])
+def test_idle_time_that_ends_on_a_late_loop_takes_no_unread_request(late_s):
+    async def scenario(deployment):
+        caller = await open_idle_connection(deployment.hosts["e1"])
+        caller.sendall(encode_request("/look/2"))
+        time.sleep(late_s)
+        response = await receive_responses(caller, CLOSED_S)
+        assert response.startswith(b"HTTP/1.1 200")
+
+    limits = {**configuration()["limits"], "idle_timeout_ms": 250}
+    on_deployment(scenario, endpoints=ENDPOINTS, published=configuration(limits=limits))
