Serve connections that wait in the backlog when the listener closes

A host that stopped accepting left its last callers' connections to the operating system, which reset them although it had acknowledged their requests. They are now accepted when the listener is cancelled, on both interfaces, and the platform's path refuses their requests with a 503 that says that they did not run and announces the close; links of other hosts get the last message of a leaving host. The drain waits until the tasks of the last connections have begun. The tests see resets before. Ports of the network's tests are now below those that callers get, since one was in use.

--- a/src/cactusmill/internal/net.py
+++ b/src/cactusmill/internal/net.py
@@ -35,7 +35,8 @@
     serve : callable
         ``await serve(address, handler, handler_nursery, task_status)`` accepts
         connections until cancelled and runs ``handler(stream)`` for each in a
-        task of the nursery, so that open connections outlive the listener.
+        task of the nursery, so that open connections outlive the listener. Once it
+        is cancelled, no connection that was complete by then is lost.
     """
 
     connect: object
@@ -82,14 +83,25 @@
     """Run the handler for each connection, until cancelled.
 
     All that wait are accepted in one turn: with one in each turn, a busy process would
-    leave callers in the backlog for longer than they wait.
+    leave callers in the backlog for longer than they wait. Those that still wait when
+    it is cancelled are accepted as well, since the operating system would reset them.
     """
+
+    def accept_batch():
+        for sock in _accept_batch(listener):
+            stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+            nursery.start_soon(_handle, handler, stream)
+
     while True:
-        await trio.lowlevel.wait_readable(listener)
         try:
-            for sock in _accept_batch(listener):
-                stream = trio.SocketStream(trio.socket.from_stdlib_socket(sock))
-                nursery.start_soon(_handle, handler, stream)
+            await trio.lowlevel.wait_readable(listener)
+        except trio.Cancelled:
+            with contextlib.suppress(OSError):
+                for _ in range(0, _BACKLOG, _MAX_BATCH):
+                    accept_batch()
+            raise
+        try:
+            accept_batch()
         except OSError as exc:
             if exc.errno not in _OUT_OF_RESOURCES:
                 raise
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -180,7 +180,7 @@
     _retry_schedules: dict = attrs.field(factory=dict)
     _crashes: dict = attrs.field(factory=dict)
     _recent_suspects: dict = attrs.field(factory=dict)
-    _accepting: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    _accepting: list = attrs.field(factory=list)
 
     def __attrs_post_init__(self):
         """Create the components that depend on the settings."""
@@ -524,18 +524,20 @@
             nursery.start_soon(sync_from_source, self, self.source)
             nursery.start_soon(sync_from_hosts, self, self.source)
             await self._listen(nursery, self.cfg.peers, self._serve_link)
-            await self._listen(
-                nursery, self.cfg.callers, self._serve_caller, self._accepting
-            )
+            await self._listen(nursery, self.cfg.callers, self._serve_caller)
             nursery.start_soon(self._maintenance_loop)
             task_status.started()
             await self._drain()
             nursery.cancel_scope.cancel()
 
-    async def _listen(self, nursery, address, handler, scope=None):
+    async def _listen(self, nursery, address, handler):
+        """Accept connections until :meth:`_stop_accepting`."""
+
         async def accept(task_status):
-            with scope or trio.CancelScope():
+            with trio.CancelScope() as scope:
+                self._accepting.append(scope)
                 await self.net.serve(address, handler, nursery, task_status)
+            self._accepting.remove(scope)
 
         await nursery.start(accept)
 
@@ -587,13 +589,23 @@
         await self._leaving.wait()
         while not self.refuses_requests(self.now()):
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
-        self._accepting.cancel()
+        await self._stop_accepting()
         exit_at = self.leaving_since + self.cfg.grace_s - _EXIT_MARGIN_S
         while self.now() < exit_at and (self.caller_connections or self.served_links):
             self.idle_callers.end_since(self.now() - _IDLE_BEFORE_CLOSE_S)
             self.idle_links.end_since(self.now())
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
 
+    async def _stop_accepting(self):
+        """Close the listeners, and begin to serve what was accepted last."""
+        for scope in self._accepting:
+            scope.cancel()
+        while self._accepting:
+            await trio.sleep(_DRAIN_POLL_INTERVAL_S)
+        # The last tasks begin a turn later, whichever task has its turn first.
+        for _ in range(2):
+            await trio.sleep(_DRAIN_POLL_INTERVAL_S)
+
 
 def _describe(exc):
     """Return the texts of an exception, or of all in an exception group."""
--- a/tests/internal/test_net.py
+++ b/tests/internal/test_net.py
@@ -11,6 +11,11 @@
 from cactusmill.internal.net import TCP
 
 
+def free_port():
+    """Return a port, below those that the operating system gives to callers."""
+    return 21_000 + random.SystemRandom().randrange(11_000)
+
+
 def test_refused_connection_is_told_from_other_failures():
     with socket.socket() as sock:
         sock.bind(("127.0.0.1", 0))
@@ -31,7 +36,7 @@
             turns.append(monitor.turns)
 
         async with trio.open_nursery() as nursery:
-            port = 21_000 + random.SystemRandom().randrange(30_000)
+            port = free_port()
             await nursery.start(TCP.serve, f"127.0.0.1:{port}", handle, nursery)
             callers = [socket.socket() for _ in range(count)]
             for caller in callers:
@@ -45,3 +50,33 @@
         assert max(turns) - min(turns) <= 10
 
     trio.run(main)
+
+
+def test_connections_that_wait_when_the_listener_closes_are_served():
+    # The operating system reset them, although it had accepted their requests.
+    count = 150
+
+    async def main():
+        async def handle(stream):
+            assert await stream.receive_some() == b"request"
+            await stream.send_all(b"response")
+
+        async with trio.open_nursery() as nursery:
+            port = free_port()
+            scope = trio.CancelScope()
+
+            async def accept(task_status):
+                with scope:
+                    await TCP.serve(f"127.0.0.1:{port}", handle, nursery, task_status)
+
+            await nursery.start(accept)
+            callers = [socket.socket() for _ in range(count)]
+            for caller in callers:
+                caller.connect(("127.0.0.1", port))
+                caller.sendall(b"request")
+            scope.cancel()
+        for caller in callers:
+            assert caller.recv(100) == b"response"
+            caller.close()
+
+    trio.run(main)
--- a/tests/serving/test_drain.py
+++ b/tests/serving/test_drain.py
@@ -102,3 +102,30 @@
 
     limits = {**configuration()["limits"], "idle_timeout_ms": 250}
     on_deployment(scenario, endpoints=ENDPOINTS, published=configuration(limits=limits))
+
+
+def test_connections_in_the_backlog_at_the_end_of_the_acceptance_are_refused():
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        callers = [connect(host.cfg.callers) for _ in range(100)]
+        for caller in callers:
+            caller.sendall(encode_request("/look/1"))
+        end_acceptance(host)
+        for caller in callers:
+            response = await receive_responses(caller, CLOSED_S)
+            assert is_refused_with_close(response), response
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+def test_request_that_comes_late_on_a_connection_of_the_backlog_is_refused():
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        caller = connect(host.cfg.callers)
+        end_acceptance(host)
+        await trio.sleep(0.2)
+        caller.sendall(encode_request("/look/1"))
+        response = await receive_responses(caller, CLOSED_S)
+        assert is_refused_with_close(response), response
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
