An account of requests: each ends as an answer, a refusal or a named cut

Callers that got nothing could not be found afterwards: no counter said how many requests were read and how each ended. Exceptions that cut an answer carry their reason.

--- a/src/cactusmill/errors.py
+++ b/src/cactusmill/errors.py
@@ -99,12 +99,48 @@
     """A host that leaves has not begun a forwarded request; another may be tried."""
 
 
+class Cut(enum.Enum):
+    """Why a request ended with neither a complete response nor a refusal."""
+
+    DEADLINE = "deadline"
+    BROKE_OFF = "endpoint broke off"
+    CALLER_GONE = "caller gone"
+    NOT_READ = "caller does not read"
+    KEY_WITHDRAWN = "key withdrawn"
+    HOST_EXITS = "host exits"
+    INTERNAL_FAULT = "internal fault"
+
+
 class CallerGoneError(CactusmillError):
-    """The caller or the forwarding host has disconnected or stopped reading."""
+    """The caller or the forwarding host has disconnected or stopped reading.
+
+    Parameters
+    ----------
+    problem : str
+        What happened.
+    reason : Cut
+        The reason in the account of requests.
+    """
+
+    def __init__(self, problem, reason=Cut.CALLER_GONE):
+        super().__init__(problem)
+        self.reason = reason
 
 
 class AnswerCutError(CactusmillError):
-    """A response was interrupted after its head had been sent to the caller."""
+    """A response was interrupted after its head had been sent to the caller.
+
+    Parameters
+    ----------
+    problem : str
+        What happened.
+    reason : Cut
+        The reason in the account of requests.
+    """
+
+    def __init__(self, problem, reason=Cut.BROKE_OFF):
+        super().__init__(problem)
+        self.reason = reason
 
 
 class BadRequestError(CactusmillError):
@@ -316,3 +352,29 @@
 
     status = 504
     title = "Deadline exceeded"
+
+
+@attrs.frozen(kw_only=True)
+class HostFailure(Refusal):
+    """The host could not complete the request, for a reason of its own."""
+
+    title = "Host failed"
+
+    @property
+    def status(self):
+        """HTTP status: 503 only if the request did not run."""
+        return 503 if self.outcome is Outcome.NOT_RUN else 502
+
+
+@attrs.frozen(kw_only=True)
+class InternalFault(HostFailure):
+    """An internal error ended the handling of the request."""
+
+    title = "Internal fault"
+
+
+@attrs.frozen(kw_only=True)
+class HostExits(HostFailure):
+    """The host's time to shut down ended before the response began."""
+
+    title = "Host exits"
--- a/src/cactusmill/internal/delivery.py
+++ b/src/cactusmill/internal/delivery.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ..errors import AnswerCutError
+from ..errors import AnswerCutError, Cut
 
 # A socket that a poll finds unwritable this long after the one before counts as
 # blocked for this time, however late the event loop polls.
@@ -62,7 +62,8 @@
         if blocked_s >= MAX_BLOCKED_S or total_blocked_s >= most_s:
             raise AnswerCutError(
                 f"the other end took {sent} of the {len(data)} bytes of a complete "
-                f"answer, none for {blocked_s:.1f} s ({total_blocked_s:.1f} in all)"
+                f"answer, none for {blocked_s:.1f} s ({total_blocked_s:.1f} in all)",
+                Cut.NOT_READ,
             )
     # The response has left: being cancelled now must not make a failure of it.
     await trio.lowlevel.cancel_shielded_checkpoint()
@@ -85,7 +86,8 @@
     with trio.move_on_after(MAX_BLOCKED_S) as scope:
         await stream.send_all(data)
     if scope.cancelled_caught:
-        raise AnswerCutError(f"the other end took nothing for {MAX_BLOCKED_S} s")
+        problem = f"the other end took nothing for {MAX_BLOCKED_S} s"
+        raise AnswerCutError(problem, Cut.NOT_READ)
 
 
 async def receive_some(stream, max_bytes):
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -67,12 +67,15 @@
         True while only a part of a message has been sent.
     is_broken : bool
         True once sending or receiving has failed.
+    is_writing : bool
+        True from the beginning of a write until all its bytes were taken.
     """
 
     stream: trio.abc.Stream
     h11: h11.Connection
     is_partly_sent: bool = False
     is_broken: bool = False
+    is_writing: bool = False
     _resets_on_close: bool = False
     _events_in_turn: int = 0
 
@@ -246,11 +249,23 @@
         await self._write(self.stream.send_all, data)
 
     async def _write(self, write, data):
+        self.is_writing = True
         try:
             await write(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self.is_broken = True
             raise ExchangeError(_broken("sending", exc)) from exc
+        self.is_writing = False
+
+    def can_respond(self):
+        """Return whether no byte of a server's response has been sent."""
+        is_before = self.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE)
+        return is_before and not self.is_writing
+
+    def is_response_sent(self):
+        """Return whether a server's response that ``h11`` encoded was sent whole."""
+        is_after = self.h11.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        return is_after and not self.is_writing
 
     async def close(self):
         """Close the transport without waiting for the other end."""
--- a/src/cactusmill/internal/logs.py
+++ b/src/cactusmill/internal/logs.py
@@ -85,6 +85,11 @@
     sys.stdout.buffer.flush()
 
 
+def log_fields(event, **fields):
+    """Log one event as a JSON line with fields."""
+    logging.info(event, extra={"fields": fields})
+
+
 def configure_json_logging(verbosity):
     """Configure logging of this process as JSON lines on standard output.
 
--- a/src/cactusmill/internal/metrics.py
+++ b/src/cactusmill/internal/metrics.py
@@ -26,6 +26,8 @@
         Current sizes and versions by name.
     events : Gauge
         Number of events since the start by name, as in the log.
+    accounts : Gauge
+        Requests since the start by source, state and reason.
     """
 
     registry: Registry = attrs.field(factory=Registry)
@@ -33,6 +35,7 @@
     first_byte: Histogram = attrs.field(init=False)
     gauges: Gauge = attrs.field(init=False)
     events: Gauge = attrs.field(init=False)
+    accounts: Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         """Create the metrics and add them to the registry."""
@@ -56,6 +59,11 @@
             "Events since the start, as in the log lines.",
             registry=self.registry,
         )
+        self.accounts = Gauge(
+            "cactusmill_account",
+            "Requests read, running and ended since the start.",
+            registry=self.registry,
+        )
 
     def record_request(self, route, result, first_byte_s):
         """Count a request.
@@ -73,7 +81,7 @@
         if first_byte_s is not None:
             self.first_byte.observe({"route": route}, first_byte_s)
 
-    def render(self, values, events=None):
+    def render(self, values, events=None, accounts=None):
         """Return the metrics page in the Prometheus text format.
 
         Parameters
@@ -82,6 +90,8 @@
             Current value of each gauge.
         events : dict of str to int or None
             Number of events since the start, by name.
+        accounts : dict of str to Account or None
+            Accounts of requests, by their source.
 
         Returns
         -------
@@ -91,4 +101,8 @@
             self.gauges.set({"name": name}, value)
         for name, count in (events or {}).items():
             self.events.set({"event": name}, count)
+        for source, account in (accounts or {}).items():
+            for (state, reason), count in account.counts().items():
+                labels = {"source": source, "state": state, "reason": reason}
+                self.accounts.set(labels, count)
         return render(self.registry, ["text/plain"])[0]
--- a/src/cactusmill/internal/relay.py
+++ b/src/cactusmill/internal/relay.py
@@ -15,6 +15,7 @@
 
 from ..errors import (
     CallerGoneError,
+    Cut,
     OversizedAnswerError,
     SilentEndpointError,
     TruncatedAnswerError,
@@ -311,5 +312,5 @@
         raise CallerGoneError("the caller disconnected") from exc
     except trio.TooSlowError as exc:
         raise CallerGoneError(
-            f"the caller accepted nothing for {stall_limit_s} s"
+            f"the caller accepted nothing for {stall_limit_s} s", Cut.NOT_READ
         ) from exc
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -15,6 +15,8 @@
     AnswerCutError,
     ConnectError,
     ConnectRefusedError,
+    Cut,
+    DeadlineExceeded,
     EndpointFailed,
     NoEndpoint,
     Outcome,
@@ -74,7 +76,7 @@
     if not scope.cancelled_caught:
         return result
     if progress.has_response_started:
-        raise AnswerCutError("the deadline passed during the response")
+        raise AnswerCutError("the deadline passed during the response", Cut.DEADLINE)
     return deadline_exceeded(progress)
 
 
@@ -181,7 +183,8 @@
     it.
     """
     if progress.has_response_started:
-        raise AnswerCutError(refusal.detail)
+        is_late = isinstance(refusal, DeadlineExceeded)
+        raise AnswerCutError(refusal.detail, Cut.DEADLINE if is_late else Cut.BROKE_OFF)
     if refusal.outcome is Outcome.NOT_RUN and progress.may_have_run:
         return EndpointFailed(detail=refusal.detail, outcome=Outcome.UNKNOWN)
     return refusal
