Answer internal faults and the end of the grace time with truthful refusals

Callers of the platform's path got neither an answer nor a refusal when an error was raised in the handling of their request, and at the end of the grace time. Requests of callers and of other hosts are now entered in accounts, shown on the metrics page. An error before the head becomes a refusal: 503 only if nothing was sent, else 502, with the close announced. At the exit what still runs is cancelled in a scope of its own and refused in the same way; streams are cut as host exits. The request line is written after the delivery and names the ending, so that a refusal that could not be delivered is a cut.

--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -13,7 +13,11 @@
     BodyTooLarge,
     BufferLimitError,
     CallerGoneError,
+    Cut,
     ExchangeError,
+    HostExits,
+    HostFailure,
+    InternalFault,
     MalformedRequest,
     NoEndpoint,
     Outcome,
@@ -22,6 +26,7 @@
     UnknownKey,
     UnknownRoute,
 )
+from ..internal.account import cut_reason
 from ..internal.buffer_budget import BUFFER_RETRY_S
 from ..internal.http import (
     discard_received_body,
@@ -35,7 +40,7 @@
 )
 from ..internal.request import Request, Sink
 from .dispatch import run_request
-from .events import log_event
+from .events import log_event, log_fault
 from .progress import may_repeat, new_progress
 
 # A body follows its head without delay; a caller that stalls longer is gone.
@@ -77,6 +82,8 @@
         HTTP status of the response; 0 before it is sent.
     closes : bool
         True if the response announces that the connection closes.
+    entry : Entry or None
+        The request in the account.
     """
 
     conn: object
@@ -86,6 +93,7 @@
     first_at: float | None = None
     status: int = 0
     closes: bool = False
+    entry: object = None
 
 
 async def serve_caller(host, stream):
@@ -122,8 +130,10 @@
     try:
         now = host.now()
         arrived_at = host.loop.estimate_arrival(start, now)
-        caller = CallerRequest(conn, host.dialect.read_head(event), now, arrived_at)
-        await _serve_request(host, caller, event)
+        with host.account.open() as entry:
+            head = host.dialect.read_head(event)
+            caller = CallerRequest(conn, head, now, arrived_at, entry=entry)
+            await _serve_request(host, caller, event)
     finally:
         host.busy_connections.discard(conn)
     if conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE:
@@ -177,9 +187,11 @@
 async def _refuse_malformed(host, conn, status, problem):
     refusal = MalformedRequest(status_code=status, detail=problem)
     log_event("request_malformed", status=status, reason=problem)
-    if conn.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-        rendered = host.dialect.render_refusal(refusal, "")
-        await _send_refusal(conn, rendered, closes=True)
+    with host.account.open() as entry:
+        if conn.can_respond():
+            rendered = host.dialect.render_refusal(refusal, "")
+            await _send_refusal(conn, rendered, closes=True)
+            entry.refuse(refusal)
     await lingering_close(conn)
 
 
@@ -206,48 +218,96 @@
 
     It is counted, and not logged one by one.
     """
-    refusal = host.shed_refusal()
+    refusal, is_faulty = host.shed_refusal(), False
     with host.buffers.hold() as count_held:
         try:
             await _read_body(host, caller, count_held)
         except _Refused as exc:
             refusal = exc.refusal
+        except ExchangeError:
+            raise
+        except Exception as exc:
+            log_fault("_shed_request", exc, request_id=caller.head.request_id)
+            is_faulty = True
     rendered = host.dialect.render_refusal(refusal, caller.head.request_id)
     caller.status = rendered[0]
-    caller.closes = _closes_after_refusal(host, caller.conn, event)
+    caller.closes = is_faulty or _closes_after_refusal(host, caller.conn, event)
     await _send_refusal(caller.conn, rendered, caller.closes)
+    caller.entry.refuse(refusal)
 
 
 async def _serve_held_request(host, caller, event, count_held):
-    """Serve one request and log its outcome."""
-    head = caller.head
+    """Serve one request and log how it ended."""
+    head, entry = caller.head, caller.entry
     route = progress = req = None
-    refusal, failure, rendered = None, None, None
+    refusal, failure = None, None
     try:
-        await _wait_for_configuration(host)
-        route, team = _authorize(host, head)
-        limit_s = caller.arrived_at + _time_limit_s(head, route) - host.now()
-        body = await _read_body(host, caller, count_held, limit_s)
-        req = _build_request(host, caller, event, route, team, body)
-        _check_draining(host)
-        _charge_tokens(host, req)
-        progress = new_progress(req, route.attempts)
-        refusal = await _run_until_disconnect(host, caller, req, progress, count_held)
+        with entry.open_scope() as exit_scope:
+            await _wait_for_configuration(host)
+            route, team = _authorize(host, head)
+            limit_s = caller.arrived_at + _time_limit_s(head, route) - host.now()
+            body = await _read_body(host, caller, count_held, limit_s)
+            req = _build_request(host, caller, event, route, team, body)
+            _check_draining(host)
+            _charge_tokens(host, req)
+            progress = new_progress(req, route.attempts)
+            refusal = await _run_until_disconnect(
+                host, caller, req, progress, count_held
+            )
+        if exit_scope.cancelled_caught and not caller.conn.is_response_sent():
+            refusal = HostExits(
+                detail="this host shuts down, and its time is over",
+                outcome=_outcome(progress),
+            )
     except _Refused as exc:
         refusal = exc.refusal
     except (CallerGoneError, AnswerCutError, ExchangeError) as exc:
         failure = exc
+    except Exception as exc:
+        log_fault("serve_caller", exc, request_id=head.request_id)
+        refusal = InternalFault(detail="an internal error", outcome=_outcome(progress))
     if req is not None and progress is not None and not progress.may_have_run:
         host.refund(req)
-    if refusal is not None:
-        rendered = host.dialect.render_refusal(refusal, head.request_id)
-        caller.status = rendered[0]
-    _log_request(host, caller, route, req, progress, refusal, failure)
-    if failure is not None:
-        raise failure
-    if refusal is not None:
-        caller.closes = _closes_after_refusal(host, caller.conn, event)
-        await _send_refusal(caller.conn, rendered, caller.closes)
+    try:
+        if refusal is not None:
+            failure = await _refuse(host, caller, event, refusal)
+        elif failure is None:
+            entry.answer()
+        if failure is not None:
+            entry.cut(cut_reason(failure))
+            raise failure
+    except BaseException as exc:
+        if not entry.kind:
+            failure = exc
+            entry.cut(cut_reason(exc))
+        raise
+    finally:
+        _log_request(host, caller, route, req, progress, refusal, failure)
+
+
+def _outcome(progress):
+    """Return whether a request may have run, by its progress or None before it."""
+    return Outcome.NOT_RUN if progress is None else progress.outcome
+
+
+async def _refuse(host, caller, event, refusal):
+    """Send a refusal; return None, or why it could not be sent."""
+    conn = caller.conn
+    is_own = isinstance(refusal, HostFailure)
+    if not conn.can_respond():
+        reason = (
+            Cut.HOST_EXITS if isinstance(refusal, HostExits) else Cut.INTERNAL_FAULT
+        )
+        return AnswerCutError(refusal.detail, reason)
+    rendered = host.dialect.render_refusal(refusal, caller.head.request_id)
+    caller.status = rendered[0]
+    caller.closes = is_own or _closes_after_refusal(host, conn, event)
+    try:
+        await _send_refusal(conn, rendered, caller.closes)
+    except (AnswerCutError, ExchangeError) as exc:
+        return exc
+    caller.entry.refuse(refusal)
+    return None
 
 
 class _Refused(Exception):
@@ -487,10 +547,10 @@
 def _log_request(host, caller, route, req, progress, refusal, failure):
     now = host.now()
     name = "answered"
-    if refusal is not None:
-        name = refusal.type_name
-    elif failure is not None:
+    if failure is not None:
         name = type(failure).__name__
+    elif refusal is not None:
+        name = refusal.type_name
     first_s = None if caller.first_at is None else caller.first_at - caller.began_at
     host.record_request(route, name, first_s)
     log_event(
@@ -500,6 +560,7 @@
         team=req.team_name if req else None,
         outcome=name,
         status=caller.status,
+        **caller.entry.log_fields(),
         detail=refusal.detail if refusal else str(failure or ""),
         not_run=refusal.outcome is Outcome.NOT_RUN if refusal else None,
         retry_after_s=_round_to_ms(refusal.retry_after_s) if refusal else None,
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -7,7 +7,6 @@
 
 import collections
 import contextlib
-import functools
 
 import attrs
 import trio
@@ -16,9 +15,12 @@
     AnswerCutError,
     BufferLimitError,
     CallerGoneError,
+    Cut,
     EndpointFailed,
     ExchangeError,
+    HostExits,
     HostLeavingError,
+    InternalFault,
     LinkClosedError,
     NoEndpoint,
     Outcome,
@@ -26,6 +28,7 @@
     SilentEndpointError,
     TruncatedAnswerError,
 )
+from ..internal.account import cut_reason
 from ..internal.answer_frames import answer_sink, read_body_frame
 from ..internal.framing import Framing, ReceivedBody
 from ..internal.http import is_idle_and_open
@@ -41,7 +44,8 @@
     Header,
 )
 from .connections import enable_dead_peer_detection
-from .events import log_event
+from .events import log_event, log_fault
+from .progress import new_progress
 from .responses import EndpointResponse
 
 # One-way latency between regions is up to 100 ms.
@@ -260,6 +264,8 @@
     kind = {
         NoEndpoint.__name__: NoEndpoint,
         Overloaded.__name__: Overloaded,
+        InternalFault.__name__: InternalFault,
+        HostExits.__name__: HostExits,
     }.get(head.refusal, EndpointFailed)
     retry_s = None if head.retry_after_ms is None else head.retry_after_ms / 1000
     return kind(
@@ -318,8 +324,8 @@
     stream : trio.SocketStream
         The accepted connection.
     run : callable
-        ``await run(host, req, sink, attempts, last_event_id)`` returns a
-        refusal, or None once the response is complete.
+        ``await run(host, req, sink, progress)`` returns a refusal, or None once
+        the response is complete.
     """
     enable_dead_peer_detection(stream)
     link = Link(stream, buffers=host.buffers)
@@ -329,7 +335,7 @@
         while True:
             frame = await _next_frame(host, link)
             if host.refuses_requests(host.now()):
-                await _say_farewell(host, link)
+                await _end_link(host, link, frame)
                 return
             if frame is None:
                 continue
@@ -342,13 +348,14 @@
             message = frame.forward
             if message is None:
                 return
-            if host.sheds_request(host.now()):
-                await _send_refusal(link, message, host.shed_refusal())
-                continue
-            req = _request(host, message, arrived_at)
-            if not await _serve_forward(host, link, message, req, run):
-                return
-    except LinkClosedError:
+            with host.forwards_account.open() as entry:
+                if host.sheds_request(host.now()):
+                    await _refuse(link, message, host.shed_refusal(), entry)
+                    continue
+                req = _request(host, message, arrived_at)
+                if not await _serve_forward(host, link, message, req, run, entry):
+                    return
+    except (AnswerCutError, LinkClosedError):
         # Closing the link also cancels the request on it.
         return
     finally:
@@ -365,6 +372,16 @@
     return None
 
 
+async def _end_link(host, link, frame):
+    """Say farewell, which also refuses a request whose frame came before it."""
+    if frame is None or frame.forward is None:
+        await _say_farewell(host, link)
+        return
+    with host.forwards_account.open() as entry:
+        await _say_farewell(host, link)
+        entry.refuse(Overloaded(detail="this host is shutting down"))
+
+
 async def _say_farewell(host, link):
     """Tell the other host that nothing more is begun on a link.
 
@@ -385,55 +402,117 @@
         await link.wait_closed()
 
 
-async def _serve_forward(host, link, message, req, run):
+async def _serve_forward(host, link, message, req, run, entry):
     """Serve one request; return whether the link can be reused."""
     if req is None:
         refusal = NoEndpoint(detail="this host does not know the route yet")
-        await _send_refusal(link, message, refusal)
+        await _refuse(link, message, refusal, entry)
         return True
     with host.buffers.hold() as count_held:
         try:
             count_held(message.body)
         except BufferLimitError as exc:
-            await _send_refusal(link, message, Overloaded(detail=str(exc)))
+            await _refuse(link, message, Overloaded(detail=str(exc)), entry)
             return True
-        return await _run_forward(host, link, message, req, run)
+        return await _run_forward(host, link, message, req, run, entry)
 
 
-async def _run_forward(host, link, message, req, run):
+async def _run_forward(host, link, message, req, run, entry):
     """Run a forwarded request; return whether the link can be reused."""
-    encode_head = functools.partial(_encode_head, message)
+    has_begun = False
+
+    def encode_head(status, headers):
+        nonlocal has_begun
+        has_begun = True
+        return _encode_head(message, status, headers)
+
     sink = answer_sink(link.send, 0, encode_head, link.stream, link.deliver)
-    refusal, is_complete = None, False
-    async with trio.open_nursery() as nursery:
-        nursery.start_soon(_cancel_on_close, link, nursery.cancel_scope)
-        try:
-            refusal = await run(
-                host, req, sink, message.attempts or 1, message.identifier or ""
-            )
-            is_complete = True
-        except (
-            AnswerCutError,
-            CallerGoneError,
-            ExchangeError,
-            LinkClosedError,
-        ) as exc:
+    progress = new_progress(req, message.attempts or 1)
+    progress.scanner.last_id = message.identifier or ""
+    began_at = host.now()
+    refusal, failure, is_complete = None, None, False
+    try:
+        with entry.open_scope() as exit_scope:
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(_cancel_on_close, link, nursery.cancel_scope)
+                try:
+                    refusal = await run(host, req, sink, progress)
+                    is_complete = True
+                except (
+                    AnswerCutError,
+                    CallerGoneError,
+                    ExchangeError,
+                    LinkClosedError,
+                ) as exc:
+                    failure = exc
+                nursery.cancel_scope.cancel()
+        if exit_scope.cancelled_caught and not is_complete:
+            refusal = HostExits(detail="the host exits", outcome=progress.outcome)
+    except Exception as exc:
+        log_fault("serve_link", exc, request_id=req.request_id)
+        refusal = InternalFault(detail="an internal error", outcome=progress.outcome)
+        is_complete = False
+    if refusal is None and failure is None and not is_complete:
+        failure = CallerGoneError("the other host closed the link")
+    if isinstance(refusal, (HostExits, InternalFault)) and has_begun:
+        is_exit = isinstance(refusal, HostExits)
+        failure = AnswerCutError(
+            refusal.detail, Cut.HOST_EXITS if is_exit else Cut.INTERNAL_FAULT
+        )
+        refusal = None
+    try:
+        if failure is not None:
             log_event(
-                "forwarded_answer_cut", request_id=req.request_id, reason=repr(exc)
+                "forwarded_answer_cut", request_id=req.request_id, reason=repr(failure)
             )
-        nursery.cancel_scope.cancel()
-    if refusal is not None:
-        await _send_refusal(link, message, refusal)
+            entry.cut(cut_reason(failure))
+        elif refusal is not None:
+            await _refuse(link, message, refusal, entry)
+        else:
+            entry.answer()
+    except BaseException as exc:
+        failure = exc
+        if not entry.kind:
+            entry.cut(cut_reason(exc))
+        raise
+    finally:
+        _log_forwarded(host, req, progress, refusal, failure, began_at, entry)
     return is_complete
 
 
+def _log_forwarded(host, req, progress, refusal, failure, began_at, entry):
+    outcome = "answered"
+    if failure is not None:
+        outcome = type(failure).__name__
+    elif refusal is not None:
+        outcome = refusal.type_name
+    log_event(
+        "forwarded_request",
+        request_id=req.request_id,
+        outcome=outcome,
+        **entry.log_fields(),
+        endpoint=progress.endpoint,
+        sends=progress.sends,
+        took_s=round(host.now() - began_at, 3),
+        is_abandoned=progress.is_abandoned,
+        left_out=progress.left_out,
+        sent_s=None
+        if progress.sent_at is None
+        else round(progress.sent_at - began_at, 3),
+        entry_revision=progress.entry_revision,
+        warmup_hosts=progress.warmup_hosts,
+        **progress.body_fields(),
+    )
+
+
 async def _cancel_on_close(link, scope):
     """Cancel the request when the other host closes the link."""
     await link.wait_closed()
     scope.cancel()
 
 
-async def _send_refusal(link, message, refusal):
+async def _refuse(link, message, refusal, entry):
+    """Send a refusal to the other host."""
     retry_s = refusal.retry_after_s
     head = AnswerHead(
         call=0,
@@ -445,6 +524,7 @@
         not_run=refusal.outcome is Outcome.NOT_RUN,
     )
     await link.deliver([Frame(answer_head=head)])
+    entry.refuse(refusal)
 
 
 def _encode_head(message, status, headers):
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -11,6 +11,7 @@
 import trio
 
 from ..errors import Overloaded
+from ..internal.account import Account
 from ..internal.buffer_budget import BufferBudget
 from ..internal.crash_suspects import CrashSuspects
 from ..internal.loop_monitor import LoopMonitor
@@ -22,13 +23,12 @@
 from .connections import ConnectionPool
 from .dispatch import run_request
 from .edge import choose_service, serve_caller
-from .events import log_event
+from .events import log_event, log_fault
 from .forwarding import LinkPool, serve_link
 from .gossip import Gossip
 from .idle_waits import IdleWaits
 from .membership import HostId, Membership
 from .placement import WARMUP_HOLDOFF_S, Placement
-from .progress import new_progress
 from .quota import Quotas, RateExcess
 from .retry_after import RetrySchedule
 from .shedding import is_shed, shed_retry_s
@@ -40,6 +40,8 @@
 DRAIN_S = 2.5
 # The process exits this long before it would be killed (see `HostSettings.grace_s`).
 _EXIT_MARGIN_S = 0.4
+# The part of it in which the requests that still run are refused.
+_EXIT_REFUSAL_S = 0.2
 _MAINTENANCE_INTERVAL_S = 0.5
 # Longest time for which nothing is forwarded to a region that refused a request; its
 # next heartbeats then report whether it has capacity again.
@@ -135,6 +137,8 @@
         Limits the bytes of bodies and frames that are held at once.
     loop : LoopMonitor
         Measures how late the event loop is.
+    account, forwards_account : Account
+        Accounts of callers' requests, and of those that other hosts forwarded.
     forwards_running : int
         Number of requests forwarded by other hosts that run here.
     requests_shed : int
@@ -159,6 +163,8 @@
     idle_callers: IdleWaits = attrs.field(init=False)
     served_links: set = attrs.field(factory=set)
     idle_links: IdleWaits = attrs.field(init=False)
+    account: Account = attrs.field(factory=Account)
+    forwards_account: Account = attrs.field(factory=Account)
     forwards_running: int = 0
     requests_shed: int = 0
     _shed_logged: int = 0
@@ -528,6 +534,7 @@
             nursery.start_soon(self._maintenance_loop)
             task_status.started()
             await self._drain()
+            await self._refuse_running()
             nursery.cancel_scope.cancel()
 
     async def _listen(self, nursery, address, handler):
@@ -555,7 +562,7 @@
         try:
             await handler(*args)
         except Exception as exc:
-            log_event("fault", handler=handler.__name__, reason=_describe(exc))
+            log_fault(handler.__name__, exc)
 
     async def _maintenance_loop(self):
         while True:
@@ -606,15 +613,17 @@
         for _ in range(2):
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
 
+    async def _refuse_running(self):
+        """Refuse the requests that still run and whose responses have not begun."""
+        accounts = (self.account, self.forwards_account)
+        for account in accounts:
+            account.stop()
+        with trio.move_on_after(_EXIT_REFUSAL_S):
+            while any(account.running for account in accounts):
+                await trio.sleep(_DRAIN_POLL_INTERVAL_S)
 
-def _describe(exc):
-    """Return the texts of an exception, or of all in an exception group."""
-    if isinstance(exc, BaseExceptionGroup):
-        return "; ".join(_describe(e) for e in exc.exceptions)
-    return repr(exc)
 
-
-async def _run_forwarded(host, req, sink, attempts, last_event_id):
+async def _run_forwarded(host, req, sink, progress):
     """Run a request that another host accepted and forwarded.
 
     The other host has charged its tokens to the team. See :func:`.serve_link` for the
@@ -622,28 +631,8 @@
     """
     # A forwarded request carries its route but no service.
     req = attrs.evolve(req, service=choose_service(req.route, host.rng))
-    progress = new_progress(req, attempts)
-    progress.scanner.last_id = last_event_id
     host.forwards_running += 1
-    began_at = host.now()
     try:
-        refusal = await run_request(host, req, sink, progress, is_forwarded=True)
+        return await run_request(host, req, sink, progress, is_forwarded=True)
     finally:
         host.forwards_running -= 1
-    log_event(
-        "forwarded_request",
-        request_id=req.request_id,
-        outcome=refusal.type_name if refusal else "answered",
-        endpoint=progress.endpoint,
-        sends=progress.sends,
-        took_s=round(host.now() - began_at, 3),
-        is_abandoned=progress.is_abandoned,
-        left_out=progress.left_out,
-        sent_s=None
-        if progress.sent_at is None
-        else round(progress.sent_at - began_at, 3),
-        entry_revision=progress.entry_revision,
-        warmup_hosts=progress.warmup_hosts,
-        **progress.body_fields(),
-    )
-    return refusal
--- a/src/cactusmill/serving/pages.py
+++ b/src/cactusmill/serving/pages.py
@@ -24,9 +24,9 @@
     path = target.partition("?")[0]
     now = host.now()
     if path == METRICS_PATH:
-        return Page(
-            200, host.metrics.render(host.gauges(now), events.counts), PLAIN_TEXT
-        )
+        accounts = {"callers": host.account, "hosts": host.forwards_account}
+        page = host.metrics.render(host.gauges(now), events.counts, accounts)
+        return Page(200, page, PLAIN_TEXT)
     if path == HEALTH_PATH:
         return Page(200 if host.is_ready(now) else 503, b"{}")
     return Page(404, b"{}")
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -40,7 +40,7 @@
         pass
 
 
-async def stream_all(host, request, sink, attempts, last_event_id):
+async def stream_all(host, request, sink, progress):
     """Respond with all chunks, in place of an endpoint."""
     await sink.head(200, [])
     for chunk in CHUNKS:
