Own interface: accounts of requests, a log line each, refusals for internal faults

Callers of the own interface got a closed connection when an error was raised in the handling of their request, and requests left no line in the log. An error before the head is now a refusal, not_run only if the request had not been handed on, and the close is announced; after the head the cut is counted. A fault in a forwarded request no longer ends the link and all other requests on it. Withdrawn keys are a reason of their own.

--- a/src/cactusmill/internal/caller_request.py
+++ b/src/cactusmill/internal/caller_request.py
@@ -38,6 +38,12 @@
         Time from `received_at` until then, in seconds.
     announced_close : bool
         True once the head of a response announced that the connection closes.
+    must_close : bool
+        True if the connection closes behind the response.
+    is_dispatched : bool
+        True once an endpoint or another host may have received the request.
+    status : int
+        HTTP status of the response; 0 before it is sent.
     """
 
     conn: object
@@ -48,6 +54,9 @@
     has_response_started: bool = False
     first_byte_s: float | None = None
     announced_close: bool = False
+    must_close: bool = False
+    is_dispatched: bool = False
+    status: int = 0
 
     @property
     def path(self):
@@ -77,13 +86,18 @@
         """
         return Outcome.UNKNOWN if self.identifier else Outcome.NOT_RUN
 
+    @property
+    def outcome(self):
+        """Outcome to report if no response arrives."""
+        return Outcome.UNKNOWN if self.is_dispatched else self.outcome_before_owner
+
 
 def caller_sink(host, caller):
     """Return the sink that sends a response to a caller."""
     conn = caller.conn
 
     async def head(status, headers, first=b""):
-        caller.has_response_started = True
+        caller.has_response_started, caller.status = True, status
         caller.first_byte_s = host.now() - caller.received_at
         await _send(
             conn,
@@ -139,7 +153,8 @@
 
 def _connection_headers(host, caller):
     headers = [(b"x-request-id", caller.request_id.encode())]
-    if host.leaving or caller.conn.h11.their_state is not h11.DONE:
+    is_unread = caller.conn.h11.their_state is not h11.DONE
+    if host.leaving or caller.must_close or is_unread:
         caller.announced_close = True
         headers.append((b"connection", b"close"))
     else:
@@ -158,6 +173,7 @@
 
 async def send_response(host, caller, status, headers, body):
     """Send a response with a complete body to a caller."""
+    caller.status = status
     response = h11.Response(
         status_code=status, headers=[*headers, *_connection_headers(host, caller)]
     )
--- a/src/cactusmill/internal/directory.py
+++ b/src/cactusmill/internal/directory.py
@@ -6,7 +6,7 @@
 import attrs
 
 from ..errors import BadRequestError, UnknownKey
-from .caller_request import send_refusal, send_response
+from .caller_request import send_response
 from .http import read_body
 from .request import is_permitted
 from .routing import rank_hosts
@@ -46,13 +46,16 @@
 
     No identifier is minted while this host is shutting down or if the team does not
     permit its region.
+
+    Returns
+    -------
+    Refusal or None
+        None once the page was sent.
     """
     key = host.records.key_for(caller.secret) if caller.secret else None
     team = host.records.get("team", key.team) if key else None
     if team is None:
-        refusal = UnknownKey(detail="send an active key as 'Authorization: Bearer KEY'")
-        await send_refusal(host, caller, refusal)
-        return
+        return UnknownKey(detail="send an active key as 'Authorization: Bearer KEY'")
     with contextlib.suppress(BadRequestError):
         await read_body(caller.conn, 0)
     may_mint = is_permitted(host.cfg.region, team, _ANY_ROUTE) and not host.leaving
@@ -77,6 +80,7 @@
         (b"content-length", str(len(body)).encode()),
     ]
     await send_response(host, caller, 200, headers, body)
+    return None
 
 
 @attrs.frozen
--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -16,7 +16,9 @@
     BodyTooLarge,
     BufferLimitError,
     CallerGoneError,
+    Cut,
     ExchangeError,
+    InternalFault,
     MalformedRequest,
     NotPermitted,
     Outcome,
@@ -25,6 +27,7 @@
     UnknownRoute,
     WrongRegion,
 )
+from .account import cut_reason
 from .at_most_once import run_at_most_once
 from .buffer_budget import BUFFER_RETRY_S
 from .caller_request import CallerRequest, caller_sink, send_refusal
@@ -37,6 +40,7 @@
     server_connection,
     wait_other_end_closed,
 )
+from .logs import log_fields
 from .problems import render_problem
 from .repeatable import run_repeatable
 from .request import is_permitted
@@ -95,28 +99,81 @@
 
 async def _reject_head(host, conn, status, problem):
     refusal = MalformedRequest(status_code=status, detail=problem)
-    if conn.h11.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-        status, headers, body = render_problem(refusal, new_request_id())
-        headers.append((b"connection", b"close"))
-        response = h11.Response(status_code=status, headers=headers)
-        await conn.deliver(response, h11.Data(data=body), h11.EndOfMessage())
+    with host.account.open() as entry:
+        if conn.can_respond():
+            status, headers, body = render_problem(refusal, new_request_id())
+            headers.append((b"connection", b"close"))
+            response = h11.Response(status_code=status, headers=headers)
+            await conn.deliver(response, h11.Data(data=body), h11.EndOfMessage())
+            entry.refuse(refusal)
     await lingering_close(conn)
 
 
 async def _handle_request(host, caller):
-    if caller.path == DIRECTORY_PATH:
-        await serve_directory(host, caller)
-        return
-    route = host.records.route_for(caller.path)
-    with host.buffers.hold() as count_held:
-        result = await _serve_on_route(host, caller, route, count_held)
-    result_name = "answered"
-    match result:
-        case Failure(refusal):
-            result_name = refusal.type_name
-            if not caller.has_response_started:
+    """Serve one request, and log how it ended."""
+    route, name, refusal = None, "", None
+    with host.account.open() as entry:
+        try:
+            route, refusal = await _serve_contained(host, caller)
+            if refusal is None:
+                entry.answer()
+            elif caller.conn.can_respond():
                 await send_refusal(host, caller, refusal)
-    host.record_request(caller, route, result, result_name)
+                entry.refuse(refusal)
+            else:
+                is_fault = isinstance(refusal, InternalFault)
+                reason = Cut.INTERNAL_FAULT if is_fault else Cut.BROKE_OFF
+                raise AnswerCutError(refusal.detail, reason)
+            name = refusal.type_name if refusal else "answered"
+        except BaseException as exc:
+            name = type(exc).__name__
+            entry.cut(cut_reason(exc))
+            raise
+        finally:
+            _log_request(host, caller, route, name, refusal, entry)
+    if caller.path != DIRECTORY_PATH:
+        host.record_request(caller, route, refusal, name)
+
+
+async def _serve_contained(host, caller):
+    """Return the route and the refusal of a request, or None once it was answered.
+
+    An internal error becomes a refusal.
+    """
+    route = None
+    try:
+        if caller.path == DIRECTORY_PATH:
+            return None, await serve_directory(host, caller)
+        route = host.records.route_for(caller.path)
+        with host.buffers.hold() as count_held:
+            result = await _serve_on_route(host, caller, route, count_held)
+        match result:
+            case Failure(refusal):
+                return route, refusal
+        return route, None
+    except (AnswerCutError, CallerGoneError, ExchangeError):
+        raise
+    except Exception:
+        host.record_fault("request %s", caller.request_id)
+        caller.must_close = True
+        return route, InternalFault(detail="an internal error", outcome=caller.outcome)
+
+
+def _log_request(host, caller, route, name, refusal, entry):
+    first_s = caller.first_byte_s
+    log_fields(
+        "request",
+        request_id=caller.request_id,
+        route=route.name if route else None,
+        outcome=name,
+        status=caller.status,
+        **entry.log_fields(),
+        detail=refusal.detail if refusal else "",
+        not_run=refusal.outcome is Outcome.NOT_RUN if refusal else None,
+        took_s=round(host.now() - caller.received_at, 3),
+        unread_s=round(caller.unread_s, 3),
+        first_s=None if first_s is None else round(first_s, 3),
+    )
 
 
 async def _serve_on_route(host, caller, route, count_held):
@@ -169,6 +226,7 @@
     match req:
         case Failure(_):
             return req
+    caller.is_dispatched = True
     return await _run_cancellable(host, caller, req.unwrap(), key)
 
 
@@ -269,10 +327,12 @@
         return result
     if isinstance(failure, AnswerCutError):
         await _send_error_event(caller, req)
-    if key_scope.cancelled_caught and not caller.has_response_started:
+    if key_scope.cancelled_caught:
+        if caller.has_response_started:
+            raise AnswerCutError("the key was withdrawn", Cut.KEY_WITHDRAWN)
         outcome = Outcome.NOT_RUN if req.route.repeatable else Outcome.UNKNOWN
         return Failure(UnknownKey(detail="the key was withdrawn", outcome=outcome))
-    raise failure or CallerGoneError("the caller disconnected or its key was revoked")
+    raise failure or CallerGoneError("the caller disconnected")
 
 
 async def _send_error_event(caller, req):
--- a/src/cactusmill/internal/host_process.py
+++ b/src/cactusmill/internal/host_process.py
@@ -15,6 +15,7 @@
     RateExceeded,
 )
 from ..settings import Settings
+from .account import Account
 from .buffer_budget import BufferBudget
 from .burn import BurnCounter
 from .configuration import RecordStore
@@ -84,6 +85,8 @@
     host_list_changed_at : float
         Time at which the current version of the host list was applied, in
         seconds.
+    account, forwards_account : Account
+        Accounts of callers' requests, and of those that other hosts forwarded.
     faults : int
         Number of internal errors, each of which ended a connection or a task.
     caller_connections, running_at_most_once : int
@@ -109,6 +112,8 @@
     body_relay: BodyRelay = attrs.field(factory=BodyRelay)
     burn: BurnCounter = attrs.field(factory=BurnCounter)
     ready: trio.Event = attrs.field(factory=trio.Event)
+    account: Account = attrs.field(factory=Account)
+    forwards_account: Account = attrs.field(factory=Account)
     leaving: bool = False
     host_list_changed_at: float = 0.0
     faults: int = 0
@@ -256,7 +261,7 @@
                 with contextlib.suppress(LinkClosedError):
                     await peer.link.send(suspect=Suspect(digest, crash_count))
 
-    def record_request(self, caller, route, result, name):
+    def record_request(self, caller, route, refusal, name):
         """Count a finished request in the metrics and the burn report.
 
         Refusals that the caller caused and that did not run are left out of the
@@ -264,7 +269,6 @@
         """
         route_name = route.name if route else ""
         self.metrics.record_request(route_name, name, caller.first_byte_s)
-        refusal = None if name == "answered" else result.failure()
         if refusal is not None:
             is_callers_fault = refusal.status < 500 or isinstance(refusal, RateExceeded)
             if is_callers_fault and refusal.outcome is Outcome.NOT_RUN:
@@ -414,6 +418,14 @@
         self._accept_scope.cancel()
         # Idle connections close after the timeout announced to their callers, and
         # each response from now on announces that its connection closes.
-        while self.caller_connections or self.running_at_most_once:
+        while self._is_busy():
             await trio.sleep(0.02)
         self.nursery.cancel_scope.cancel()
+
+    def _is_busy(self):
+        """Return whether anything runs that the exit would cut."""
+        return bool(
+            self.caller_connections
+            or self.running_at_most_once
+            or self.forwards_account.running
+        )
--- a/src/cactusmill/internal/link_server.py
+++ b/src/cactusmill/internal/link_server.py
@@ -10,17 +10,21 @@
 from ..errors import (
     AnswerCutError,
     CallerGoneError,
+    Cut,
+    InternalFault,
     LinkClosedError,
     Outcome,
     OutcomeUnknown,
     WrongRegion,
 )
+from .account import cut_reason
 from .answer_frames import answer_sink, whole_answer
 from .at_most_once import is_owner, run_at_most_once
 from .configuration import change_to_json
 from .identifiers import parse_identifier
 from .limits import LOAN_TTL_S
 from .link import open_link
+from .logs import log_fields
 from .peers import apply_heartbeat, heartbeat
 from .problems import render_problem
 from .repeatable import run_repeatable
@@ -119,26 +123,67 @@
 
 
 async def _serve_forward(host, link, message, unread_s, scope, scopes):
-    sink = answer_sink(
-        functools.partial(_send, link),
-        message.call,
-        functools.partial(_encode_head, message),
-        link.stream,
-        functools.partial(_deliver, link),
-    )
-    try:
-        with scope:
-            result = await _run_forward(host, message, unread_s, sink)
-            match result:
-                case Failure(refusal):
+    has_begun, began_at = False, host.now()
+    refusal = None
+
+    def encode_head(status, headers):
+        nonlocal has_begun
+        has_begun = True
+        return _encode_head(message, status, headers)
+
+    send = functools.partial(_send, link)
+    deliver = functools.partial(_deliver, link)
+    sink = answer_sink(send, message.call, encode_head, link.stream, deliver)
+    with host.forwards_account.open() as entry:
+        try:
+            with scope:
+                refusal = await _run_contained(host, message, unread_s, sink)
+                if refusal is None:
+                    entry.answer()
+                elif has_begun:
+                    raise AnswerCutError(refusal.detail, Cut.INTERNAL_FAULT)
+                else:
                     await _send_refusal(link, message, refusal)
-    except AnswerCutError:
-        with contextlib.suppress(LinkClosedError):
-            await link.send(answer_end=AnswerEnd(message.call, False))
-    except (LinkClosedError, CallerGoneError):
-        pass
-    finally:
-        scopes.pop(message.call, None)
+                    entry.refuse(refusal)
+            if scope.cancelled_caught:
+                entry.cut(Cut.CALLER_GONE)
+        except AnswerCutError as exc:
+            entry.cut(exc.reason)
+            with contextlib.suppress(LinkClosedError):
+                await link.send(answer_end=AnswerEnd(message.call, False))
+        except (LinkClosedError, CallerGoneError) as exc:
+            entry.cut(cut_reason(exc))
+        except trio.Cancelled:
+            # The link has closed, or the process ends.
+            is_exit = host.nursery.cancel_scope.cancel_called
+            entry.cut(Cut.HOST_EXITS if is_exit else Cut.CALLER_GONE)
+            raise
+        finally:
+            scopes.pop(message.call, None)
+            log_fields(
+                "forwarded_request",
+                request_id=message.request_id,
+                outcome=refusal.type_name if refusal else entry.kind,
+                **entry.log_fields(),
+                took_s=round(host.now() - began_at, 3),
+            )
+
+
+async def _run_contained(host, message, unread_s, sink):
+    """Return the refusal of a forwarded request, or None once it was answered.
+
+    An internal error becomes a refusal.
+    """
+    try:
+        match await _run_forward(host, message, unread_s, sink):
+            case Failure(refusal):
+                return refusal
+        return None
+    except (AnswerCutError, CallerGoneError, LinkClosedError):
+        raise
+    except Exception:
+        host.record_fault("forwarded request %s", message.request_id)
+        return InternalFault(detail="an internal error", outcome=Outcome.UNKNOWN)
 
 
 async def _send_refusal(link, message, refusal):
--- a/src/cactusmill/internal/operators.py
+++ b/src/cactusmill/internal/operators.py
@@ -82,9 +82,7 @@
     pages = {
         "/healthz": lambda: Page(200, b"ok\n", PLAIN_TEXT),
         "/readyz": lambda: _readiness(host),
-        "/metrics": lambda: Page(
-            200, host.metrics.render(collect_gauges(host)), PLAIN_TEXT
-        ),
+        "/metrics": lambda: _metrics_page(host),
         "/v1/status": lambda: _json_page(build_status(host)),
         "/v1/burn": lambda: _json_page(build_burn_counts(host)),
         "/v1/explain": lambda: _json_page(explain_request(host, args)),
@@ -93,6 +91,12 @@
     return page() if page else Page(404, b"no such page\n", PLAIN_TEXT)
 
 
+def _metrics_page(host):
+    accounts = {"callers": host.account, "hosts": host.forwards_account}
+    page = host.metrics.render(collect_gauges(host), accounts=accounts)
+    return Page(200, page, PLAIN_TEXT)
+
+
 def _json_page(value):
     return Page(200, json.dumps(value).encode())
 
