Bound the last look at a socket, and deliveries of pieces on the own interface

A wait that read what had arrived each time it was cancelled never ended while bytes trickled in, so that a deadline or a slow head's limit was put off (a twin shows 20 receipts after it); a cancelled receipt now looks once. The own interface sent pieces of answers to a caller that reads nothing without any limit; they have the 10 s of its relay now, measured in polls. Tests of internal, keys, answers and late deliveries pass.

--- a/src/cactusmill/internal/caller_request.py
+++ b/src/cactusmill/internal/caller_request.py
@@ -6,8 +6,9 @@
 import h11
 import trio
 
-from ..errors import CallerGoneError, ExchangeError, Outcome
+from ..errors import AnswerCutError, CallerGoneError, ExchangeError, Outcome
 from .at_most_once import IDENTIFIER_HEADER
+from .endpoints import STALL_LIMIT_S
 from .http import has_other_end_closed, header
 from .identifiers import parse_identifier
 from .problems import render_problem
@@ -112,7 +113,8 @@
         await _send(conn, h11.Data(data=chunk))
 
     async def end():
-        await _send(conn, h11.EndOfMessage())
+        with _caller_gone():
+            await conn.deliver(h11.EndOfMessage())
 
     async def whole(status, headers, body):
         caller.has_response_started = True
@@ -139,14 +141,17 @@
 
 
 async def _send(conn, *events):
+    await trio.lowlevel.checkpoint_if_cancelled()
     with _caller_gone():
-        await conn.send(*events)
+        await conn.deliver(*events, max_blocked_s=STALL_LIMIT_S)
 
 
 @contextlib.contextmanager
 def _caller_gone():
     try:
         yield
+    except AnswerCutError as exc:
+        raise CallerGoneError(str(exc), exc.reason) from exc
     except ExchangeError as exc:
         raise CallerGoneError("the caller disconnected") from exc
 
--- a/src/cactusmill/internal/delivery.py
+++ b/src/cactusmill/internal/delivery.py
@@ -1,5 +1,6 @@
-"""Delivery of complete responses, for as long as the other end takes bytes."""
+"""Delivery of responses, for as long as the other end takes bytes."""
 
+import contextlib
 import os
 
 import trio
@@ -16,13 +17,16 @@
 # second of it: they bound the time of a delivery by its size.
 MAX_TOTAL_BLOCKED_S = 30.0
 MIN_BYTES_PER_S = 32 * 1024
+# More than a socket holds.
+_MAX_ARRIVED_BYTES = 8 * 1024 * 1024
+_READ_BYTES = 64 * 1024
 
 
-async def deliver(stream, data):
-    """Send the bytes of a complete response, with one write if the socket takes them.
+async def deliver(stream, data, max_blocked_s=MAX_BLOCKED_S):
+    """Send bytes of a response, with one write if the socket takes them.
 
     What the socket takes at once is sent even if the task is cancelled. The other end
-    is given up once polls over `MAX_BLOCKED_S` seconds have all found the socket
+    is given up once polls over `max_blocked_s` seconds have all found the socket
     unwritable, or polls over `MAX_TOTAL_BLOCKED_S` in all and one second more for each
     `MIN_BYTES_PER_S` bytes that it took. Turns of a late event loop do not count.
 
@@ -31,18 +35,20 @@
     stream : trio.abc.Stream
         The transport.
     data : bytes
-        Head, body and end of the response, as encoded.
+        What is ready of the response, as encoded: head, body and end if it is complete.
+    max_blocked_s : float
+        Time for which the other end may take nothing, in seconds.
 
     Raises
     ------
     AnswerCutError
-        If the other end does not take the response.
+        If the other end does not take the bytes.
     trio.BrokenResourceError, trio.ClosedResourceError
         If the connection fails.
     """
     sock = getattr(stream, "socket", None)
     if sock is None:
-        await _deliver_in_memory(stream, data)
+        await _deliver_in_memory(stream, data, max_blocked_s)
         return
     left, blocked_s, total_blocked_s = memoryview(data), 0.0, 0.0
     while True:
@@ -59,13 +65,13 @@
         total_blocked_s += _STEP_S
         sent = len(data) - len(left)
         most_s = MAX_TOTAL_BLOCKED_S + sent / MIN_BYTES_PER_S
-        if blocked_s >= MAX_BLOCKED_S or total_blocked_s >= most_s:
+        if blocked_s >= max_blocked_s or total_blocked_s >= most_s:
             raise AnswerCutError(
-                f"the other end took {sent} of the {len(data)} bytes of a complete "
-                f"answer, none for {blocked_s:.1f} s ({total_blocked_s:.1f} in all)",
+                f"the other end took {sent} of the {len(data)} bytes of an answer that "
+                f"were ready, none for {blocked_s:.1f} s, {total_blocked_s:.1f} in all",
                 Cut.NOT_READ,
             )
-    # The response has left: being cancelled now must not make a failure of it.
+    # The bytes have left: being cancelled now must not make a failure of it.
     await trio.lowlevel.cancel_shielded_checkpoint()
 
 
@@ -81,20 +87,29 @@
         raise trio.BrokenResourceError(f"the socket failed: {exc}") from exc
 
 
-async def _deliver_in_memory(stream, data):
+async def _deliver_in_memory(stream, data, max_blocked_s):
     """Send bytes on a transport without a socket, as in tests."""
-    with trio.move_on_after(MAX_BLOCKED_S) as scope:
+    with trio.move_on_after(max_blocked_s) as scope:
         await stream.send_all(data)
     if scope.cancelled_caught:
-        problem = f"the other end took nothing for {MAX_BLOCKED_S} s"
+        problem = f"the other end took nothing for {max_blocked_s} s"
         raise AnswerCutError(problem, Cut.NOT_READ)
 
 
-async def receive_some(stream, max_bytes):
-    """Receive bytes; what has already arrived is returned even if cancelled.
+async def receive_some(end, max_bytes):
+    """Receive bytes; what has arrived when the task is cancelled is returned, once.
 
     A deadline that passes while the event loop is late must not lose what lies in the
-    socket. The task is cancelled at its next checkpoint.
+    socket. The task is cancelled at its next checkpoint, at the latest when it receives
+    again, so that bytes that trickle in do not put off the cancellation.
+
+    Parameters
+    ----------
+    end : object
+        Has the transport, `stream`, and `has_looked`, which this function keeps: true
+        after a receipt that was cancelled.
+    max_bytes : int
+        Limit of a receipt that is not cancelled.
 
     Raises
     ------
@@ -102,21 +117,28 @@
         If the connection fails.
     """
     try:
-        return await stream.receive_some(max_bytes)
+        data = await end.stream.receive_some(max_bytes)
     except trio.Cancelled:
-        data = _read_arrived(stream, max_bytes)
+        data = b"" if end.has_looked else _read_arrived(end.stream)
+        end.has_looked = bool(data)
         if not data:
             raise
-    await trio.lowlevel.cancel_shielded_checkpoint()
+        await trio.lowlevel.cancel_shielded_checkpoint()
+        return data
+    end.has_looked = False
     return data
 
 
-def _read_arrived(stream, max_bytes):
-    """Return bytes that lie in the socket of a transport; empty if there are none."""
+def _read_arrived(stream):
+    """Return the bytes that lie in a transport's socket; empty if there are none."""
     sock = getattr(stream, "socket", None)
+    data = bytearray()
     if sock is None or sock.fileno() < 0:
         return b""
-    try:
-        return os.read(sock.fileno(), max_bytes)
-    except OSError:
-        return b""
+    with contextlib.suppress(OSError):
+        while len(data) < _MAX_ARRIVED_BYTES:
+            piece = os.read(sock.fileno(), _READ_BYTES)
+            if not piece:
+                break
+            data += piece
+    return bytes(data)
--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -338,8 +338,9 @@
 async def _send_error_event(caller, req):
     """End an interrupted event stream with an error event, as clients expect."""
     if caller.has_response_started and req.is_stream:
-        with contextlib.suppress(ExchangeError, h11.LocalProtocolError):
-            await caller.conn.send(h11.Data(data=error_event("the answer was cut")))
+        event = h11.Data(data=error_event("the answer was cut"))
+        with contextlib.suppress(ExchangeError, AnswerCutError, h11.LocalProtocolError):
+            await caller.conn.deliver(event)
 
 
 async def _cancel_on_hangup(conn, scope):
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -22,7 +22,7 @@
     OversizedAnswerError,
     TruncatedAnswerError,
 )
-from .delivery import deliver, receive_some
+from .delivery import MAX_BLOCKED_S, deliver, receive_some
 from .framing import ReceivedBody, are_pieces_too_small, response_framing
 
 RECEIVE_BYTES = 64 * 1024
@@ -69,6 +69,8 @@
         True once sending or receiving has failed.
     is_writing : bool
         True from the beginning of a write until all its bytes were taken.
+    has_looked : bool
+        True after a receipt that was cancelled; see :func:`.receive_some`.
     """
 
     stream: trio.abc.Stream
@@ -76,6 +78,7 @@
     is_partly_sent: bool = False
     is_broken: bool = False
     is_writing: bool = False
+    has_looked: bool = False
     _resets_on_close: bool = False
     _events_in_turn: int = 0
 
@@ -131,7 +134,7 @@
             If the connection has failed.
         """
         try:
-            data = await receive_some(self.stream, RECEIVE_BYTES)
+            data = await receive_some(self, RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self.is_broken = True
             raise ExchangeError(_broken("receiving", exc)) from exc
@@ -194,8 +197,8 @@
         """
         await self._send(self.stream.send_all, events)
 
-    async def deliver(self, *events):
-        """Send the events of a complete response, as :func:`.deliver` does.
+    async def deliver(self, *events, max_blocked_s=MAX_BLOCKED_S):
+        """Send events of a response, as :func:`.deliver` does.
 
         Raises
         ------
@@ -204,7 +207,8 @@
         ExchangeError
             If the connection fails.
         """
-        await self._send(functools.partial(deliver, self.stream), events)
+        write = functools.partial(deliver, self.stream, max_blocked_s=max_blocked_s)
+        await self._send(write, events)
 
     async def _send(self, write, events):
         data = b"".join(self.h11.send(event) or b"" for event in events)
--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -92,6 +92,8 @@
         Limit of a received frame.
     buffers : BufferBudget or None
         Limits the bytes of frames that this host holds before they are complete.
+    has_looked : bool
+        True after a receipt that was cancelled; see :func:`.receive_some`.
     """
 
     stream: trio.abc.Stream
@@ -99,6 +101,7 @@
     traffic: object = attrs.field(factory=Traffic)
     max_frame_bytes: int = MAX_FRAME_BYTES
     buffers: object = None
+    has_looked: bool = False
     _received: bytearray = attrs.field(factory=bytearray)
     _send_lock: trio.Lock = attrs.field(factory=trio.Lock)
 
@@ -192,7 +195,7 @@
 
     async def _receive_some(self):
         try:
-            data = await receive_some(self.stream, _RECEIVE_BYTES)
+            data = await receive_some(self, _RECEIVE_BYTES)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             raise LinkClosedError("the link broke while receiving") from exc
         if not data:
--- a/src/cactusmill/internal/relay.py
+++ b/src/cactusmill/internal/relay.py
@@ -14,12 +14,14 @@
 import trio
 
 from ..errors import (
+    AnswerCutError,
     CallerGoneError,
     Cut,
     OversizedAnswerError,
     SilentEndpointError,
     TruncatedAnswerError,
 )
+from .delivery import deliver
 from .event_stream import check_last_event, last_bytes
 from .framing import MAX_BODY_BYTES, Framing, ReceivedBody
 from .http import is_idle_and_open
@@ -306,11 +308,8 @@
     """Send the unsent bytes to a slow caller; the endpoint is not read meanwhile."""
     data, transfer.unsent = transfer.unsent, b""
     try:
-        with trio.fail_after(stall_limit_s):
-            await target.send_all(data)
+        await deliver(target, data, stall_limit_s)
     except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
         raise CallerGoneError("the caller disconnected") from exc
-    except trio.TooSlowError as exc:
-        raise CallerGoneError(
-            f"the caller accepted nothing for {stall_limit_s} s", Cut.NOT_READ
-        ) from exc
+    except AnswerCutError as exc:
+        raise CallerGoneError(str(exc), Cut.NOT_READ) from exc
--- a/tests/internal/test_delivery.py
+++ b/tests/internal/test_delivery.py
@@ -2,6 +2,7 @@
 
 import math
 import socket
+import types
 
 import pytest
 import trio
@@ -40,6 +41,10 @@
     trio.run(main, clock=clock)
 
 
+def receiver(stream):
+    return types.SimpleNamespace(stream=stream, has_looked=False)
+
+
 async def read_all(stream, received, pause_s=0.0, max_bytes=65536):
     """Read until the other end closes, with a pause before each piece."""
     while True:
@@ -111,7 +116,9 @@
         async with trio.open_nursery() as nursery:
             nursery.start_soon(read_all, far, received, 1.0, 1)
             began_at = trio.current_time()
-            with pytest.raises(AnswerCutError, match="bytes of a complete answer"):
+            with pytest.raises(
+                AnswerCutError, match="bytes of an answer that were ready"
+            ):
                 await deliver(near, LONG)
             assert trio.current_time() - began_at <= MAX_BLOCKED_S + SLACK_S
             nursery.cancel_scope.cancel()
@@ -166,7 +173,11 @@
     run_with_streams(scenario)
 
 
-@pytest.mark.parametrize("receive", [receive_some, trio.SocketStream.receive_some])
+def receive_only(end, max_bytes):
+    return end.stream.receive_some(max_bytes)
+
+
+@pytest.mark.parametrize("receive", [receive_some, receive_only])
 def test_bytes_that_have_arrived_are_read_though_a_deadline_passes(receive):
     async def scenario(clock, near, far):
         received = b""
@@ -174,7 +185,7 @@
             await near.send_all(b"whole")
             clock.jump(1.0)
             await trio.lowlevel.cancel_shielded_checkpoint()
-            received = await receive(far, 100)
+            received = await receive(receiver(far), 100)
         # The receipt of trio, which looks for cancellation first, is the twin.
         assert received == (b"whole" if receive is receive_some else b"")
         assert scope.cancel_called
@@ -182,10 +193,53 @@
     run_with_streams(scenario)
 
 
+class ForgetfulReceiver:
+    """Does not remember that it has looked."""
+
+    has_looked = property(lambda self: False, lambda self, value: None)
+
+    def __init__(self, stream):
+        self.stream = stream
+
+
+def count_receipts_after_a_deadline(turn_s, make_receiver):
+    """Return how many receipts of bytes that trickle in follow a deadline, up to 20."""
+    receipts = []
+
+    async def trickle(stream):
+        while True:
+            await stream.send_all(b"x")
+            await trio.lowlevel.checkpoint()
+
+    async def scenario(clock, near, far):
+        end = make_receiver(far)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(trickle, near)
+            with trio.move_on_after(0.5) as scope, late_loop(turn_s, clock.jump):
+                while len(receipts) < 20:
+                    data = await receive_some(end, 100)
+                    if trio.current_time() > scope.deadline:
+                        receipts.append(data)
+            nursery.cancel_scope.cancel()
+
+    run_with_streams(scenario)
+    return len(receipts)
+
+
+@pytest.mark.parametrize("turn_s", [0.01, 0.4, 1.0, 3.0])
+def test_bytes_that_trickle_in_do_not_put_off_a_deadline(turn_s):
+    # One that was ready as the deadline passed, and one look.
+    assert count_receipts_after_a_deadline(turn_s, receiver) <= 2
+
+
+def test_with_a_look_at_each_receipt_they_put_it_off():
+    assert count_receipts_after_a_deadline(0.4, ForgetfulReceiver) == 20
+
+
 def test_nothing_to_read_is_a_cancellation():
     async def scenario(clock, near, far):
         with trio.move_on_after(0.5) as scope:
-            await receive_some(far, 100)
+            await receive_some(receiver(far), 100)
         assert scope.cancelled_caught
 
     run_with_streams(scenario)
--- a/tests/internal/test_late_deliveries.py
+++ b/tests/internal/test_late_deliveries.py
@@ -13,14 +13,20 @@
 import trio.testing
 from returns.result import Failure, Success
 
-from cactusmill.errors import AnswerCutError, LinkClosedError, Overloaded
+from cactusmill.errors import (
+    AnswerCutError,
+    CallerGoneError,
+    Cut,
+    LinkClosedError,
+    Overloaded,
+)
 from cactusmill.internal import at_most_once, link_server
 from cactusmill.internal import http as http_module
 from cactusmill.internal.answer_frames import whole_answer
 from cactusmill.internal.at_most_once import _send_response
 from cactusmill.internal.buffer_budget import BufferBudget
 from cactusmill.internal.caller_request import CallerRequest, caller_sink
-from cactusmill.internal.endpoints import EndpointPool, Exchange
+from cactusmill.internal.endpoints import STALL_LIMIT_S, EndpointPool, Exchange
 from cactusmill.internal.forward_client import forward
 from cactusmill.internal.http import (
     client_connection,
@@ -42,6 +48,10 @@
 MOST_TURNS = 2
 
 
+class EndOfTest(Exception):
+    """Ends a scenario whose response is not read."""
+
+
 def run_with_streams(scenario):
     clock = trio.testing.MockClock(autojump_threshold=0.01)
 
@@ -95,6 +105,44 @@
     run_with_streams(scenario)
 
 
+@pytest.mark.parametrize("is_whole", [False, True])
+def test_caller_that_reads_nothing_is_given_up_in_time(is_whole):
+    body, most_s = b"x" * 4 * 1024 * 1024, STALL_LIMIT_S + 1
+
+    async def respond(sink):
+        began_at = trio.current_time()
+        with pytest.raises(CallerGoneError) as caught:
+            if is_whole:
+                await sink.whole(200, [], body)
+            else:
+                await sink.head(200, [], body)
+        assert caught.value.reason is Cut.NOT_READ
+        assert trio.current_time() - began_at <= most_s
+        raise EndOfTest
+
+    async def scenario(clock, near, far):
+        with pytest.raises(EndOfTest):
+            await deliver_to_caller(clock, near, far, 0.0, respond)
+
+    run_with_streams(scenario)
+
+
+def test_piece_of_a_response_is_not_sent_once_its_request_is_cancelled():
+    async def respond(sink):
+        await sink.head(200, [])
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await sink.data(b"more")
+        assert scope.cancelled_caught
+        await sink.end()
+
+    async def scenario(clock, near, far):
+        got = await deliver_to_caller(clock, near, far, 0.01, respond)
+        assert got[:2] == (200, b"")
+
+    run_with_streams(scenario)
+
+
 @pytest.mark.parametrize("turn_s", TURNS_S)
 @pytest.mark.parametrize("is_refused", [False, True])
 def test_whole_response_leaves_for_another_host_with_one_write(
@@ -235,7 +283,7 @@
 
 def test_without_a_last_look_at_the_socket_it_is_lost(monkeypatch):
     monkeypatch.setattr(
-        http_module, "receive_some", lambda stream, size: stream.receive_some(size)
+        http_module, "receive_some", lambda end, size: end.stream.receive_some(size)
     )
     match run_order_on_a_late_loop():
         case Failure(refusal):
--- a/tests/serving/test_late_deliveries.py
+++ b/tests/serving/test_late_deliveries.py
@@ -175,7 +175,7 @@
 
 def test_without_a_last_look_at_the_link_it_is_lost(forwards, monkeypatch):
     monkeypatch.setattr(
-        link_module, "receive_some", lambda stream, size: stream.receive_some(size)
+        link_module, "receive_some", lambda end, size: end.stream.receive_some(size)
     )
     refusal, responses = run_forwarded_order()
     assert refusal.status == 504 and not responses
@@ -300,6 +300,6 @@
             sock.close()
         cut = [line for line in request_lines if line["outcome"] == "AnswerCutError"]
         assert len(cut) == CALLERS and len(request_lines) == CALLERS + 1
-        assert all("of a complete answer" in line["detail"] for line in cut)
+        assert all("of an answer that were ready" in line["detail"] for line in cut)
 
     on_deployment(scenario, endpoints=DESK)
