--- a/benchmarks/answers.py
+++ b/benchmarks/answers.py
@@ -15,8 +15,10 @@
 
 import h11
 import trio
+from absl import logging
 
 from cactusmill.errors import LinkClosedError
+from cactusmill.internal.account import Account
 from cactusmill.internal.http import server_connection
 from cactusmill.internal.link import Link, encode
 from cactusmill.internal.wire.ttypes import Forward, Frame
@@ -97,17 +99,22 @@
 
 async def serve_host(body, stream):
     """Serve forwarded requests of another host, with the answer to each."""
-    host = types.SimpleNamespace(now=trio.current_time, dialect=DIALECT)
+    host = types.SimpleNamespace(
+        now=trio.current_time, dialect=DIALECT, account=Account()
+    )
     link = Link(stream)
 
-    async def answer(host, req, sink, attempts, last_event_id):
+    async def answer(host, req, sink, progress):
         await relay_body(host, sink, types.SimpleNamespace(), RESPONSE, body)
 
     with contextlib.suppress(LinkClosedError):
         while True:
             message = (await link.receive()).forward
-            req = types.SimpleNamespace(request_id=message.request_id)
-            await forwarding._run_forward(host, link, message, req, answer)
+            req = types.SimpleNamespace(
+                request_id=message.request_id, team_name="", target="/", body=b""
+            )
+            with host.account.open() as entry:
+                await forwarding._run_forward(host, link, message, req, answer, entry)
 
 
 def main():
@@ -117,6 +124,8 @@
     parser.add_argument("--runs", type=int, default=5)
     parser.add_argument("--body-bytes", type=int, default=900)
     args = parser.parse_args()
+    # A line for each request is not a part of its delivery.
+    logging.set_verbosity(logging.WARNING)
     body = b"b" * args.body_bytes
     forward = Forward(
         call=0, request_id="r-1", route="r", team="", method="GET", target="/",
--- a/tests/internal/test_late_deliveries.py
+++ b/tests/internal/test_late_deliveries.py
@@ -22,6 +22,7 @@
 )
 from cactusmill.internal import at_most_once, link_server
 from cactusmill.internal import http as http_module
+from cactusmill.internal.account import Account
 from cactusmill.internal.answer_frames import whole_answer
 from cactusmill.internal.at_most_once import _send_response
 from cactusmill.internal.buffer_budget import BufferBudget
@@ -155,10 +156,11 @@
 
     async def scenario(clock, near, far):
         link, other = Link(far), Link(near)
+        host = types.SimpleNamespace(now=trio.current_time, forwards_account=Account())
         message = types.SimpleNamespace(call=7, request_id="q")
         with late_loop(turn_s, clock.jump) as loop:
             await link_server._serve_forward(
-                None, link, message, 0.0, trio.CancelScope(), {}
+                host, link, message, 0.0, trio.CancelScope(), {}
             )
         assert loop.turns <= MOST_TURNS
         head = (await other.receive()).answer_head
--- a/tests/serving/test_late_deliveries.py
+++ b/tests/serving/test_late_deliveries.py
@@ -10,9 +10,10 @@
 import trio
 from absl import logging
 
-from cactusmill.errors import AnswerCutError
+from cactusmill.errors import AnswerCutError, LinkClosedError
 from cactusmill.internal import link as link_module
-from cactusmill.internal.answer_frames import whole_answer
+from cactusmill.internal.account import Account
+from cactusmill.internal.answer_frames import read_body_frame, whole_answer
 from cactusmill.internal.delivery import MAX_BLOCKED_S
 from cactusmill.internal.framing import Framing, ReceivedBody
 from cactusmill.internal.http import collect_body, read_body
@@ -65,7 +66,7 @@
     """Relay a forwarded response on a late loop; return what the other host gets."""
     received = []
 
-    async def answer(host, request, sink, attempts, last_event_id):
+    async def answer(host, request, sink, progress):
         with late_loop(turn_s):
             await relay(host, sink, types.SimpleNamespace(), RESPONSE, BODY)
 
@@ -74,20 +75,20 @@
         host = types.SimpleNamespace(now=trio.current_time, dialect=DIALECT)
         message = types.SimpleNamespace(request_id="r", attempts=1, identifier="")
         link = Link(far)
-        is_complete = await forwarding._run_forward(
-            host, link, message, message, answer
-        )
+        with Account().open() as entry:
+            is_complete = await forwarding._run_forward(
+                host, link, message, req(), answer, entry
+            )
         await link.close()
         with trio.move_on_after(1):
             other, body = Link(near), ReceivedBody(Framing.LINK)
             try:
                 received.append((await other.receive()).answer_head.status)
-                while (
-                    data := await forwarding._next_data(other, body, 1.0)
-                ) is not None:
-                    received.append(data)
-                received.append("end")
-            except Exception:
+                data = b""
+                while data is not None:
+                    data = read_body_frame(await other.receive(), body)
+                    received.append("end" if data is None else data)
+            except LinkClosedError:
                 received.append("broke off")
         assert is_complete == (received[-1] == "end")
 
