--- a/tests/serving/test_silent_endpoints.py
+++ b/tests/serving/test_silent_endpoints.py
@@ -23,7 +23,7 @@
 from cactusmill.internal.net import Network
 from cactusmill.internal.patience import give_up_always, receive_patiently
 from cactusmill.internal.wire.ttypes import AnswerData, Frame
-from cactusmill.serving import events
+from cactusmill.serving import dispatch, events
 from cactusmill.serving.connections import (
     IDLE_SILENCE_MS,
     IN_USE_SILENCE_MS,
@@ -318,6 +318,21 @@
     assert runs == 1
 
 
+def test_check_detects_a_stream_that_is_given_up_without_another_step(monkeypatch):
+    async def reserve_nothing(*args):
+        return ""
+
+    monkeypatch.setattr(dispatch, "_try_reserve_step", reserve_nothing)
+
+    async def scenario(deployment):
+        deployment.endpoints["engine-1"].handler = silent_handler(1.9)
+        path = f"/chat/1?{QUERY.decode()}{Place.BETWEEN_PIECES.value}"
+        reply = await deployment.send_request("e1", path, model="m", budget_ms=8000)
+        assert not reply.is_complete
+
+    on_deployment(scenario, endpoints=ENDPOINTS[::2], published=patient_configuration())
+
+
 @pytest.mark.parametrize("route", ROUTES)
 def test_endpoint_silent_for_ever_behind_its_head_is_bounded_by_the_deadline(route):
     async def scenario(deployment):
