Idle links between hosts find a dead peer as soon as idle connections do

With 5 s for all links, a request could be forwarded on an idle link to a host without power and wait for its deadline, where the limit of 1.5 s had closed the link before. Links have the limit of their use now, as connections to endpoints; shown on the option of the socket.

--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -66,11 +66,14 @@
         (socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S),
     ):
         sock.setsockopt(socket.IPPROTO_TCP, option, value)
-    _limit_silence(stream, silence_ms)
+    limit_silence(stream, silence_ms)
 
 
-def _limit_silence(stream, silence_ms):
-    """Set the time without acknowledgement after which a connection is closed."""
+def limit_silence(stream, silence_ms):
+    """Set the time without acknowledgement after which a connection is closed.
+
+    Parameters are those of :func:`enable_dead_peer_detection`.
+    """
     sock = getattr(stream, "socket", None)
     if sock is not None:
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, silence_ms)
@@ -126,7 +129,7 @@
         while idle:
             entry = idle.pop()
             if now < entry.expires_at and is_idle_and_open(entry.conn.stream):
-                _limit_silence(entry.conn.stream, IN_USE_SILENCE_MS)
+                limit_silence(entry.conn.stream, IN_USE_SILENCE_MS)
                 self._count(name, 1)
                 return entry.conn, True
             await entry.conn.close()
@@ -151,7 +154,7 @@
         self._put_idle(name, client_connection(stream), _DEFAULT_IDLE_S, now)
 
     def _put_idle(self, name, conn, idle_s, now):
-        _limit_silence(conn.stream, IDLE_SILENCE_MS)
+        limit_silence(conn.stream, IDLE_SILENCE_MS)
         expires_at = now + min(_MAX_IDLE_S, idle_s * _IDLE_FRACTION)
         self._idle.setdefault(name, collections.deque()).append(_Idle(conn, expires_at))
 
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -43,7 +43,12 @@
     Frame,
     Header,
 )
-from .connections import enable_dead_peer_detection
+from .connections import (
+    IDLE_SILENCE_MS,
+    IN_USE_SILENCE_MS,
+    enable_dead_peer_detection,
+    limit_silence,
+)
 from .events import log_event, log_fault
 from .progress import new_progress
 from .responses import EndpointResponse
@@ -102,6 +107,7 @@
         while idle:
             link, since = idle.pop()
             if now - since < _IDLE_S and is_idle_and_open(link.stream):
+                limit_silence(link.stream, IN_USE_SILENCE_MS)
                 return link, True
             await link.close()
         stream = await self.net.connect(f"{ip}:{self.port}", CONNECT_TIMEOUT_S)
@@ -112,6 +118,7 @@
         """Keep a link for reuse, after a complete response."""
         idle = self._idle.setdefault(ip, collections.deque())
         if len(idle) < _MAX_IDLE_PER_HOST:
+            limit_silence(link.stream, IDLE_SILENCE_MS)
             idle.append((link, now))
         else:
             await link.close()
--- a/tests/serving/test_silent_endpoints.py
+++ b/tests/serving/test_silent_endpoints.py
@@ -30,6 +30,7 @@
     ConnectionPool,
     enable_dead_peer_detection,
 )
+from cactusmill.serving.forwarding import LinkPool
 from standins.loopback import EndpointStub, configuration
 from standins.silences import QUERY, Place, silent_handler, whole_body
 
@@ -152,21 +153,34 @@
     assert trio.run(main) == is_delivered
 
 
-def test_limit_of_silence_follows_the_use_of_a_connection():
-    def silence_ms(conn):
-        return conn.stream.socket.getsockopt(
-            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT
-        )
+def silence_ms(stream):
+    return stream.socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+
 
+def test_limit_of_silence_follows_the_use_of_a_connection():
     async def main():
         near, _ = await tcp_pair()
         conn = client_connection(near)
         pool = ConnectionPool(net=None)
         pool.put_back("desk", conn, 0.0)
-        idle_ms = silence_ms(conn)
+        idle_ms = silence_ms(near)
         acquired, was_used = await pool.acquire("desk", "", 0.1)
         assert acquired is conn and was_used
-        return idle_ms, silence_ms(conn)
+        return idle_ms, silence_ms(near)
+
+    assert trio.run(main) == (IDLE_SILENCE_MS, IN_USE_SILENCE_MS)
+
+
+def test_limit_of_silence_follows_the_use_of_a_link():
+    async def main():
+        near, _ = await tcp_pair()
+        link = Link(near)
+        pool = LinkPool(net=None, port=0)
+        await pool.release("127.0.0.1", link, 0.0)
+        idle_ms = silence_ms(near)
+        acquired, was_used = await pool.acquire("127.0.0.1", 0.1)
+        assert acquired is link and was_used
+        return idle_ms, silence_ms(near)
 
     assert trio.run(main) == (IDLE_SILENCE_MS, IN_USE_SILENCE_MS)
 
