A body frame of a link can be read without saying what takes over from a silence

Tests of late deliveries read frames with a limit alone, as before the looks at silent hosts, and would have taken the missing argument for a broken link. Without the argument a silence is given up at the limit, as everywhere else.

--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -254,7 +254,7 @@
     return head
 
 
-async def _next_data(link, received, stall_timeout_s, may_give_up):
+async def _next_data(link, received, stall_timeout_s, may_give_up=give_up_always):
     """Return the next chunk of a forwarded response's body, or None at its end."""
     try:
         frame = await receive_patiently(
