Send the refusals at the exit though the process ends meanwhile

On a late event loop, running work takes several turns to be cancelled; the exit ended the process after 0.2 s and callers got nothing. With no time at all left for it, the request of a caller and a forwarded one were cut as host exits in a test. The scope of a request is shielded when it is cancelled, so that the end of the process is seen only after the refusal was written. A write that the deadline ended is now named: the caller does not read.

--- a/src/cactusmill/internal/account.py
+++ b/src/cactusmill/internal/account.py
@@ -60,7 +60,7 @@
         self._is_stopped = True
         for entry in self.running:
             if entry.scope is not None:
-                entry.scope.cancel()
+                _cancel(entry.scope)
 
     def adds_up(self):
         """Return whether each request that was read runs or has ended once."""
@@ -118,7 +118,7 @@
         """Return a scope for the work that is cancelled when the host exits."""
         self.scope = trio.CancelScope()
         if self.account._is_stopped:
-            self.scope.cancel()
+            _cancel(self.scope)
         return self.scope
 
     def answer(self):
@@ -150,6 +150,15 @@
         account.ended[kind, reason] += 1
 
 
+def _cancel(scope):
+    """Cancel a scope so that what follows it runs though the process ends meanwhile.
+
+    With a late event loop, work takes many turns to be cancelled.
+    """
+    scope.shield = True
+    scope.cancel()
+
+
 def cut_reason(exc):
     """Return the :class:`.Cut` of a request whose handling ended with an exception."""
     if isinstance(exc, (AnswerCutError, CallerGoneError)):
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -274,7 +274,7 @@
         elif failure is None:
             entry.answer()
         if failure is not None:
-            entry.cut(cut_reason(failure))
+            entry.cut(_cut_reason(caller, failure))
             raise failure
     except BaseException as exc:
         if not entry.kind:
@@ -285,6 +285,14 @@
         _log_request(host, caller, route, req, progress, refusal, failure)
 
 
+def _cut_reason(caller, failure):
+    """Return the :class:`.Cut` of a request, whose deadline may end a blocked write."""
+    reason = cut_reason(failure)
+    if reason is Cut.DEADLINE and caller.conn.is_writing:
+        return Cut.NOT_READ
+    return reason
+
+
 def _outcome(progress):
     """Return whether a request may have run, by its progress or None before it."""
     return Outcome.NOT_RUN if progress is None else progress.outcome
--- a/tests/serving/test_account.py
+++ b/tests/serving/test_account.py
@@ -274,6 +274,28 @@
     trio.run(main)
 
 
+@pytest.mark.parametrize("host_name", ["e1", "w1"])
+def test_refusals_at_the_exit_are_sent_though_the_process_ends_meanwhile(
+    short_exit, monkeypatch, host_name
+):
+    """As on a late event loop, where work takes several turns to be cancelled."""
+
+    async def main():
+        async with checked_deployment(
+            hosts=BOTH, endpoints=WEST_ENDPOINTS, published=slow_configuration()
+        ) as deployment:
+            host = deployment.hosts[host_name]
+            host.cfg = attrs.evolve(host.cfg, grace_s=short_exit)
+            reply = await exit_while_running(deployment, "/look/1", host, events=0)
+            assert reply.status == 502 and reply.is_complete
+            is_own = host_name == "e1"
+            account = host.account if is_own else host.forwards_account
+            assert account.ended == {("refusal", "HostExits"): 1}
+
+    monkeypatch.setattr(gateway_host, "_EXIT_REFUSAL_S", 0.0)
+    trio.run(main)
+
+
 @pytest.mark.parametrize("host_name", ["e1", "w1"])
 def test_streams_that_run_at_the_end_of_the_grace_time_are_cut_by_name(
     short_exit, host_name
@@ -457,3 +479,27 @@
 
     monkeypatch.setattr(edge, "_send_refusal", fail)
     trio.run(main)
+
+
+def test_caller_that_does_not_read_a_stream_is_cut_by_that_name():
+    async def pour(endpoint, conn, request):
+        await conn.send(
+            endpoint.head(request, extra=[("transfer-encoding", "chunked")])
+        )
+        while True:
+            await conn.send(h11.Data(data=b"data: " + b"x" * 60_000 + b"\n\n"))
+
+    async def main():
+        async with checked_deployment(hosts=EAST, endpoints=ENDPOINTS) as deployment:
+            deployment.endpoints["engine-1"].handler = pour
+            account = deployment.hosts["e1"].account
+            head = "POST /draft/1 HTTP/1.1\r\nhost: api.example\r\nmodel: m\r\n"
+            head += f"authorization: Token {KEY}\r\ntoken-usage: 100,30\r\n"
+            head += "deadline-ms: 2000\r\ncontent-length: 0\r\n\r\n"
+            stream = await deployment.connect("e1")
+            await stream.send_all(head.encode())
+            await deployment.wait_until(lambda: account.ended.total())
+            assert account.ended == {("cut", Cut.NOT_READ.value): 1}
+            await trio.aclose_forcefully(stream)
+
+    trio.run(main)
