Own interface: begin to serve the last connections before the process ends

A shutdown closed the listener and ended the process as soon as it counted no caller, though connections that were accepted in that turn had no task yet and were not counted; their callers saw a reset. It now waits until the listener is closed and the last tasks have begun.

--- a/src/cactusmill/internal/host_process.py
+++ b/src/cactusmill/internal/host_process.py
@@ -53,6 +53,7 @@
 # Intervals of waking the queues, and of expiring entries and reconciling peers.
 HOUSEKEEPING_S = 0.1
 EXPIRY_S = 1.0
+_EXIT_POLL_S = 0.02
 _SECRET_BYTES = 32
 
 
@@ -129,6 +130,7 @@
     _pulling: set = attrs.field(factory=set)
     _endpoints_by_service: dict = attrs.field(factory=dict)
     _accept_scope: trio.CancelScope = attrs.field(factory=trio.CancelScope)
+    _accept_ended: trio.Event = attrs.field(factory=trio.Event)
     _started_at: float = 0.0
 
     def __attrs_post_init__(self):
@@ -375,14 +377,25 @@
             nursery.start_soon(self.body_relay.run)
             nursery.start_soon(reconcile_placements, self)
             await sync_initial_state(self)
-            await self._listen(self.cfg.callers, serve_caller, self._accept_scope)
+            await self._listen_to_callers()
             self.ready.set()
             logging.info(
                 "ready: host %s incarnation %s", self.cfg.host, self.incarnation
             )
             task_status.started(self)
 
-    async def _listen(self, address, handler, scope=None):
+    async def _listen_to_callers(self):
+        async def accept(task_status):
+            with self._accept_scope:
+                await self._accept(self.cfg.callers, serve_caller, task_status)
+            self._accept_ended.set()
+
+        await self.nursery.start(accept)
+
+    async def _listen(self, address, handler):
+        await self.nursery.start(self._accept, address, handler)
+
+    async def _accept(self, address, handler, task_status):
         async def handle(stream):
             try:
                 await handler(self, stream)
@@ -391,11 +404,7 @@
                 self.record_fault("a connection to %s", address)
                 await trio.aclose_forcefully(stream)
 
-        async def accept(task_status):
-            with scope or trio.CancelScope():
-                await self.net.serve(str(address), handle, self.nursery, task_status)
-
-        await self.nursery.start(accept)
+        await self.net.serve(str(address), handle, self.nursery, task_status)
 
     async def _run_housekeeping(self):
         next_expiry = self.now()
@@ -416,10 +425,13 @@
         logging.info("leaving: host %s", self.cfg.host)
         await trio.sleep(self.cfg.drain_s)
         self._accept_scope.cancel()
+        await self._accept_ended.wait()
+        # The tasks of the last connections begin a turn after they are accepted.
+        await trio.sleep(_EXIT_POLL_S)
         # Idle connections close after the timeout announced to their callers, and
         # each response from now on announces that its connection closes.
         while self._is_busy():
-            await trio.sleep(0.02)
+            await trio.sleep(_EXIT_POLL_S)
         self.nursery.cancel_scope.cancel()
 
     def _is_busy(self):
