Make room for new callers when descriptors run short

Connections that callers had left idle used up the descriptors in a burst, and those who came then waited in the backlog without an answer, until 15 s of idle time were over. The number of an accepted connection is the lowest free descriptor: above 3/4 of the process's limit, responses now announce the close of their connections, and above 7/8 each connection that is accepted ends the two longest idle ones, if nothing has arrived on them. The work is bounded for each connection, and nothing looks at all of them. The test fails without the closes; its twin with a wide limit closes and announces nothing.

--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -100,6 +100,7 @@
     """Serve one caller's connection until it ends."""
     conn = server_connection(stream, host.limits.max_head_bytes)
     host.caller_connections.add(conn)
+    host.make_room(stream)
     start = host.loop.mark_start()
     try:
         while await _serve_next_request(host, conn, start):
@@ -509,7 +510,7 @@
 
     def begin(status, headers):
         caller.first_at, caller.status = host.now(), status
-        caller.closes = host.is_leaving
+        caller.closes = host.closes_connections(caller.first_at)
         if caller.closes:
             headers = [*headers, (b"connection", b"close")]
         return h11.Response(status_code=status, headers=headers)
@@ -541,7 +542,11 @@
     """
     if conn.h11.their_state is h11.SEND_BODY:
         discard_received_body(conn)
-    return host.is_leaving or _wants_close(event) or not _is_body_read(conn)
+    return (
+        host.closes_connections(host.now())
+        or _wants_close(event)
+        or not _is_body_read(conn)
+    )
 
 
 def _is_body_read(conn):
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -21,6 +21,7 @@
 from .budgets import RetryBudgets
 from .catalog import Catalog
 from .connections import ConnectionPool
+from .descriptors import Descriptors
 from .dispatch import run_request
 from .edge import choose_service, serve_caller
 from .events import log_event, log_fault
@@ -133,6 +134,8 @@
         Open links of other hosts that have not been told that this host leaves.
     idle_links : IdleWaits
         Those that wait for the next request.
+    descriptors : Descriptors
+        How near the process is to its limit of descriptors.
     buffers : BufferBudget
         Limits the bytes of bodies and frames that are held at once.
     loop : LoopMonitor
@@ -160,6 +163,7 @@
     leaving_since: float = float("inf")
     caller_connections: set = attrs.field(factory=set)
     busy_connections: set = attrs.field(factory=set)
+    descriptors: Descriptors = attrs.field(factory=Descriptors)
     idle_callers: IdleWaits = attrs.field(init=False)
     served_links: set = attrs.field(factory=set)
     idle_links: IdleWaits = attrs.field(init=False)
@@ -235,6 +239,28 @@
         """Return whether new requests are refused because of the shutdown."""
         return now - self.leaving_since > DRAIN_S
 
+    def closes_connections(self, now):
+        """Return whether responses announce that their connection closes."""
+        return self.is_leaving or self.descriptors.is_short(now)
+
+    def make_room(self, stream):
+        """End the longest idle callers' connections if descriptors are short.
+
+        Parameters
+        ----------
+        stream : trio.abc.Stream
+            The connection of a caller that was accepted.
+        """
+        sock = getattr(stream, "socket", None)
+        if sock is None:
+            return
+        now = self.now()
+        count = self.descriptors.record_accepted(sock.fileno(), now)
+        if count:
+            self.descriptors.closed += self.idle_callers.end_since(
+                now - _IDLE_BEFORE_CLOSE_S, count
+            )
+
     def removal_grace_s(self, now):
         """Return how long a removed endpoint still counts as listed, in seconds.
 
@@ -569,6 +595,7 @@
             await trio.sleep(_MAINTENANCE_INTERVAL_S)
             now = self.now()
             self._log_shed_requests(now)
+            self._log_descriptors(now)
             self.pool.close_expired(now)
             for key, counted_at in list(self._crashes.items()):
                 if now - counted_at > _SAME_CRASH_S:
@@ -584,6 +611,16 @@
                 "requests_shed", requests=count, lag_s=round(self.loop.lag_s(now), 3)
             )
 
+    def _log_descriptors(self, now):
+        highest, closed = self.descriptors.take_counts()
+        if closed or (highest and self.descriptors.is_short(now)):
+            log_event(
+                "descriptors_short",
+                highest=highest,
+                limit=self.descriptors.limit,
+                closed=closed,
+            )
+
     async def shut_down(self):
         """Begin a graceful shutdown and announce it; :meth:`run` completes it."""
         self.is_leaving, self.leaving_since = True, self.now()
--- a/src/cactusmill/serving/idle_waits.py
+++ b/src/cactusmill/serving/idle_waits.py
@@ -42,14 +42,27 @@
             finally:
                 self._since.pop(scope, None)
 
-    def end_since(self, limit):
-        """End the waits that began at a time or earlier, in seconds."""
-        while self._since and next(iter(self._since.values())) <= limit:
-            self.end_longest()
-
-    def end_longest(self):
-        """End the wait that began first, if there is one."""
-        if self._since:
-            scope = next(iter(self._since))
+    def end_since(self, limit, max_count=float("inf")):
+        """End waits, the longest first.
+
+        Parameters
+        ----------
+        limit : float
+            Only those that began at this time or earlier, in seconds.
+        max_count : float
+            Largest number to end.
+
+        Returns
+        -------
+        int
+            Number of waits that were ended.
+        """
+        count = 0
+        while self._since and count < max_count:
+            scope, since = next(iter(self._since.items()))
+            if since > limit:
+                break
             del self._since[scope]
             scope.cancel()
+            count += 1
+        return count
--- a/tests/serving/test_drain.py
+++ b/tests/serving/test_drain.py
@@ -1,10 +1,12 @@
-"""Closes of callers' connections by a host that leaves or limits idle time."""
+"""Closes of callers' connections: leaving, idle time, and lack of descriptors."""
 
+import os
 import time
 
 import pytest
 import trio
 
+from cactusmill.serving.descriptors import Descriptors
 from cactusmill.serving.events import counts
 from cactusmill.serving.gateway_host import DRAIN_S
 from standins.loopback import configuration
@@ -129,3 +131,54 @@
         assert is_refused_with_close(response), response
 
     on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+def lowest_free_descriptor():
+    number = os.open(os.devnull, os.O_RDONLY)
+    os.close(number)
+    return number
+
+
+def is_closed(caller):
+    try:
+        return caller.recv(1) == b""
+    except BlockingIOError:
+        return False
+
+
+@pytest.mark.parametrize("is_short", [True, False])
+def test_longest_idle_connections_make_room_when_descriptors_run_short(is_short):
+    # Idle connections used up the descriptors, and new callers waited in the backlog.
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        idle = [await open_idle_connection(host) for _ in range(12)]
+        await trio.sleep(0.6)
+        number = lowest_free_descriptor()
+        host.descriptors = Descriptors(limit=number if is_short else 8 * number)
+        shorts = counts["descriptors_short"]
+        for _ in range(3):
+            caller = connect(host.cfg.callers)
+            caller.sendall(encode_request("/look/2"))
+            response = await receive_responses(caller, 0.3)
+            assert response.startswith(b"HTTP/1.1 200")
+            assert (b"connection: close" in response) == is_short
+            caller.close()
+        closed = [is_closed(c) for c in idle]
+        # The longest idle ones, two for each connection that was accepted at most.
+        assert closed == sorted(closed, reverse=True)
+        assert (1 <= sum(closed) <= 6) if is_short else not any(closed)
+        await trio.sleep(0.7)
+        assert (counts["descriptors_short"] > shorts) == is_short
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+def test_descriptors_are_short_for_a_while_and_close_a_few_at_once():
+    descriptors = Descriptors(limit=1000)
+    assert descriptors.record_accepted(700, 0.0) == 0
+    assert not descriptors.is_short(0.0)
+    assert descriptors.record_accepted(800, 0.0) == 0
+    assert descriptors.is_short(0.9) and not descriptors.is_short(1.1)
+    assert 0 < descriptors.record_accepted(900, 2.0) <= 4
+    assert descriptors.take_counts() == (900, 0)
+    assert descriptors.take_counts() == (0, 0)
