Apply configurations, listings and heartbeats in bounded turns; count long turns by cause

Causes: the work had no pauses; each entry rebuilt the index by service; each cached item beyond 4,096 searched all for tombstones; garbage collections went through the whole heap.

It takes force as a whole, by its version. Indexes are kept, and the heap is frozen once the process is ready. A pull's time limit no longer covers the reading of its reply.

Changed tests: reading is async, so tests call it through trio.run; the twin of reverting records passes on the new argument. Both check what they did.

--- a/src/cactusmill/daemon.py
+++ b/src/cactusmill/daemon.py
@@ -10,6 +10,7 @@
 from .errors import SettingsError
 from .internal.host_process import HostProcess
 from .internal.logs import configure_json_logging
+from .internal.steps import freeze_heap
 from .settings import load_settings
 
 EXIT_USAGE = 2
@@ -34,6 +35,7 @@
     host = HostProcess(cfg)
     async with trio.open_nursery() as nursery:
         nursery.start_soon(_shut_down_on_signal, host, nursery.cancel_scope)
+        nursery.start_soon(freeze_heap, host.ready.is_set)
         await host.run()
         nursery.cancel_scope.cancel()
 
--- a/src/cactusmill/internal/configuration.py
+++ b/src/cactusmill/internal/configuration.py
@@ -78,7 +78,35 @@
 
 def change_to_json(change):
     """Return a change as a dictionary in the platform's JSON format."""
-    return attrs.asdict(change)
+    return {
+        "kind": change.kind,
+        "name": change.name,
+        "schema": change.schema,
+        "version": change.version,
+        "body": change.body,
+    }
+
+
+def check_change(change):
+    """Parse the record of a change, which takes longer than applying it.
+
+    Parameters
+    ----------
+    change : Change
+        The change.
+
+    Returns
+    -------
+    record, RecordError or None
+        None for the removal of a record and for an unknown schema, an error for an
+        invalid record.
+    """
+    if change.body is None or change.schema not in known_schemas(change.kind):
+        return None
+    try:
+        return parse_record(change.kind, change.name, change.schema, change.body)
+    except RecordError as exc:
+        return exc
 
 
 @attrs.define
@@ -102,16 +130,18 @@
     _keys_by_digest: dict = attrs.field(factory=dict)
     _routes: list = attrs.field(factory=list)
 
-    def apply(self, changes, version):
-        """Apply the changes that are newer than the stored ones.
+    def apply(self, changes, version, checked=None):
+        """Apply the changes that are newer than the stored ones, all at once.
 
         Parameters
         ----------
-        changes : iterable of Change
+        changes : list of Change
             Changes in any order. Together with the changes applied before, they
             must be complete up to `version`.
         version : int
             The platform's version after these changes.
+        checked : list or None
+            What :func:`check_change` returned for each change; None to call it here.
 
         Returns
         -------
@@ -119,50 +149,72 @@
             True if the store's version or any record changed.
         """
         changed = set()
-        for change in changes:
+        if checked is None:
+            checked = [check_change(change) for change in changes]
+        for change, record in zip(changes, checked, strict=True):
             record_key = (change.kind, change.name, change.schema)
             stored = self._changes.get(record_key)
             if stored is not None and stored.version >= change.version:
                 continue
             self._changes[record_key] = change
-            self._validate(record_key, change)
+            self._accept(record_key, change, record)
             changed.add((change.kind, change.name))
         for kind, name in changed:
             self._select_in_force(kind, name)
-        if changed:
-            self._rebuild_indexes()
+        if any(kind == "route" for kind, _ in changed):
+            self._sort_routes()
         has_newer_version = version > self.version
         self.version = max(self.version, version)
         return has_newer_version or bool(changed)
 
-    def _validate(self, record_key, change):
+    def _accept(self, record_key, change, record):
         self._faults.pop(record_key, None)
         if change.body is None:
             self._accepted.pop(record_key, None)
-            return
-        if change.schema not in known_schemas(change.kind):
-            # Still kept in `_changes`, so that hosts of a newer release can pull
-            # it from this one. Older schema versions of the record stay in force.
-            return
-        try:
-            parsed = parse_record(*record_key, change.body)
-        except RecordError as exc:
+        elif isinstance(record, RecordError):
             # The previous version stays in `_accepted`, so that an invalid change
             # affects nothing else.
-            self._faults[record_key] = exc
-            return
-        self._accepted[record_key] = parsed
+            self._faults[record_key] = record
+        elif record is not None:
+            self._accepted[record_key] = record
+        # A change of an unknown schema is still kept in `_changes`, so that hosts of a
+        # newer release can pull it from this one. Older schema versions of the record
+        # stay in force.
 
     def _select_in_force(self, kind, name):
-        for schema in known_schemas(kind):
-            if (kind, name, schema) in self._accepted:
-                accepted = self._accepted[kind, name, schema]
-                self._in_force.setdefault(kind, {})[name] = accepted
-                return
-        self._in_force.get(kind, {}).pop(name, None)
-
-    def _rebuild_indexes(self):
-        self._keys_by_digest = {k.digest: k for k in self.all("key")}
+        in_force = self._in_force.setdefault(kind, {})
+        before = in_force.get(name)
+        schemas = known_schemas(kind)
+        accepted = next(
+            (
+                self._accepted[kind, name, schema]
+                for schema in schemas
+                if (kind, name, schema) in self._accepted
+            ),
+            None,
+        )
+        if accepted is None:
+            in_force.pop(name, None)
+        else:
+            in_force[name] = accepted
+        if kind == "key":
+            self._index_key(before, accepted)
+
+    def _index_key(self, before, key):
+        if before is not None:
+            keys = self._keys_by_digest[before.digest]
+            del keys[before.name]
+            if not keys:
+                del self._keys_by_digest[before.digest]
+        if key is not None:
+            self._keys_by_digest.setdefault(key.digest, {})[key.name] = key
+
+    def _key_with(self, digest):
+        """Return a key with a digest, the last of several, or None."""
+        keys = self._keys_by_digest.get(digest)
+        return next(reversed(keys.values())) if keys else None
+
+    def _sort_routes(self):
         routes = self.all("route")
         self._routes = sorted(routes, key=lambda r: (-len(r.prefix), r.name))
 
@@ -230,12 +282,12 @@
         Key or None
         """
         digest = hashlib.sha256(secret).hexdigest()
-        key = self._keys_by_digest.get(digest)
+        key = self._key_with(digest)
         if key is None or not hmac.compare_digest(key.digest, digest):
             return None
         return key if key.active else None
 
     def key_is_active(self, digest):
         """Return whether the key with this digest exists and is active."""
-        key = self._keys_by_digest.get(digest)
+        key = self._key_with(digest)
         return key is not None and key.active
--- a/src/cactusmill/internal/host_process.py
+++ b/src/cactusmill/internal/host_process.py
@@ -296,7 +296,9 @@
             Changes, and the store's version after them.
         """
         previous_version = self.host_list.version
-        if not self.store_named(name).apply(update.changes, update.version):
+        if not self.store_named(name).apply(
+            update.changes, update.version, update.checked
+        ):
             return
         if self.host_list.version != previous_version:
             self.host_list_changed_at = self.now()
@@ -305,8 +307,12 @@
         self.key_scopes.cancel_withdrawn(self.records)
         if name == "hosts":
             self._apply_host_list()
+        elif any(c.kind == "zone" for c in update.changes):
+            self._refresh_accounts(self.records.all("team"))
         else:
-            self._refresh_accounts()
+            names = {c.name for c in update.changes if c.kind == "team"}
+            teams = [self.records.get("team", name) for name in sorted(names)]
+            self._refresh_accounts([t for t in teams if t is not None])
         self.send_heartbeats_now()
 
     def _apply_host_list(self):
@@ -330,14 +336,14 @@
         slot = listed.slot if is_this_process and self._is_quarantine_over() else None
         if slot != self.limiter.slot:
             self.limiter.slot = slot
-            self._refresh_accounts()
+            self._refresh_accounts(self.records.all("team"))
 
-    def _refresh_accounts(self):
-        """Create all teams' token buckets now, so that they refill from now on.
+    def _refresh_accounts(self, teams):
+        """Create the teams' token buckets now, so that they refill from now on.
 
         A bucket that is created on first use would start empty at that time.
         """
-        for team in self.records.all("team"):
+        for team in teams:
             self.limiter.account(self.records, team, self.now())
 
     def _is_quarantine_over(self):
@@ -360,11 +366,11 @@
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Run until :meth:`shut_down` has ended or the task is cancelled."""
         self._started_at = self.now()
-        trio.lowlevel.add_instrument(self.loop)
+        self.loop.install()
         try:
             await self._serve(task_status)
         finally:
-            trio.lowlevel.remove_instrument(self.loop)
+            self.loop.remove()
 
     async def _serve(self, task_status):
         async with trio.open_nursery() as nursery:
--- a/src/cactusmill/internal/link_server.py
+++ b/src/cactusmill/internal/link_server.py
@@ -30,6 +30,7 @@
 from .repeatable import run_repeatable
 from .request import is_permitted
 from .request_builder import build_request
+from .steps import Steps
 from .wire.ttypes import (
     AnswerEnd,
     AnswerHead,
@@ -99,12 +100,14 @@
 
 async def _send_changes(host, link, pull):
     store = host.store_named(pull.book)
-    changes = store.changes_since(pull.since_version)
-    update = {
-        "version": store.version,
-        "changes": [change_to_json(c) for c in changes],
-    }
-    await link.send(changes_reply=ChangesReply(pull.call, json.dumps(update).encode()))
+    # Both now: changes that are applied while these are encoded have later versions.
+    version, changes = store.version, store.changes_since(pull.since_version)
+    steps, texts = Steps(), []
+    for change in changes:
+        texts.append(json.dumps(change_to_json(change)))
+        await steps.pause()
+    update = f'{{"version": {version}, "changes": [{", ".join(texts)}]}}'
+    await link.send(changes_reply=ChangesReply(pull.call, update.encode()))
 
 
 async def _grant_loan(host, link, ask):
--- a/src/cactusmill/internal/metrics.py
+++ b/src/cactusmill/internal/metrics.py
@@ -7,6 +7,8 @@
 import attrs
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
+from .loop_monitor import LONG_TURN_S
+
 _LATENCY_BUCKETS_S = [0.005, 0.02, 0.1, 0.25, 0.5, 0.82, 1.5, 3.0, 10.0]
 
 
@@ -28,6 +30,8 @@
         Number of events since the start by name, as in the log.
     accounts : Gauge
         Requests since the start by source, state and reason.
+    long_turns : Gauge
+        Number of long turns of the event loop by what ran, see `LoopMonitor`.
     """
 
     registry: Registry = attrs.field(factory=Registry)
@@ -36,6 +40,7 @@
     gauges: Gauge = attrs.field(init=False)
     events: Gauge = attrs.field(init=False)
     accounts: Gauge = attrs.field(init=False)
+    long_turns: Gauge = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         """Create the metrics and add them to the registry."""
@@ -64,6 +69,11 @@
             "Requests read, running and ended since the start.",
             registry=self.registry,
         )
+        self.long_turns = Gauge(
+            "cactusmill_long_turns",
+            f"Turns of the event loop of {LONG_TURN_S} s or more, by what ran.",
+            registry=self.registry,
+        )
 
     def record_request(self, route, result, first_byte_s):
         """Count a request.
@@ -81,13 +91,15 @@
         if first_byte_s is not None:
             self.first_byte.observe({"route": route}, first_byte_s)
 
-    def render(self, values, events=None, accounts=None):
+    def render(self, values, long_turns, events=None, accounts=None):
         """Return the metrics page in the Prometheus text format.
 
         Parameters
         ----------
         values : dict of str to float
             Current value of each gauge.
+        long_turns : dict of str to int
+            Number of long turns of the event loop, by what ran.
         events : dict of str to int or None
             Number of events since the start, by name.
         accounts : dict of str to Account or None
@@ -99,6 +111,8 @@
         """
         for name, value in values.items():
             self.gauges.set({"name": name}, value)
+        for name, count in long_turns.items():
+            self.long_turns.set({"ran": name}, count)
         for name, count in (events or {}).items():
             self.events.set({"event": name}, count)
         for source, account in (accounts or {}).items():
--- a/src/cactusmill/internal/operators.py
+++ b/src/cactusmill/internal/operators.py
@@ -93,7 +93,9 @@
 
 def _metrics_page(host):
     accounts = {"callers": host.account, "hosts": host.forwards_account}
-    page = host.metrics.render(collect_gauges(host), accounts=accounts)
+    page = host.metrics.render(
+        collect_gauges(host), host.loop.long_turns, accounts=accounts
+    )
     return Page(200, page, PLAIN_TEXT)
 
 
--- a/src/cactusmill/internal/platform_client.py
+++ b/src/cactusmill/internal/platform_client.py
@@ -5,14 +5,13 @@
 no changes after `S` seconds. Only this module depends on the format.
 """
 
-import json
-
 import attrs
 
 from ..errors import PlatformError, RecordError
-from .configuration import change_from_json
+from .configuration import change_from_json, check_change
 from .net import Network
 from .service_client import ServiceClient
+from .steps import Steps, parse_json
 
 _RESPONSE_MARGIN_S = 0.5
 _OK = 200
@@ -28,14 +27,17 @@
         Version of the service after the changes.
     changes : list of Change
         Changes above the requested version. Unparsable members are left out.
+    checked : list
+        What :func:`.check_change` returned for each change.
     """
 
     version: int
     changes: list
+    checked: list
 
 
-def parse_update(body):
-    """Parse the JSON body of a response.
+async def parse_update(body):
+    """Parse the JSON body of a response in steps, and check its changes.
 
     Parameters
     ----------
@@ -51,21 +53,25 @@
     PlatformError
         If the body is not JSON or lacks a valid version or list of changes.
     """
+    steps = Steps()
     try:
-        data = json.loads(body)
+        data = await parse_json(body, steps)
         version, items = data["version"], data["changes"]
-    except (ValueError, KeyError, TypeError) as exc:
+    except (ValueError, KeyError, TypeError, RecursionError) as exc:
         raise PlatformError(f"malformed response: {exc!r}") from exc
     if not isinstance(version, int) or not isinstance(items, list):
         raise PlatformError("the response's version or changes have the wrong type")
-    changes = []
+    changes, checked = [], []
     for item in items:
+        await steps.pause()
         try:
-            changes.append(change_from_json(item))
+            change = change_from_json(item)
         except RecordError:
             # An unparsable change must not prevent the others from being applied.
             continue
-    return Update(version, changes)
+        changes.append(change)
+        checked.append(check_change(change))
+    return Update(version, changes, checked)
 
 
 @attrs.define
@@ -117,7 +123,7 @@
         status, body = await self._client.get(target, wait_s + _RESPONSE_MARGIN_S)
         if status != _OK:
             raise PlatformError(f"{self.address}: status {status}")
-        return parse_update(body)
+        return await parse_update(body)
 
     async def close(self):
         """Close the connection; the next request opens another."""
--- a/src/cactusmill/internal/record_sync.py
+++ b/src/cactusmill/internal/record_sync.py
@@ -69,10 +69,11 @@
         )
         for call_id, name in enumerate(STORE_NAMES):
             await link.send(changes_pull=ChangesPull(call_id, name, 0))
+            reply = None
             with trio.move_on_after(PULL_TIMEOUT_S):
                 reply = (await link.receive()).changes_reply
-                if reply is not None:
-                    host.apply(name, parse_update(reply.update))
+            if reply is not None:
+                host.apply(name, await parse_update(reply.update))
     finally:
         await trio.aclose_forcefully(stream)
 
@@ -128,11 +129,13 @@
             await trio.sleep(PULL_DELAY_S)
         if store.version >= peer.version_of(name):
             return
+        reply = None
         with trio.move_on_after(PULL_TIMEOUT_S):
             async with peer.call() as (call_id, link, frames):
                 message = ChangesPull(call_id, name, store.version)
                 await link.send(changes_pull=message)
                 reply = (await next_frame(frames)).changes_reply
-                host.apply(name, parse_update(reply.update))
+        if reply is not None:
+            host.apply(name, await parse_update(reply.update))
     except (LinkClosedError, PlatformError):
         pass
--- a/src/cactusmill/platform/daemon.py
+++ b/src/cactusmill/platform/daemon.py
@@ -12,6 +12,7 @@
 from ..internal.logs import configure_json_logging
 from ..internal.net import TCP
 from ..internal.operators import serve_operator
+from ..internal.steps import freeze_heap
 from ..serving.events import log_event
 from ..serving.gateway_host import GatewayHost
 from ..serving.pages import render_page
@@ -46,6 +47,7 @@
             await nursery.start(TCP.serve, address, directory, nursery)
         nursery.start_soon(_handle_signals, host, path)
         nursery.start_soon(_poll_settings_file, host, path)
+        nursery.start_soon(freeze_heap, lambda: host.is_ready(host.now()))
         await host.run()
         nursery.cancel_scope.cancel()
 
--- a/src/cactusmill/platform/items.py
+++ b/src/cactusmill/platform/items.py
@@ -9,6 +9,7 @@
 import json
 
 from ..errors import RecordError
+from ..internal.steps import decode_base64, parse_json
 from ..records import CallerLimits, Endpoint, Route, Service, Team
 from ..serving.catalog import (
     Configuration,
@@ -24,9 +25,11 @@
 ENDPOINT_PREFIX = "servers/"
 _MS_PER_S = 1000.0
 _STATES = ("ready", "draining")
+# RecursionError: the value is nested too deep.
+_MALFORMED = (RecordError, KeyError, TypeError, ValueError, RecursionError)
 
 
-def change_from_item(item, zones):
+async def change_from_item(item, zones, steps):
     """Decode an item or a watch event of the store.
 
     Parameters
@@ -35,6 +38,8 @@
         Entry of a listing or of a watch response.
     zones : dict of str to str
         Region of each availability zone.
+    steps : Steps
+        Divides the decoding of a configuration into steps.
 
     Returns
     -------
@@ -64,15 +69,16 @@
         )
     if key == CONFIGURATION_KEY and not is_removed:
         try:
-            configuration = _parse_configuration(_decode_value(item))
-        except (RecordError, KeyError, TypeError, ValueError, AttributeError) as exc:
+            data = await decode_base64(item["value"], steps)
+            value = _check_object(await parse_json(data, steps))
+            configuration = await _parse_configuration(value, steps)
+        except (*_MALFORMED, AttributeError) as exc:
             return UnreadableItem(revision=revision, key=key, problem=repr(exc))
         return ConfigurationChange(revision=revision, configuration=configuration)
     return None
 
 
-def _decode_value(item):
-    value = json.loads(base64.b64decode(item["value"], validate=True))
+def _check_object(value):
     if not isinstance(value, dict):
         raise RecordError("item", "value", f"{value!r} must be an object")
     return value
@@ -83,8 +89,9 @@
     if item is None:
         return EndpointChange(revision=revision, name=name, endpoint=None)
     try:
-        endpoint = _parse_endpoint(name, _decode_value(item), zones)
-    except (RecordError, KeyError, TypeError, ValueError) as exc:
+        value = json.loads(base64.b64decode(item["value"], validate=True))
+        endpoint = _parse_endpoint(name, _check_object(value), zones)
+    except _MALFORMED as exc:
         return UnreadableItem(revision=revision, key=key, problem=repr(exc))
     return EndpointChange(revision=revision, name=name, endpoint=endpoint)
 
@@ -117,8 +124,11 @@
     )
 
 
-def _parse_configuration(data):
-    routes = tuple(_parse_route(r) for r in _get_typed(data, "routes", list))
+async def _parse_configuration(data, steps):
+    routes = []
+    for route in _get_typed(data, "routes", list):
+        routes.append(_parse_route(route))
+        await steps.pause()
     services = [_parse_service(s) for s in _get_typed(data, "services", list)]
     teams, team_by_key = {}, {}
     for tenant in data.get("tenants") or ():
@@ -126,9 +136,10 @@
         teams[team.name] = team
         for key in tenant.get("api_keys") or ():
             team_by_key[key_digest(key.encode("latin-1"))] = team.name
+        await steps.pause()
     return Configuration(
         version=_get_typed(data, "version", int),
-        routes=routes,
+        routes=tuple(routes),
         teams=teams,
         team_by_key=team_by_key,
         services={s.name: s for s in services},
--- a/src/cactusmill/platform/store.py
+++ b/src/cactusmill/platform/store.py
@@ -10,9 +10,11 @@
 import zlib
 
 import attrs
+import trio
 
 from ..errors import PlatformError, RecordError
 from ..internal.service_client import ServiceClient
+from ..internal.steps import Steps, parse_json
 from ..serving.connections import IDLE_SILENCE_MS, enable_dead_peer_detection
 from ..serving.source_sync import HistoryLostError, Source
 from .items import change_from_item
@@ -23,9 +25,10 @@
 _MAX_PAGES = 100
 # Configurations are repetitive: the fastest level shrinks them to about a tenth.
 _COMPRESSION_LEVEL = 1
-# Above this number of cached items, tombstones of removed items are dropped, oldest
-# first.
-_MAX_CACHED_ITEMS = 4096
+# Cached tombstones of removed items; above this number the oldest is dropped.
+_MAX_TOMBSTONES = 4096
+# Exports are packed and unpacked this many bytes at a time.
+_PART_BYTES = 64 * 1024
 _MAX_EXPORT_BYTES = 32 * 1024 * 1024
 
 
@@ -47,7 +50,9 @@
     net: object
     zones: dict
     _items: dict = attrs.field(factory=dict)
+    _tombstones: dict = attrs.field(factory=dict)
     _last_export: tuple | None = None
+    _export_lock: trio.Lock = attrs.field(factory=trio.Lock)
     _client: ServiceClient = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -67,7 +72,7 @@
             count_calls=lambda: self._client.request_count,
         )
 
-    def export(self, since, revision):
+    async def export(self, since, revision):
         """Return the items newer than a revision, as compressed JSON.
 
         Items keep the store's own format. They are compressed because links
@@ -75,14 +80,30 @@
         hosts request the same revisions after a change.
         """
         key = (since, revision)
-        if self._last_export is None or self._last_export[0] != key:
-            items = [i for i in self._items.values() if i["revision"] > since]
-            text = json.dumps({"revision": revision, "items": items})
-            data = zlib.compress(text.encode(), _COMPRESSION_LEVEL)
-            self._last_export = (key, data)
-        return self._last_export[1]
-
-    def read_export(self, data):
+        async with self._export_lock:
+            if self._last_export is None or self._last_export[0] != key:
+                self._last_export = (key, await self._pack_export(since, revision))
+            return self._last_export[1]
+
+    async def _pack_export(self, since, revision):
+        steps = Steps()
+        packer = zlib.compressobj(_COMPRESSION_LEVEL)
+        parts = [packer.compress(f'{{"revision": {revision}, "items": ['.encode())]
+        separator = ""
+        for item in list(self._items.values()):
+            await steps.pause()
+            if item["revision"] <= since:
+                continue
+            text = separator + json.dumps(item)
+            separator = ", "
+            for start in range(0, len(text), _PART_BYTES):
+                part = text[start : start + _PART_BYTES]
+                parts.append(packer.compress(part.encode()))
+                await steps.pause()
+        parts += [packer.compress(b"]}"), packer.flush()]
+        return b"".join(parts)
+
+    async def read_export(self, data):
         """Decode another host's export into its changes and the revision it is up to.
 
         Raises
@@ -91,19 +112,14 @@
             If the export is malformed.
         """
         try:
-            unpacker = zlib.decompressobj()
-            text = unpacker.decompress(data, _MAX_EXPORT_BYTES)
-            if not unpacker.eof:
-                raise PlatformError(
-                    f"export is cut or over {_MAX_EXPORT_BYTES} bytes unpacked"
-                )
-            export = json.loads(text)
+            export = await _unpack(data, Steps())
         except (ValueError, zlib.error) as exc:
             raise PlatformError("export is not valid JSON") from exc
         if not isinstance(export, dict):
             raise PlatformError("export is not a JSON object")
         items = _get_field(export, "items", list)
-        return self._decode_items(items), _get_field(export, "revision", int)
+        revision = _get_field(export, "revision", int)
+        return await self._decode_items(items), revision
 
     async def list_all(self):
         """Return all items as changes, and the revision to watch from."""
@@ -118,7 +134,7 @@
             # Pages are not a consistent snapshot: watch from the first page's revision.
             if revision is None:
                 revision = _get_field(page, "store_revision", int)
-            changes += self._decode_items(items)
+            changes += await self._decode_items(items)
             keys.update(item["key"] for item in items)
             if not page.get("has_more") or not items:
                 self._record_removed(keys, revision)
@@ -144,20 +160,21 @@
         """
         query = {"path_prefix": "", "after": revision, "wait_ms": int(wait_s * 1000)}
         page = await self._get("kv-watch", query, wait_s + _RESPONSE_TIMEOUT_S)
-        changes = self._decode_items(_get_field(page, "events", list))
+        changes = await self._decode_items(_get_field(page, "events", list))
         return changes, max(revision, _get_field(page, "store_revision", int))
 
-    def _decode_items(self, items):
-        changes = []
+    async def _decode_items(self, items):
+        changes, steps = [], Steps()
         for item in items:
             try:
-                change = change_from_item(item, self.zones)
+                change = await change_from_item(item, self.zones, steps)
             except RecordError as exc:
                 # One malformed item must not block the others from being applied.
                 raise PlatformError(str(exc)) from exc
             if change is not None:
                 changes.append(change)
                 self._cache_item(item)
+            await steps.pause()
         return changes
 
     def _record_removed(self, keys, revision):
@@ -168,13 +185,16 @@
 
     def _cache_item(self, item):
         """Cache an item for export to hosts that cannot reach the store."""
-        cached = self._items.pop(item["key"], None)
+        key = item["key"]
+        cached = self._items.pop(key, None)
         newest = max(cached or item, item, key=lambda i: i["revision"])
-        self._items[item["key"]] = newest
-        if len(self._items) > _MAX_CACHED_ITEMS:
-            removed = [k for k, i in self._items.items() if i.get("tombstone")]
-            for key in removed[: len(removed) // 2 + 1]:
-                del self._items[key]
+        self._items[key] = newest
+        self._tombstones.pop(key, None)
+        if newest.get("tombstone"):
+            self._tombstones[key] = None
+            if len(self._tombstones) > _MAX_TOMBSTONES:
+                oldest = next(iter(self._tombstones))
+                del self._tombstones[oldest], self._items[oldest]
 
     async def _get(self, name, query, timeout_s):
         target = f"/cactusmill/{name}?{urllib.parse.urlencode(query)}"
@@ -184,7 +204,7 @@
         if status != _OK:
             raise PlatformError(f"{name}: status {status}")
         try:
-            page = json.loads(body)
+            page = await parse_json(body, Steps())
         except ValueError as exc:
             raise PlatformError(f"{name}: response is not valid JSON") from exc
         if not isinstance(page, dict):
@@ -192,6 +212,20 @@
         return page
 
 
+async def _unpack(data, steps):
+    unpacker, parts, size = zlib.decompressobj(), [], 0
+    while not unpacker.eof and size <= _MAX_EXPORT_BYTES:
+        parts.append(unpacker.decompress(data, _PART_BYTES))
+        size += len(parts[-1])
+        data = unpacker.unconsumed_tail
+        if not (parts[-1] or data):
+            break
+        await steps.pause()
+    if not unpacker.eof or size > _MAX_EXPORT_BYTES:
+        raise PlatformError(f"export is cut or over {_MAX_EXPORT_BYTES} bytes unpacked")
+    return await parse_json(b"".join(parts), steps)
+
+
 def _get_field(page, name, kind):
     value = page.get(name)
     if not isinstance(value, kind):
--- a/src/cactusmill/records.py
+++ b/src/cactusmill/records.py
@@ -8,6 +8,7 @@
 :mod:`cactusmill.internal.configuration`.
 """
 
+import functools
 import re
 
 import attrs
@@ -520,9 +521,10 @@
 }
 
 
+@functools.cache
 def known_schemas(kind):
     """Return the supported schema versions of a kind, newest first."""
-    return sorted((s for k, s in _PARSERS if k == kind), reverse=True)
+    return tuple(sorted((s for k, s in _PARSERS if k == kind), reverse=True))
 
 
 def parse_record(kind, name, schema, body):
--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -184,6 +184,7 @@
     revision: int = 0
     _endpoints: dict = attrs.field(factory=dict)
     _removed: dict = attrs.field(factory=dict)
+    _withdrawn: set = attrs.field(factory=set)
     _evacuations: dict = attrs.field(factory=dict)
     _routes_by_host: dict = attrs.field(factory=dict)
     _names_by_service: dict = attrs.field(factory=dict)
@@ -239,18 +240,40 @@
         if change.endpoint is not None:
             self._removed.pop(change.name, None)
             listed = ListedEndpoint(change.endpoint, change.revision, now)
-            self._endpoints[change.name] = listed
+            self._list(change.name, listed)
             evacuation = self._evacuations.get(change.endpoint.zone)
             if evacuation is not None:
                 _mark_reopened(listed, evacuation)
         elif current is not None:
             current.revision = change.revision
-            current.removed_at = now
+            self._mark_removed(change.name, now)
         else:
             self._remember_removed(change.name, change.revision)
-        self._index_by_service()
         return True
 
+    def _list(self, name, listed):
+        known = self._endpoints.get(name)
+        if known is not None and known.endpoint.serves != listed.endpoint.serves:
+            self._unlist(name)
+        self._withdrawn.discard(name)
+        self._endpoints[name] = listed
+        for service in listed.endpoint.serves:
+            self._names_by_service.setdefault(service, {})[name] = None
+
+    def _unlist(self, name):
+        self._withdrawn.discard(name)
+        known = self._endpoints.pop(name)
+        for service in known.endpoint.serves:
+            names = self._names_by_service[service]
+            del names[name]
+            if not names:
+                del self._names_by_service[service]
+        return known
+
+    def _mark_removed(self, name, now):
+        self._endpoints[name].removed_at = now
+        self._withdrawn.add(name)
+
     def _remember_removed(self, name, revision):
         if len(self._removed) >= _MAX_REMOVED:
             self._removed.pop(next(iter(self._removed)))
@@ -321,13 +344,6 @@
             return
         self._set_evacuation(zone, _Evacuation(revision, False, reopened_at))
 
-    def _index_by_service(self):
-        names = {}
-        for name, listed in self._endpoints.items():
-            for service in listed.endpoint.serves:
-                names.setdefault(service, []).append(name)
-        self._names_by_service = names
-
     def keep_only(self, names, zones, revision, now):
         """Remove endpoints and evacuations that a complete listing lacks.
 
@@ -350,7 +366,7 @@
         for name, listed in list(self._endpoints.items()):
             is_absent = name not in names and listed.revision <= revision
             if is_absent and listed.removed_at is None:
-                listed.removed_at = now
+                self._mark_removed(name, now)
         ended = [
             EvacuationChange(revision=revision, zone=zone, is_evacuated=False)
             for zone, known in self._evacuations.items()
@@ -362,11 +378,9 @@
 
     def forget_removed(self, before):
         """Delete endpoints removed before a time in seconds, keeping revisions."""
-        for name, listed in list(self._endpoints.items()):
-            if listed.removed_at is not None and listed.removed_at < before:
-                del self._endpoints[name]
-                self._remember_removed(name, listed.revision)
-        self._index_by_service()
+        for name in sorted(self._withdrawn):
+            if self._endpoints[name].removed_at < before:
+                self._remember_removed(name, self._unlist(name).revision)
 
     def is_evacuated(self, zone):
         """Return whether a zone is evacuated, so that its endpoints get no requests."""
@@ -382,6 +396,10 @@
         """
         return [self._endpoints[n] for n in self._names_by_service.get(service, ())]
 
+    def names(self):
+        """Return a view of the names of all listed endpoints, see :meth:`listed`."""
+        return self._endpoints.keys()
+
     def listed(self):
         """Return all listed endpoints, including removed ones that are still kept."""
         return list(self._endpoints.values())
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -349,7 +349,7 @@
             arrived_at = host.loop.estimate_arrival(start, host.now())
             if frame.changes_pull is not None:
                 since = frame.changes_pull.since_version
-                items = host.source.export(since, host.catalog.revision)
+                items = await host.source.export(since, host.catalog.revision)
                 await link.send(changes_reply=ChangesReply(0, items))
                 continue
             message = frame.forward
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -543,11 +543,11 @@
             zone=self.cfg.zone,
             incarnation=self.membership.own_id.incarnation,
         )
-        trio.lowlevel.add_instrument(self.loop)
+        self.loop.install()
         try:
             await self._serve_until_drained(task_status)
         finally:
-            trio.lowlevel.remove_instrument(self.loop)
+            self.loop.remove()
         log_event("stop", host=self.cfg.host, open=len(self.busy_connections))
 
     async def _serve_until_drained(self, task_status):
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -25,6 +25,7 @@
 
 from ..errors import LinkClosedError
 from ..internal.link import decode, encode_frame
+from ..internal.steps import Steps
 from ..internal.wire.ttypes import (
     Beat,
     EndpointWork,
@@ -381,7 +382,9 @@
     async def _receive_loop(self):
         while True:
             await trio.lowlevel.wait_readable(self._sock)
+            steps = Steps(self.host.now)
             for data in self._receive_batch():
+                await steps.pause()
                 try:
                     heartbeat = decode(data).beat
                 except LinkClosedError as exc:
--- a/src/cactusmill/serving/pages.py
+++ b/src/cactusmill/serving/pages.py
@@ -25,8 +25,10 @@
     now = host.now()
     if path == METRICS_PATH:
         accounts = {"callers": host.account, "hosts": host.forwards_account}
-        page = host.metrics.render(host.gauges(now), events.counts, accounts)
-        return Page(200, page, PLAIN_TEXT)
+        text = host.metrics.render(
+            host.gauges(now), host.loop.long_turns, events.counts, accounts
+        )
+        return Page(200, text, PLAIN_TEXT)
     if path == HEALTH_PATH:
         return Page(200 if host.is_ready(now) else 503, b"{}")
     return Page(404, b"{}")
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -177,11 +177,11 @@
         return self._views[name]
 
     def keep_only(self, names):
-        """Drop the views of endpoints not in a set of names.
+        """Drop the views of endpoints not in a set or view of names.
 
         Views of endpoints with requests in flight are kept.
         """
-        for name in set(self._views) - names:
+        for name in self._views.keys() - names:
             if self._views[name].in_flight == 0:
                 del self._views[name]
                 self._endpoint_started_ms.pop(name, None)
--- a/src/cactusmill/serving/source_sync.py
+++ b/src/cactusmill/serving/source_sync.py
@@ -12,6 +12,7 @@
 import trio
 
 from ..errors import ConnectError, LinkClosedError, PlatformError
+from ..internal.steps import Steps
 from .catalog import (
     ConfigurationChange,
     EndpointChange,
@@ -57,10 +58,10 @@
         ``(changes, revision)`` after a revision, raising
         :class:`HistoryLostError` if the source no longer holds them.
     export : callable
-        ``export(since, revision)`` returns the items after a revision as bytes
+        ``await export(since, revision)`` returns the items after a revision as bytes
         for another host, complete up to the later revision.
     read_export : callable
-        ``read_export(data)`` returns ``(changes, revision)`` of another host's
+        ``await read_export(data)`` returns ``(changes, revision)`` of another host's
         export.
     count_calls : callable
         ``count_calls()`` returns the calls made so far.
@@ -171,14 +172,14 @@
         try:
             if revision is None:
                 changes, revision = await source.list_all()
-                _apply_listing(host, changes, revision)
+                await _apply_listing(host, changes, revision)
             else:
                 # Other hosts may have supplied later changes meanwhile.
                 revision = max(revision, host.catalog.revision)
                 changes, revision = await source.wait_for_changes(
                     revision, WATCH_TIMEOUT_S
                 )
-                apply_changes(host, changes)
+                await apply_changes(host, changes)
             host.catalog.mark_synced_to(revision)
         except HistoryLostError as exc:
             log_event("history_lost", revision=revision, reason=str(exc))
@@ -212,13 +213,13 @@
             continue
         try:
             data = await fetch_items(host, member, host.catalog.revision)
-            changes, revision = source.read_export(data)
+            changes, revision = await source.read_export(data)
         except (ConnectError, LinkClosedError, PlatformError) as exc:
             log_event("catch_up_failed", host=member.id.name, reason=repr(exc))
             host.source_health.follow_after = host.now() + _WATCH_AFTER_PEER_FAILURE_S
             continue
         log_event("caught_up", host=member.id.name, revision=revision)
-        apply_changes(host, changes)
+        await apply_changes(host, changes)
         host.catalog.mark_synced_to(revision)
 
 
@@ -257,16 +258,22 @@
     return host.rng.choice(candidates) if candidates else None
 
 
-def _apply_listing(host, changes, revision):
-    apply_changes(host, changes)
+async def _apply_listing(host, changes, revision):
+    if host.catalog.configuration is None:
+        # The configuration makes the host ready, so the endpoints come first.
+        changes = sorted(changes, key=lambda c: isinstance(c, ConfigurationChange))
+    await apply_changes(host, changes)
     names = {c.name for c in changes if isinstance(c, EndpointChange)}
     zones = {c.zone for c in changes if isinstance(c, EvacuationChange)}
     for change in host.catalog.keep_only(names, zones, revision, host.now()):
         _log_change(change)
 
 
-def apply_changes(host, changes):
-    """Apply changes and log those that had an effect.
+async def apply_changes(host, changes):
+    """Apply changes and log those that had an effect, while other tasks get turns.
+
+    Each change takes effect at once and as a whole. Changes commute, so others may be
+    applied between the steps.
 
     Parameters
     ----------
@@ -275,23 +282,28 @@
     changes : list
         Changes as published.
     """
-    now = host.now()
+    steps = Steps(host.now)
     for change in changes:
-        if isinstance(change, UnreadableItem):
-            log_event(
-                "item_unreadable",
-                key=change.key,
-                revision=change.revision,
-                reason=change.problem,
-            )
-            continue
-        if not host.catalog.apply(change, now):
-            continue
-        _log_change(change)
-        if isinstance(change, EndpointChange) and change.endpoint is not None:
-            host.placement.update_endpoint(change.endpoint)
-    host.catalog.forget_removed(now - _KEEP_REMOVED_S)
-    host.placement.keep_only({e.endpoint.name for e in host.catalog.listed()})
+        _apply_change(host, change)
+        await steps.pause()
+    host.catalog.forget_removed(host.now() - _KEEP_REMOVED_S)
+    host.placement.keep_only(host.catalog.names())
+
+
+def _apply_change(host, change):
+    if isinstance(change, UnreadableItem):
+        log_event(
+            "item_unreadable",
+            key=change.key,
+            revision=change.revision,
+            reason=change.problem,
+        )
+        return
+    if not host.catalog.apply(change, host.now()):
+        return
+    _log_change(change)
+    if isinstance(change, EndpointChange) and change.endpoint is not None:
+        host.placement.update_endpoint(change.endpoint)
 
 
 def _log_change(change):
--- a/tests/internal/test_loop_monitor.py
+++ b/tests/internal/test_loop_monitor.py
@@ -1,11 +1,22 @@
 """How late the event loop is, on loops slowed by a known time."""
 
+import collections
+import gc
 import time
 
 import pytest
 import trio
 
-from cactusmill.internal.loop_monitor import LoopMonitor
+from cactusmill.internal.loop_monitor import (
+    COLLECTION,
+    LONG_TURN_S,
+    MANY_TASKS,
+    NO_PROCESSOR_TIME,
+    LoopMonitor,
+)
+from cactusmill.internal.metrics import Metrics
+
+RUNS = 5
 
 
 def run_slowed(turn_s, measure):
@@ -100,3 +111,61 @@
     monitor.record_turn(1.0, 1.0)
     monitor.record_turn(1.0, 1.0)
     assert monitor.lag_s(3.0) == 2.0
+
+
+def use_processor(seconds):
+    until_s = time.thread_time() + seconds
+    while time.thread_time() < until_s:
+        pass
+
+
+async def read_configuration():
+    use_processor(LONG_TURN_S)
+
+
+async def relay():
+    use_processor(LONG_TURN_S / 5)
+
+
+async def sleep_without_processor():
+    time.sleep(LONG_TURN_S)
+
+
+async def collect_garbage():
+    began_s = time.thread_time()
+    while time.thread_time() - began_s < LONG_TURN_S:
+        gc.collect()
+
+
+@pytest.mark.parametrize(
+    "tasks, name",
+    [
+        ([read_configuration, relay], "read_configuration"),
+        ([relay] * 6, MANY_TASKS),
+        ([sleep_without_processor], NO_PROCESSOR_TIME),
+        ([collect_garbage], COLLECTION),
+        ([relay], None),
+    ],
+)
+def test_long_turns_are_counted_by_what_ran(tasks, name):
+    counts = collections.Counter()
+
+    async def main():
+        monitor = LoopMonitor()
+        monitor.install()
+        await trio.sleep(0.01)
+        async with trio.open_nursery() as nursery:
+            for task in tasks:
+                nursery.start_soon(task)
+        await trio.sleep(0.01)
+        monitor.remove()
+        counts.update(monitor.long_turns)
+
+    # On a busy machine the process may wait for its turn in some runs.
+    for _ in range(RUNS):
+        trio.run(main)
+    assert set(counts) <= {name, NO_PROCESSOR_TIME}
+    if name is not None:
+        assert counts[name], counts
+        page = Metrics().render({}, counts).decode()
+        assert f'cactusmill_long_turns{{ran="{name}"}}' in page
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -4,11 +4,13 @@
 import json
 
 import pytest
+import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
 from cactusmill.errors import RecordError
-from cactusmill.platform.items import change_from_item
+from cactusmill.internal.steps import Steps
+from cactusmill.platform import items
 from cactusmill.serving.catalog import (
     ConfigurationChange,
     EndpointChange,
@@ -30,6 +32,13 @@
     }
 
 
+def change_from_item(item, zones):
+    async def decode():
+        return await items.change_from_item(item, zones, Steps())
+
+    return trio.run(decode)
+
+
 def test_endpoint_is_decoded():
     change = change_from_item(
         item("servers/e1", {**ENTRY, "cold_left_ms": 1500}), ZONES
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -4,24 +4,25 @@
 import zlib
 
 import pytest
+import trio
 
 from cactusmill.errors import PlatformError
 from cactusmill.platform.store import StoreClient
 
 
-def client():
-    return StoreClient("127.0.0.1:1", None, {})
+def read_export(data):
+    return trio.run(StoreClient("127.0.0.1:1", None, {}).read_export, data)
 
 
 def test_export_that_unpacks_without_end_is_refused():
     text = b'{"revision": 1, "items": [' + b" " * 200_000_000
     with pytest.raises(PlatformError, match="over"):
-        client().read_export(zlib.compress(text, 9))
+        read_export(zlib.compress(text, 9))
 
 
 def test_cut_export_is_refused():
     data = zlib.compress(json.dumps({"revision": 7, "items": []}).encode())
-    assert client().read_export(data) == ([], 7)
+    assert read_export(data) == ([], 7)
     for size in range(len(data)):
         with pytest.raises(PlatformError):
-            client().read_export(data[:size])
+            read_export(data[:size])
--- a/tests/serving/test_source_sync.py
+++ b/tests/serving/test_source_sync.py
@@ -7,6 +7,7 @@
 
 from cactusmill.records import CallerLimits, Endpoint, Service
 from cactusmill.serving import catalog as catalog_module
+from cactusmill.serving import source_sync
 from cactusmill.serving.catalog import (
     Configuration,
     ConfigurationChange,
@@ -14,7 +15,6 @@
     EvacuationChange,
 )
 from cactusmill.serving.gateway_host import GatewayHost, HostSettings
-from cactusmill.serving.source_sync import apply_changes
 from standins.loopback import ZONES
 
 from .test_membership import host_id
@@ -53,6 +53,12 @@
     now: float = 0.0
 
 
+def apply_changes(host, changes):
+    # The host's clock stands still, so that nothing pauses and no loop is needed.
+    with pytest.raises(StopIteration):
+        source_sync.apply_changes(host, changes).send(None)
+
+
 def new_host(name, clock, others=(), dialect=None, routes=()):
     """Return a host that knows the service and other hosts of its region."""
     cfg = HostSettings(
--- a/tests/serving/test_watchers.py
+++ b/tests/serving/test_watchers.py
@@ -177,8 +177,9 @@
     routes = [{"name": f"r-{n}", "path_prefix": f"/p{n}/"} for n in range(2000)]
     value = base64.b64encode(json.dumps({"routes": routes}).encode()).decode()
     client._cache_item({"key": "k", "revision": 7, "value": value})
-    assert len(client.export(0, 7)) < len(value) / 4
-    assert client.read_export(client.export(7, 7)) == ([], 7)
+    assert len(trio.run(client.export, 0, 7)) < len(value) / 4
+    empty = trio.run(client.export, 7, 7)
+    assert trio.run(client.read_export, empty) == ([], 7)
 
 
 def test_new_followers_stop_reporting_that_the_store_fails():
--- a/tests/test_configuration_in_force.py
+++ b/tests/test_configuration_in_force.py
@@ -144,11 +144,11 @@
 def test_check_detects_records_that_revert(monkeypatch):
     real = RecordStore.apply
 
-    def apply_any_version(self, changes, version):
+    def apply_any_version(self, changes, version, *args):
         for change in changes:
             self._changes.pop((change.kind, change.name, change.schema), None)
         self.version = version
-        return real(self, changes, version)
+        return real(self, changes, version, *args)
 
     monkeypatch.setattr(RecordStore, "apply", apply_any_version)
     monkeypatch.setattr(PlatformClient, "fetch", make_fetch_all(PlatformClient.fetch))
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -135,7 +135,7 @@
 @given(st.binary(max_size=64) | json_values.map(lambda v: repr(v).encode()))
 def test_platform_responses_are_parsed_or_rejected(text):
     try:
-        parse_update(text)
+        trio.run(parse_update, text)
     except PlatformError:
         pass
 
