--- a/tests/serving/test_late_deliveries.py
+++ b/tests/serving/test_late_deliveries.py
@@ -108,7 +108,9 @@
 def test_in_pieces_with_a_limit_a_response_to_a_caller_is_cut():
     async def main():
         conn, caller, head = await tcp_connections()
-        host = types.SimpleNamespace(now=trio.current_time, is_leaving=False)
+        host = types.SimpleNamespace(
+            now=trio.current_time, closes_connections=lambda now: False
+        )
         request = edge.CallerRequest(conn, DIALECT.read_head(head), 0.0, 0.0)
         sink = edge._caller_sink(host, request, None)
         framed = types.SimpleNamespace(
--- a/tests/serving/test_lost_requests.py
+++ b/tests/serving/test_lost_requests.py
@@ -135,7 +135,9 @@
     async def main():
         conn, caller, head = await tcp_connections()
         host = types.SimpleNamespace(
-            now=trio.current_time, is_leaving=False, dialect=DIALECT
+            now=trio.current_time,
+            closes_connections=lambda now: False,
+            dialect=DIALECT,
         )
         request = edge.CallerRequest(conn, DIALECT.read_head(head), 0.0, 0.0)
         sink = edge._caller_sink(host, request, None)
