Own interface: make room for new callers when descriptors run short

Idle connections could use up the descriptors of the own interface's process as on the platform's path, and new callers waited in the backlog. Both now share the waits of idle connections and the look at descriptors, which moved to internal/. The idle timeout of the own interface looks for what has arrived before it closes. The new test has a twin with a wide limit, which closes and announces nothing.

--- a/src/cactusmill/internal/caller_request.py
+++ b/src/cactusmill/internal/caller_request.py
@@ -159,7 +159,8 @@
 def _connection_headers(host, caller):
     headers = [(b"x-request-id", caller.request_id.encode())]
     is_unread = caller.conn.h11.their_state is not h11.DONE
-    if host.leaving or caller.must_close or is_unread:
+    is_short = host.descriptors.is_short(host.now())
+    if host.leaving or caller.must_close or is_unread or is_short:
         caller.announced_close = True
         headers.append((b"connection", b"close"))
     else:
--- a/src/cactusmill/serving/descriptors.py
+++ b/src/cactusmill/internal/descriptors.py
@@ -11,6 +11,9 @@
 _CLOSED_AT_ONCE = 2
 # Descriptors count as short this long after a connection was accepted above the limit.
 _SHORT_S = 1.0
+# A caller that has just connected or got a response may send at once. Its connection is
+# closed only after this long without a request.
+IDLE_BEFORE_CLOSE_S = 0.5
 
 
 def _soft_limit():
@@ -61,6 +64,25 @@
             self._short_until = now + _SHORT_S
         return _CLOSED_AT_ONCE if number >= self.limit * _CLOSED_ABOVE else 0
 
+    def make_room(self, stream, idle, now):
+        """End the longest idle connections if an accepted one shows a shortage.
+
+        Parameters
+        ----------
+        stream : trio.abc.Stream
+            The accepted connection; streams without a socket, as in tests, are ignored.
+        idle : IdleWaits
+            The connections that wait for a request.
+        now : float
+            Current time, in seconds.
+        """
+        sock = getattr(stream, "socket", None)
+        if sock is None:
+            return
+        count = self.record_accepted(sock.fileno(), now)
+        if count:
+            self.closed += idle.end_since(now - IDLE_BEFORE_CLOSE_S, count)
+
     def is_short(self, now):
         """Return whether connections should not be kept, at a time in seconds."""
         return now < self._short_until
--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -35,6 +35,7 @@
 from .directory import DIRECTORY_PATH, list_permitted_hosts, serve_directory
 from .http import (
     header,
+    is_idle_and_open,
     lingering_close,
     read_body,
     server_connection,
@@ -53,6 +54,7 @@
     """Serve the requests on one caller's connection until it closes."""
     conn = server_connection(stream, host.cfg.max_head_bytes)
     host.caller_connections += 1
+    host.descriptors.make_room(stream, host.idle_callers, host.now())
     start = host.loop.mark_start()
     try:
         while await _serve_request(host, conn, start):
@@ -70,9 +72,7 @@
 async def _serve_request(host, conn, start):
     """Serve the next request; return whether the connection can serve another."""
     try:
-        head = None
-        with trio.move_on_after(host.cfg.idle_timeout_s):
-            head = await conn.next_event()
+        head = await _receive_head(host, conn)
     except h11.RemoteProtocolError as exc:
         await _reject_head(host, conn, exc.error_status_hint, str(exc))
         return False
@@ -93,6 +93,21 @@
     return False
 
 
+async def _receive_head(host, conn):
+    """Return the next event, or None if it did not arrive in time.
+
+    A head that has arrived when the wait for it ends is read.
+    """
+    if not conn.h11.trailing_data[0]:
+        with host.idle_callers.wait(host.cfg.idle_timeout_s) as idle:
+            await conn.receive()
+        if idle.cancelled_caught and is_idle_and_open(conn.stream):
+            return None
+    with trio.move_on_after(host.cfg.idle_timeout_s):
+        return await conn.next_event()
+    return None
+
+
 def _wants_close(head):
     return b"close" in header(head.headers, b"connection", "").lower().encode()
 
--- a/src/cactusmill/internal/host_process.py
+++ b/src/cactusmill/internal/host_process.py
@@ -20,15 +20,18 @@
 from .burn import BurnCounter
 from .configuration import RecordStore
 from .crash_suspects import CrashSuspects
+from .descriptors import Descriptors
 from .edge import serve_caller
 from .endpoints import EndpointPool
 from .engine_commands import reconcile_placements
 from .identifiers import Minter
+from .idle_waits import IdleWaits
 from .key_scopes import KeyScopes
 from .ledger import Ledger
 from .limits import RateLimiter
 from .link import Traffic
 from .link_server import serve_link
+from .logs import log_fields
 from .loop_monitor import LoopMonitor
 from .metrics import Metrics
 from .net import TCP, Network
@@ -81,6 +84,10 @@
         Set once this host serves callers.
     buffers : BufferBudget
         Limits the bytes of bodies and frames that are held at once.
+    descriptors : Descriptors
+        How near the process is to its limit of descriptors.
+    idle_callers : IdleWaits
+        Connections of callers that wait for their next request.
     leaving : bool
         True once the process is shutting down.
     host_list_changed_at : float
@@ -110,6 +117,8 @@
     metrics: Metrics = attrs.field(factory=Metrics)
     traffic: Traffic = attrs.field(factory=Traffic)
     buffers: BufferBudget = attrs.field(factory=BufferBudget)
+    descriptors: Descriptors = attrs.field(factory=Descriptors)
+    idle_callers: IdleWaits = attrs.field(init=False)
     body_relay: BodyRelay = attrs.field(factory=BodyRelay)
     burn: BurnCounter = attrs.field(factory=BurnCounter)
     ready: trio.Event = attrs.field(factory=trio.Event)
@@ -140,6 +149,7 @@
         )
         self.ledger = Ledger(minter, self.cfg.identifier_ttl_s)
         self.loop = LoopMonitor(self.now)
+        self.idle_callers = IdleWaits(self.now)
         self.limiter = RateLimiter(self.cfg.zone)
         self.pool = EndpointPool(self.net)
         self.platform_clients = {
@@ -420,10 +430,17 @@
             self.wake_queues()
             if self.now() >= next_expiry:
                 next_expiry = self.now() + EXPIRY_S
+                self._log_descriptors()
                 self.ledger.expire(self.now())
                 self._update_slot()
                 reconcile_peers(self)
 
+    def _log_descriptors(self):
+        highest, closed = self.descriptors.take_counts()
+        if closed or (highest and self.descriptors.is_short(self.now())):
+            limit = self.descriptors.limit
+            log_fields("descriptors_short", highest=highest, limit=limit, closed=closed)
+
     async def shut_down(self):
         """Drain this host: finish all requests, then stop the process."""
         self.leaving = True
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -100,7 +100,7 @@
     """Serve one caller's connection until it ends."""
     conn = server_connection(stream, host.limits.max_head_bytes)
     host.caller_connections.add(conn)
-    host.make_room(stream)
+    host.descriptors.make_room(stream, host.idle_callers, host.now())
     start = host.loop.mark_start()
     try:
         while await _serve_next_request(host, conn, start):
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -14,6 +14,8 @@
 from ..internal.account import Account
 from ..internal.buffer_budget import BufferBudget
 from ..internal.crash_suspects import CrashSuspects
+from ..internal.descriptors import IDLE_BEFORE_CLOSE_S, Descriptors
+from ..internal.idle_waits import IdleWaits
 from ..internal.loop_monitor import LoopMonitor
 from ..internal.metrics import Metrics
 from ..internal.net import TCP
@@ -21,13 +23,11 @@
 from .budgets import RetryBudgets
 from .catalog import Catalog
 from .connections import ConnectionPool
-from .descriptors import Descriptors
 from .dispatch import run_request
 from .edge import choose_service, serve_caller
 from .events import log_event, log_fault
 from .forwarding import LinkPool, serve_link
 from .gossip import Gossip
-from .idle_waits import IdleWaits
 from .membership import HostId, Membership
 from .placement import WARMUP_HOLDOFF_S, Placement
 from .quota import Quotas, RateExcess
@@ -54,9 +54,6 @@
 # interrupted by the same crash.
 _SAME_CRASH_S = 2.0
 _DRAIN_POLL_INTERVAL_S = 0.02
-# A caller that has just connected, or got a response before the shutdown began, may
-# send at once. Its connection is closed only after this long without a request.
-_IDLE_BEFORE_CLOSE_S = 0.5
 
 
 @attrs.frozen(kw_only=True)
@@ -243,24 +240,6 @@
         """Return whether responses announce that their connection closes."""
         return self.is_leaving or self.descriptors.is_short(now)
 
-    def make_room(self, stream):
-        """End the longest idle callers' connections if descriptors are short.
-
-        Parameters
-        ----------
-        stream : trio.abc.Stream
-            The connection of a caller that was accepted.
-        """
-        sock = getattr(stream, "socket", None)
-        if sock is None:
-            return
-        now = self.now()
-        count = self.descriptors.record_accepted(sock.fileno(), now)
-        if count:
-            self.descriptors.closed += self.idle_callers.end_since(
-                now - _IDLE_BEFORE_CLOSE_S, count
-            )
-
     def removal_grace_s(self, now):
         """Return how long a removed endpoint still counts as listed, in seconds.
 
@@ -636,7 +615,7 @@
         await self._stop_accepting()
         exit_at = self.leaving_since + self.cfg.grace_s - _EXIT_MARGIN_S
         while self.now() < exit_at and (self.caller_connections or self.served_links):
-            self.idle_callers.end_since(self.now() - _IDLE_BEFORE_CLOSE_S)
+            self.idle_callers.end_since(self.now() - IDLE_BEFORE_CLOSE_S)
             self.idle_links.end_since(self.now())
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
 
--- a/tests/internal/test_host_process.py
+++ b/tests/internal/test_host_process.py
@@ -10,10 +10,12 @@
 from returns.result import Success
 
 from cactusmill.internal import link_server
+from cactusmill.internal.descriptors import Descriptors
 from cactusmill.internal.host_process import HostProcess
+from cactusmill.internal.http import is_idle_and_open
 from cactusmill.settings import parse_settings
 
-from ..helpers import settings_data
+from ..helpers import change, settings_data
 
 DRAIN_S = 0.05
 REQUEST = b"GET /v1/hosts HTTP/1.1\r\nhost: api.example\r\n\r\n"
@@ -52,6 +54,39 @@
     trio.run(main)
 
 
+@pytest.mark.parametrize("is_short", [True, False])
+def test_longest_idle_connections_make_room_when_descriptors_run_short(is_short):
+    async def open_connection(port):
+        stream = await trio.open_tcp_stream("127.0.0.1", port)
+        await stream.send_all(REQUEST.replace(b"/v1/hosts", b"/open"))
+        response = b""
+        while b"\r\n\r\n" not in response:
+            response += await stream.receive_some()
+        return stream, b"connection: close" in response
+
+    async def main():
+        host, port = new_host()
+        # An open route without endpoints: refused once the request was read whole.
+        body = {"prefix": "/open", "kind": "service", "service": "s", "open": True}
+        host.records.apply([change("route", "open", body, 1)], 1)
+        async with trio.open_nursery() as nursery:
+            host.nursery = nursery
+            await host._listen_to_callers()
+            idle = [await open_connection(port) for _ in range(6)]
+            assert not any(is_announced for _, is_announced in idle)
+            await trio.sleep(0.6)
+            number = idle[-1][0].socket.fileno()
+            host.descriptors = Descriptors(limit=number if is_short else 8 * number)
+            _, is_announced = await open_connection(port)
+            assert is_announced == is_short
+            await trio.sleep(0.1)
+            closed = [not is_idle_and_open(stream) for stream, _ in idle]
+            assert closed == [is_short] * 2 + [False] * 4
+            nursery.cancel_scope.cancel()
+
+    trio.run(main)
+
+
 def test_shutdown_waits_for_requests_that_other_hosts_forwarded(monkeypatch):
     # Their streams were cut when the process had no callers of its own.
     ended = []
