Own interface: refuse a part of new requests while the event loop is late

Cause: only the platform's path shed.

Both now use internal/shedding. Requests are shed before they are authorized, forwarded ones before they are decided. The directory is served. Gauges and a log line tell the lag and the count.

--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -159,6 +159,9 @@
     try:
         if caller.path == DIRECTORY_PATH:
             return None, await serve_directory(host, caller)
+        if host.shedder.sheds(host.now()):
+            # Not authorized yet, so that its body may not be read here.
+            return None, host.shedder.refusal(caller.outcome_before_owner)
         route = host.records.route_for(caller.path)
         with host.buffers.hold() as count_held:
             result = await _serve_on_route(host, caller, route, count_held)
--- a/src/cactusmill/internal/host_process.py
+++ b/src/cactusmill/internal/host_process.py
@@ -43,6 +43,7 @@
 from .relay import BodyRelay
 from .request import is_permitted
 from .retries import RetryBudgets
+from .shedding import Shedder
 from .wire.ttypes import Hello, Suspect
 from .zone_routing import zone_wait_s
 
@@ -131,6 +132,7 @@
     running_at_most_once: int = 0
     nursery: trio.Nursery | None = None
     loop: LoopMonitor = attrs.field(init=False)
+    shedder: Shedder = attrs.field(init=False)
     ledger: Ledger = attrs.field(init=False)
     limiter: RateLimiter = attrs.field(init=False)
     pool: EndpointPool = attrs.field(init=False)
@@ -150,6 +152,7 @@
         self.ledger = Ledger(minter, self.cfg.identifier_ttl_s)
         self.loop = LoopMonitor(self.now)
         self.idle_callers = IdleWaits(self.now)
+        self.shedder = Shedder(self.loop, self.rng)
         self.limiter = RateLimiter(self.cfg.zone)
         self.pool = EndpointPool(self.net)
         self.platform_clients = {
@@ -429,6 +432,7 @@
             # Capacity also becomes free when another host's load report expires.
             self.wake_queues()
             if self.now() >= next_expiry:
+                self._log_shed_requests()
                 next_expiry = self.now() + EXPIRY_S
                 self._log_descriptors()
                 self.ledger.expire(self.now())
@@ -441,6 +445,12 @@
             limit = self.descriptors.limit
             log_fields("descriptors_short", highest=highest, limit=limit, closed=closed)
 
+    def _log_shed_requests(self):
+        count = self.shedder.count_unlogged()
+        if count:
+            lag_s = self.loop.lag_s(self.now())
+            logging.warning("shed %d requests at a lag of %.3f s", count, lag_s)
+
     async def shut_down(self):
         """Drain this host: finish all requests, then stop the process."""
         self.leaving = True
--- a/src/cactusmill/internal/link_server.py
+++ b/src/cactusmill/internal/link_server.py
@@ -202,6 +202,9 @@
 
 
 async def _run_forward(host, message, unread_s, sink):
+    if host.shedder.sheds(host.now()):
+        outcome = Outcome.UNKNOWN if message.identifier else Outcome.NOT_RUN
+        return Failure(host.shedder.refusal(outcome))
     req = _build_request(host, message, unread_s)
     match req:
         case Failure(_):
--- a/src/cactusmill/internal/operators.py
+++ b/src/cactusmill/internal/operators.py
@@ -122,6 +122,8 @@
         "ledger_held_bytes": host.ledger.held_bytes,
         "platform_calls": sum(s.request_count for s in host.platform_clients.values()),
         "frame_bytes_sent": host.traffic.bytes_sent,
+        "event_loop_lag_seconds": host.loop.lag_s(host.now()),
+        "requests_shed": host.shedder.count,
     }
 
 
--- a/src/cactusmill/serving/shedding.py
+++ b/src/cactusmill/internal/shedding.py
@@ -8,6 +8,10 @@
 
 import math
 
+import attrs
+
+from ..errors import Outcome, Overloaded
+
 # Lag of the event loop up to which nothing is refused. A request takes several turns
 # until its response is relayed, so that its caller waits for several times the lag.
 MIN_LAG_S = 0.05
@@ -46,6 +50,50 @@
     return _MIN_RETRY_S + (_MAX_RETRY_S - _MIN_RETRY_S) * draw
 
 
+@attrs.define(eq=False)
+class Shedder:
+    """Decides which new requests a host refuses, and counts them.
+
+    Attributes
+    ----------
+    loop : LoopMonitor
+        Measures how late the event loop is.
+    rng : random.Random
+        Source of random choices.
+    is_on : bool
+        Whether requests may be refused. False in tests whose processor time others use
+        as well.
+    count : int
+        Number of requests refused so far.
+    """
+
+    loop: object
+    rng: object
+    is_on: bool = True
+    count: int = 0
+    _logged: int = 0
+
+    def sheds(self, now):
+        """Return whether to refuse a new request at a time, in seconds; count it."""
+        if not self.is_on or not is_shed(self.loop.lag_s(now), self.rng.random()):
+            return False
+        self.count += 1
+        return True
+
+    def refusal(self, outcome=Outcome.NOT_RUN):
+        """Return the refusal of a request that is shed, with what is known of it."""
+        return Overloaded(
+            detail="this host is short of processor time",
+            retry_after_s=shed_retry_s(self.rng.random()),
+            outcome=outcome,
+        )
+
+    def count_unlogged(self):
+        """Return the number of requests refused since the last call."""
+        count, self._logged = self.count - self._logged, self.count
+        return count
+
+
 def would_shed(member, draw, now):
     """Return whether another host would probably shed a request forwarded to it.
 
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -24,12 +24,12 @@
     RequestSuspected,
 )
 from ..internal.request import is_permitted
+from ..internal.shedding import would_shed
 from .cross_region import run_in_other_region
 from .events import log_event
 from .overload import ForwardTo, Send, choose_remote_host, decide
 from .progress import deadline_exceeded, may_repeat
 from .sending import send_to_endpoint
-from .shedding import would_shed
 
 # Retry time of a request that is blocked because endpoints crashed while it ran.
 _BLOCKED_RETRY_S = 30.0
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -207,7 +207,7 @@
 
 async def _serve_request(host, caller, event):
     """Serve one request; count its body as held by this host meanwhile."""
-    if host.sheds_request(host.now()):
+    if host.shedder.sheds(host.now()):
         await _shed_request(host, caller, event)
         return
     with host.buffers.hold() as count_held:
@@ -219,7 +219,7 @@
 
     It is counted, and not logged one by one.
     """
-    refusal, is_faulty = host.shed_refusal(), False
+    refusal, is_faulty = host.shedder.refusal(), False
     with host.buffers.hold() as count_held:
         try:
             await _read_body(host, caller, count_held)
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -356,8 +356,8 @@
             if message is None:
                 return
             with host.forwards_account.open() as entry:
-                if host.sheds_request(host.now()):
-                    await _refuse(link, message, host.shed_refusal(), entry)
+                if host.shedder.sheds(host.now()):
+                    await _refuse(link, message, host.shedder.refusal(), entry)
                     continue
                 req = _request(host, message, arrived_at)
                 if not await _serve_forward(host, link, message, req, run, entry):
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -10,7 +10,6 @@
 import attrs
 import trio
 
-from ..errors import Overloaded
 from ..internal.account import Account
 from ..internal.buffer_budget import BufferBudget
 from ..internal.crash_suspects import CrashSuspects
@@ -19,6 +18,7 @@
 from ..internal.loop_monitor import LoopMonitor
 from ..internal.metrics import Metrics
 from ..internal.net import TCP
+from ..internal.shedding import Shedder
 from ..records import CallerLimits, Service
 from .budgets import RetryBudgets
 from .catalog import Catalog
@@ -32,7 +32,6 @@
 from .placement import WARMUP_HOLDOFF_S, Placement
 from .quota import Quotas, RateExcess
 from .retry_after import RetrySchedule
-from .shedding import is_shed, shed_retry_s
 from .source_sync import SourceHealth, sync_from_hosts, sync_from_source
 
 # A host that is shutting down accepts requests this long. Callers get the addresses of
@@ -114,9 +113,6 @@
         Source of all random choices.
     now : callable
         Returns the monotonic time, in seconds.
-    sheds : bool
-        Whether new requests may be refused for lack of processor time. False in tests
-        whose processor time others use as well.
     started_at : float
         When the process began to run, in seconds; infinity before.
     is_leaving : bool
@@ -141,8 +137,8 @@
         Accounts of callers' requests, and of those that other hosts forwarded.
     forwards_running : int
         Number of requests forwarded by other hosts that run here.
-    requests_shed : int
-        Number of requests refused for lack of processor time.
+    shedder : Shedder
+        Refuses requests for lack of processor time.
     region_backoff_until : dict of (str, str) to float
         By region and service, the time until which nothing is forwarded there, in
         seconds. Past times have no effect.
@@ -154,7 +150,6 @@
     net: object = TCP
     rng: random.Random = attrs.field(factory=random.Random)
     now: object = trio.current_time
-    sheds: bool = True
     started_at: float = float("inf")
     is_leaving: bool = False
     leaving_since: float = float("inf")
@@ -167,12 +162,11 @@
     account: Account = attrs.field(factory=Account)
     forwards_account: Account = attrs.field(factory=Account)
     forwards_running: int = 0
-    requests_shed: int = 0
-    _shed_logged: int = 0
     catalog: Catalog = attrs.field(factory=Catalog)
     source_health: SourceHealth = attrs.field(factory=SourceHealth)
     suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
     loop: LoopMonitor = attrs.field(init=False)
+    shedder: Shedder = attrs.field(init=False)
     metrics: Metrics = attrs.field(factory=Metrics)
     buffers: BufferBudget = attrs.field(factory=BufferBudget)
     membership: Membership = attrs.field(init=False)
@@ -201,6 +195,7 @@
         )
         self.loop = LoopMonitor(self.now)
         self.idle_callers = IdleWaits(self.now)
+        self.shedder = Shedder(self.loop, self.rng)
         self.idle_links = IdleWaits(self.now)
         port = int(cfg.peers.rpartition(":")[2])
         self.membership = Membership(own_id)
@@ -274,23 +269,6 @@
             if self.pool.has_room(entry.endpoint.name, service.max_connections, hosts)
         ]
 
-    def sheds_request(self, now):
-        """Return whether to refuse a new request because processor time is short.
-
-        A refusal is counted here, and the maintenance logs their number.
-        """
-        if not self.sheds or not is_shed(self.loop.lag_s(now), self.rng.random()):
-            return False
-        self.requests_shed += 1
-        return True
-
-    def shed_refusal(self):
-        """Return the refusal of a request that is shed."""
-        return Overloaded(
-            detail="this host is short of processor time",
-            retry_after_s=shed_retry_s(self.rng.random()),
-        )
-
     def retry_budget(self, service_name, now):
         """Return this host's share of the retries of a service.
 
@@ -507,7 +485,7 @@
             "retries_left": self.retry_budgets.credit(),
             "buffered_bytes": self.buffers.used_bytes,
             "event_loop_lag_seconds": self.loop.lag_s(now),
-            "requests_shed": self.requests_shed,
+            "requests_shed": self.shedder.count,
         }
 
     # Start, maintenance and shutdown.
@@ -581,10 +559,7 @@
                     del self._crashes[key]
 
     def _log_shed_requests(self, now):
-        count, self._shed_logged = (
-            self.requests_shed - self._shed_logged,
-            self.requests_shed,
-        )
+        count = self.shedder.count_unlogged()
         if count:
             log_event(
                 "requests_shed", requests=count, lag_s=round(self.loop.lag_s(now), 3)
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -25,6 +25,7 @@
 
 from ..errors import LinkClosedError
 from ..internal.link import decode, encode_frame
+from ..internal.shedding import MIN_LAG_S
 from ..internal.steps import Steps
 from ..internal.wire.ttypes import (
     Beat,
@@ -40,7 +41,6 @@
 from .events import log_event
 from .heartbeats import MAX_REGION_RECEIVERS, REGION_HEARTBEAT_S
 from .membership import HostId, RegionTotals
-from .shedding import MIN_LAG_S
 
 # Interval of heartbeats to hosts of other regions. Traffic between regions is
 # expensive, and their waits change slowly.
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -401,7 +401,8 @@
 
         client = StoreClient(self.store_address, Network(connect, TCP.serve), ZONES)
         rng = random.Random(number)
-        host = GatewayHost(cfg, DIALECT, client.source(), rng=rng, sheds=False)
+        host = GatewayHost(cfg, DIALECT, client.source(), rng=rng)
+        host.shedder.is_on = False
         self.hosts[name] = host
         scope = trio.CancelScope()
         self.scopes[name] = scope
--- a/tests/serving/test_late_hosts.py
+++ b/tests/serving/test_late_hosts.py
@@ -52,7 +52,7 @@
         )
 
 
-def _call_steadily(address, per_s, outcome):
+def call_steadily(address, path, per_s, outcome):
     """Send requests on new connections at a rate; leave those that wait too long."""
     selector = selectors.DefaultSelector()
     began_at, waiting, count = time.monotonic(), {}, 0
@@ -62,9 +62,9 @@
             count += 1
             sock = socket.create_connection(address)
             sock.sendall(
-                b"POST /look/1 HTTP/1.1\r\nhost: api.example\r\nrequest-id: %d\r\n"
+                b"POST %s HTTP/1.1\r\nhost: api.example\r\nrequest-id: %d\r\n"
                 b"authorization: Token %s\r\ndeadline-ms: 2500\r\n"
-                b"content-length: 0\r\n\r\n" % (count, KEY.encode())
+                b"content-length: 0\r\n\r\n" % (path, count, KEY.encode())
             )
             selector.register(sock, selectors.EVENT_READ)
             waiting[sock] = str(count), now
@@ -121,11 +121,13 @@
             deployment.store.put("servers/desk-1", desk.entry())
             host = deployment.hosts["e1"]
             await deployment.wait_until(host.catalog.listed)
-            host.sheds = sheds
+            host.shedder.is_on = sheds
             per_s = load * CAPACITY_PER_S
             address = split_address(host.cfg.callers)
             threads.append(
-                threading.Thread(target=_call_steadily, args=(address, per_s, outcome))
+                threading.Thread(
+                    target=call_steadily, args=(address, b"/look/1", per_s, outcome)
+                )
             )
             threads[1].start()
             while threads[1].is_alive():
