The directory names hosts that shed requests less often, by their mean over 15 s

Callers were sent to hosts short of processor time as often as to others, and got refusals there while hosts of the region had room. Cause: the directory named every host that serves. It now leaves a host out by the part that it shed lately, as far as others have room; at least two of several are named, and never another region's.

The mean works since it is longer than callers keep answers. Not yet played on a fleet.

--- a/src/cactusmill/internal/shedding.py
+++ b/src/cactusmill/internal/shedding.py
@@ -22,6 +22,13 @@
 _MAX_RETRY_S = 0.9
 # A lag that another host reported this long ago tells nothing.
 _REPORT_VALID_S = 2.0
+# Time constant of the part that hosts have shed lately: several times the 6 s for which
+# callers may use an answer, so that answers do not follow their own effects.
+_AVERAGE_S = 15.0
+# A host that has shed less than this part lately has room.
+_ROOM_PART = 0.1
+# Fewest hosts that are named to a caller, if there are as many.
+_MIN_NAMED = 2
 
 
 def shed_fraction(lag_s):
@@ -94,6 +101,58 @@
         return count
 
 
+@attrs.define
+class ShedAverage:
+    """Part of its new requests that a host has refused lately, by the lags it told.
+
+    Attributes
+    ----------
+    part : float
+        Smoothed part, 0 to 1.
+    """
+
+    part: float = 0.0
+    _updated_at: float | None = None
+
+    def update(self, lag_s, now):
+        """Take account of a lag of the event loop at a time, both in seconds."""
+        if self._updated_at is not None:
+            weight = 1.0 - math.exp((self._updated_at - now) / _AVERAGE_S)
+            self.part += weight * (shed_fraction(lag_s) - self.part)
+        self._updated_at = now
+
+
+def name_with_room(hosts, parts, rng):
+    """Return the hosts to name to a caller: those that shed less often than others.
+
+    A host is left out by the part that it has shed lately, as far as others have room
+    for its callers. At least two are named if there are two, so that callers do not all
+    move to one.
+
+    Parameters
+    ----------
+    hosts : list
+        Hosts that the caller may use.
+    parts : list of float
+        Part that each has shed lately, see :class:`ShedAverage`.
+    rng : random.Random
+        Source of random choices.
+
+    Returns
+    -------
+    list
+    """
+    if not hosts:
+        return hosts
+    room = sum(part < _ROOM_PART for part in parts) / len(parts)
+    named = [
+        host
+        for host, part in zip(hosts, parts, strict=True)
+        if part < _ROOM_PART or rng.random() >= part * room
+    ]
+    return named if len(named) >= _MIN_NAMED else hosts
+
+
 def would_shed(member, draw, now):
     """Return whether another host would probably shed a request forwarded to it.
 
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -18,7 +18,7 @@
 from ..internal.loop_monitor import LoopMonitor
 from ..internal.metrics import Metrics
 from ..internal.net import TCP
-from ..internal.shedding import Shedder
+from ..internal.shedding import ShedAverage, Shedder, name_with_room
 from ..records import CallerLimits, Service
 from .budgets import RetryBudgets
 from .catalog import Catalog
@@ -139,6 +139,8 @@
         Number of requests forwarded by other hosts that run here.
     shedder : Shedder
         Refuses requests for lack of processor time.
+    shed_average : ShedAverage
+        Part of new requests that this host has refused lately.
     region_backoff_until : dict of (str, str) to float
         By region and service, the time until which nothing is forwarded there, in
         seconds. Past times have no effect.
@@ -162,6 +164,7 @@
     account: Account = attrs.field(factory=Account)
     forwards_account: Account = attrs.field(factory=Account)
     forwards_running: int = 0
+    shed_average: ShedAverage = attrs.field(factory=ShedAverage)
     catalog: Catalog = attrs.field(factory=Catalog)
     source_health: SourceHealth = attrs.field(factory=SourceHealth)
     suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
@@ -405,7 +408,7 @@
         These are the hosts of the caller's region, which forward requests of routes
         restricted to other regions. If the region has no host, they are the hosts
         of the regions that are permitted by the largest number of the name's
-        restricted routes.
+        restricted routes. Hosts that have shed requests lately are named less often.
 
         Parameters
         ----------
@@ -422,13 +425,18 @@
             Addresses as ``"IP:PORT"``.
         """
         port = self.cfg.callers.rpartition(":")[2]
-        hosts = [m.id for m in self.membership.serving(now)]
+        members = self.membership.serving(now)
+        hosts = [m.id for m in members]
+        shed_parts = {m.id.ip: m.shed_average.part for m in members}
         if self.is_ready(now):
             hosts.append(self.membership.own_id)
+            shed_parts[self.cfg.ip] = self.shed_average.part
         in_region = [h for h in hosts if h.region == region]
         if not in_region:
             in_region = self._hosts_for_hostless_region(name, hosts)
-        return [f"{h.ip}:{port}" for h in in_region]
+        parts = [shed_parts[h.ip] for h in in_region]
+        named = name_with_room(in_region, parts, self.rng)
+        return [f"{h.ip}:{port}" for h in named]
 
     def _hosts_for_hostless_region(self, name, hosts):
         """Return hosts of the regions that the most restricted routes permit.
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -211,6 +211,7 @@
             if is_snapshot_due:
                 next_snapshot_at = now + CROSS_REGION_HEARTBEAT_S
                 self.host.quotas.snapshot_demands(now)
+            self.host.shed_average.update(self.host.loop.lag_s(now), now)
             self.host.quotas.update_shares(self.host.membership, now)
             heartbeat = self.build_heartbeat(
                 now, is_same_region=True, with_regions=is_snapshot_due
@@ -452,6 +453,7 @@
         member.configuration_version = heartbeat.configuration_version
         member.revision = heartbeat.revision
         member.lag_s = (heartbeat.lag_ms or 0) / 1000
+        member.shed_average.update(member.lag_s, now)
         # Heartbeats to other regions, seeds and new members omit demands and loads.
         if heartbeat.demands is not None:
             member.demands = {d.key: d.tokens_per_s for d in heartbeat.demands}
--- a/src/cactusmill/serving/membership.py
+++ b/src/cactusmill/serving/membership.py
@@ -18,6 +18,7 @@
 
 import attrs
 
+from ..internal.shedding import ShedAverage
 from .heartbeats import REGION_HEARTBEAT_S
 from .region_load import RegionLoad
 
@@ -82,6 +83,8 @@
         Tokens per second requested from it, by team key.
     lag_s : float
         Lag of its event loop, in seconds; 0 if it is short.
+    shed_average : ShedAverage
+        Part of new requests that it has refused lately.
     source_responded_at : float
         When its source last responded, in seconds; minus infinity if never, or
         while the source fails.
@@ -98,6 +101,7 @@
     revision: int = 0
     demands: dict = attrs.field(factory=dict)
     lag_s: float = 0.0
+    shed_average: ShedAverage = attrs.field(factory=ShedAverage)
     source_responded_at: float = float("-inf")
 
 
--- a/tests/serving/test_shedding.py
+++ b/tests/serving/test_shedding.py
@@ -1,13 +1,17 @@
 """Hosts of the platform's path that are late refuse requests and are spared them."""
 
+import collections
+
+import attrs
 import trio
 
 from cactusmill.internal.loop_monitor import LoopMonitor
 from cactusmill.internal.shedding import MAX_LAG_S, MIN_LAG_S, would_shed
-from cactusmill.serving.membership import Member
+from cactusmill.serving.membership import HostId, Member
 from standins.loopback import running_deployment
 
 from .test_membership import host_id
+from .test_source_sync import Clock, new_host
 
 
 def test_host_is_spared_forwarded_requests_while_its_report_is_recent():
@@ -70,3 +74,35 @@
                 assert west.shedder.count == 0 and west.forwards_running == 0
 
     trio.run(main)
+
+
+def test_directory_names_late_hosts_less_often_and_no_other_region():
+    clock = Clock(now=10.0)
+    host = new_host("e0", clock, others=("e1", "e2", "e3"))
+    for number, member in enumerate(host.membership.live(clock.now)):
+        member.id = attrs.evolve(member.id, ip=f"10.0.0.{number}")
+    west = HostId(
+        name="w1", ip="10.0.1.1", zone="west-a", region="west", incarnation=""
+    )
+    host.membership.record_host(west, False, 0.0, clock.now)
+    late, *others = host.membership.region_members()
+    late.shed_average.part = 0.8
+    answers = [
+        host.hosts_for_callers("api.example", "east", clock.now) for _ in range(300)
+    ]
+    counts = collections.Counter(address for answer in answers for address in answer)
+    assert counts.pop(f"{late.id.ip}:1") < 0.6 * len(answers)
+    assert set(counts.values()) == {len(answers)} and len(counts) == 1 + len(others)
+    assert "10.0.1.1:1" not in counts
+
+
+def test_heartbeats_tell_what_a_host_sheds(monkeypatch):
+    clock = Clock()
+    host, other = new_host("e0", clock), new_host("e1", clock)
+    slow_down(monkeypatch, other)
+    for _ in range(100):
+        clock.now += 0.1
+        beat = other.gossip.build_heartbeat(clock.now, is_same_region=True)
+        host.gossip.apply_heartbeat(beat, clock.now)
+    (member,) = host.membership.region_members()
+    assert 0.4 < member.shed_average.part < 0.6
