Stub host of the own interface's delivery tests has descriptors

Seven delivery tests failed on the commit before, since their stub host lacked the descriptors that responses now look at. It has those of the process; no check changed, and all 19 tests of the file pass.

--- a/tests/internal/test_late_deliveries.py
+++ b/tests/internal/test_late_deliveries.py
@@ -27,6 +27,7 @@
 from cactusmill.internal.at_most_once import _send_response
 from cactusmill.internal.buffer_budget import BufferBudget
 from cactusmill.internal.caller_request import CallerRequest, caller_sink
+from cactusmill.internal.descriptors import Descriptors
 from cactusmill.internal.endpoints import STALL_LIMIT_S, EndpointPool, Exchange
 from cactusmill.internal.forward_client import forward
 from cactusmill.internal.http import (
@@ -73,7 +74,12 @@
     head = await conn.next_event()
     await conn.next_event()
     cfg = types.SimpleNamespace(idle_timeout_s=10.0)
-    host = types.SimpleNamespace(now=trio.current_time, leaving=False, cfg=cfg)
+    host = types.SimpleNamespace(
+        now=trio.current_time,
+        leaving=False,
+        cfg=cfg,
+        descriptors=Descriptors(),
+    )
     sink = caller_sink(host, CallerRequest(conn, head, "q", 0.0, 0.0))
     with late_loop(turn_s, clock.jump) as loop:
         await respond(sink)
