Benchmark of deliveries: its stub host says whether responses announce a close

The benchmark of complete answers ended with an error, since its stub host lacked closes_connections, which replaced the look at is_leaving. It runs again.

--- a/benchmarks/answers.py
+++ b/benchmarks/answers.py
@@ -84,7 +84,9 @@
     """Read requests of a caller and relay the answer to each."""
     conn = server_connection(stream, 16384)
     host = types.SimpleNamespace(
-        now=trio.current_time, is_leaving=False, dialect=DIALECT
+        now=trio.current_time,
+        closes_connections=lambda now: False,
+        dialect=DIALECT,
     )
     while True:
         head = await conn.next_event()
