Reset that a cancelled receipt meets is no end of a body

Callers could get half of a body as a whole one: an endpoint's body without a length fell silent until the silence limit, and its reset arrived in the same late turn. The cancelled receipt looked into the socket and suppressed the error; a socket reports a reset once, so that the next receipt looked like a close, which ends such a body.

The look now passes over BlockingIOError only. Any other failure is kept in the receiver's is_broken, also if bytes came first, and a later receipt without bytes raises BrokenResourceError, on connections and on links. The check for failed sends, which Connection.receive had, is this one now. Without the change five of the new tests fail; the sixth, a body that ends with a close, passes with and without it.

--- a/src/cactusmill/internal/delivery.py
+++ b/src/cactusmill/internal/delivery.py
@@ -1,6 +1,5 @@
 """Delivery of responses, for as long as the other end takes bytes."""
 
-import contextlib
 import os
 
 import trio
@@ -106,8 +105,9 @@
     Parameters
     ----------
     end : object
-        Has the transport, `stream`, and `has_looked`, which this function keeps: true
-        after a receipt that was cancelled.
+        Has the transport, `stream`, and two attributes that this function keeps:
+        `has_looked`, true after a receipt that was cancelled, and `is_broken`, true
+        once the connection has failed.
     max_bytes : int
         Limit of a receipt that is not cancelled.
 
@@ -119,26 +119,37 @@
     try:
         data = await end.stream.receive_some(max_bytes)
     except trio.Cancelled:
-        data = b"" if end.has_looked else _read_arrived(end.stream)
+        data = b"" if end.has_looked else _read_arrived(end)
         end.has_looked = bool(data)
         if not data:
             raise
         await trio.lowlevel.cancel_shielded_checkpoint()
         return data
     end.has_looked = False
+    if not data and end.is_broken:
+        # A socket reports a reset once. After that, receiving looks as if the other
+        # end had closed the connection.
+        raise trio.BrokenResourceError("the connection broke before")
     return data
 
 
-def _read_arrived(stream):
-    """Return the bytes that lie in a transport's socket; empty if there are none."""
-    sock = getattr(stream, "socket", None)
+def _read_arrived(end):
+    """Return the bytes that lie in a transport's socket; empty if there are none.
+
+    A failure that the socket reports is kept in `end.is_broken`.
+    """
+    sock = getattr(end.stream, "socket", None)
     data = bytearray()
     if sock is None or sock.fileno() < 0:
         return b""
-    with contextlib.suppress(OSError):
+    try:
         while len(data) < _MAX_ARRIVED_BYTES:
             piece = os.read(sock.fileno(), _READ_BYTES)
             if not piece:
                 break
             data += piece
+    except BlockingIOError:
+        pass
+    except OSError:
+        end.is_broken = True
     return bytes(data)
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -138,10 +138,6 @@
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
             self.is_broken = True
             raise ExchangeError(_broken("receiving", exc)) from exc
-        if not data and self.is_broken:
-            # A socket reports a reset once. After a send has failed with it, receiving
-            # looks as if the other end had closed the connection.
-            raise ExchangeError("the connection broke while sending")
         self.h11.receive_data(data)
 
     async def next_response(self):
--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -94,6 +94,8 @@
         Limits the bytes of frames that this host holds before they are complete.
     has_looked : bool
         True after a receipt that was cancelled; see :func:`.receive_some`.
+    is_broken : bool
+        True once receiving has failed.
     """
 
     stream: trio.abc.Stream
@@ -102,6 +104,7 @@
     max_frame_bytes: int = MAX_FRAME_BYTES
     buffers: object = None
     has_looked: bool = False
+    is_broken: bool = False
     _received: bytearray = attrs.field(factory=bytearray)
     _send_lock: trio.Lock = attrs.field(factory=trio.Lock)
 
--- a/tests/internal/test_delivery.py
+++ b/tests/internal/test_delivery.py
@@ -2,13 +2,15 @@
 
 import math
 import socket
+import struct
 import types
 
+import h11
 import pytest
 import trio
 import trio.testing
 
-from cactusmill.errors import AnswerCutError
+from cactusmill.errors import AnswerCutError, ExchangeError
 from cactusmill.internal import delivery
 from cactusmill.internal.delivery import (
     MAX_BLOCKED_S,
@@ -17,6 +19,8 @@
     deliver,
     receive_some,
 )
+from cactusmill.internal.http import client_connection, has_other_end_closed
+from cactusmill.internal.link import Link
 from standins.late_loop import late_loop
 
 LONG = b"x" * 4 * 1024 * 1024
@@ -42,7 +46,7 @@
 
 
 def receiver(stream):
-    return types.SimpleNamespace(stream=stream, has_looked=False)
+    return types.SimpleNamespace(stream=stream, has_looked=False, is_broken=False)
 
 
 async def read_all(stream, received, pause_s=0.0, max_bytes=65536):
@@ -197,6 +201,7 @@
     """Does not remember that it has looked."""
 
     has_looked = property(lambda self: False, lambda self, value: None)
+    is_broken = False
 
     def __init__(self, stream):
         self.stream = stream
@@ -243,3 +248,70 @@
         assert scope.cancelled_caught
 
     run_with_streams(scenario)
+
+
+async def open_tcp():
+    """Return a stream and the plain socket at its other end."""
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        near = await trio.open_tcp_stream(*listener.getsockname())
+        far, _ = listener.accept()
+    return near, far
+
+
+async def reset(near, far):
+    """Reset a connection; return once this is known at its near end."""
+    far.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    far.close()
+    while not has_other_end_closed(near):
+        await trio.sleep(0.001)
+
+
+async def receive_cancelled(receive):
+    """Return what a receipt that has been cancelled still gets, or None."""
+    with trio.CancelScope() as scope:
+        scope.cancel()
+        return await receive()
+
+
+@pytest.mark.parametrize("arrived", [b"", b"half"])
+@pytest.mark.parametrize("make_receiver", [receiver, Link])
+def test_reset_that_a_cancelled_receipt_meets_is_no_end(make_receiver, arrived):
+    async def main():
+        near, far = await open_tcp()
+        end = make_receiver(near)
+        far.sendall(arrived)
+        await reset(near, far)
+        data = await receive_cancelled(lambda: receive_some(end, 100))
+        assert (data or b"") == arrived
+        for _ in range(2):
+            with pytest.raises(trio.BrokenResourceError):
+                await receive_some(end, 100)
+
+    trio.run(main)
+
+
+@pytest.mark.parametrize("is_reset", [True, False])
+def test_reset_in_a_late_turn_does_not_complete_a_body_without_a_length(is_reset):
+    async def main():
+        near, far = await open_tcp()
+        conn = client_connection(near)
+        request = h11.Request(method="GET", target="/", headers=[("host", "x")])
+        await conn.send(request, h11.EndOfMessage())
+        # Closing with unread bytes would be a reset.
+        far.recv(65536)
+        far.sendall(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+        await conn.next_response()
+        assert await conn.next_data() == b"half"
+        if is_reset:
+            await reset(near, far)
+        else:
+            far.close()
+            await trio.testing.wait_all_tasks_blocked()
+        assert await receive_cancelled(conn.next_data) is None
+        if is_reset:
+            with pytest.raises(ExchangeError):
+                await conn.next_data()
+        else:
+            assert await conn.next_data() is None
+
+    trio.run(main)
