Reservations: decide the step again after the probe

What callers saw: streams of one endpoint that fell silent together could all go on at the same endpoint, past its warm-up rate or its connections, or at one that had begun to drain. Cause: the step was decided before the probe, which awaits up to 0.1 s, and was counted only when it was sent, after the probe. Evidence: five streams took the one place of an endpoint, and a stream went to an endpoint that left the eligible ones during the probe (three tests, all failed before). Now a step counts only if it is decided after the probe of its endpoint, with nothing awaited before it is taken; another endpoint is probed in turn, up to three, else the silent one is looked at again after the interval.

--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -41,6 +41,8 @@
 # Until then requests wait up to _STARTUP_HOLD_S for an endpoint.
 _STARTUP_S = 1.5
 _STARTUP_HOLD_S = 0.4
+# Endpoints probed in one look for a step that takes over from a silent endpoint.
+_MAX_PROBES = 3
 
 
 async def run_request(host, req, sink, progress, *, is_forwarded=False):
@@ -289,10 +291,17 @@
     budget = host.retry_budget(req.service, host.now())
     if budget.credit < 1.0:
         return "no retry is left in the budget"
-    step = _next_step(host, req, progress, is_forwarded, {progress.endpoint})
-    if isinstance(step, Refusal):
-        return "no other endpoint can take it"
-    if isinstance(step, Send):
+    probed = set()
+    while True:
+        # Nothing is awaited between this decision and the record of its request, so
+        # that each decision counts the ones before it.
+        step = _next_step(host, req, progress, is_forwarded, {progress.endpoint})
+        if isinstance(step, Refusal):
+            return "no other endpoint can take it"
+        if not isinstance(step, Send) or step.choice.endpoint.name in probed:
+            break
+        if len(probed) == _MAX_PROBES:
+            return "the endpoints that accept connections were taken meanwhile"
         choice = step.choice
         endpoint, now = choice.endpoint, host.now()
         try:
@@ -301,8 +310,9 @@
             is_refused = isinstance(exc, ConnectRefusedError)
             host.placement.record_unreachable(choice.entry, is_refused, host.now())
             return "the other endpoint does not accept connections"
-    if not is_silent():
-        return "it went on meanwhile"
+        probed.add(endpoint.name)
+        if not is_silent():
+            return "it went on meanwhile"
     if not budget.spend():
         return "no retry is left in the budget"
     progress.reserved_step = step
--- a/tests/serving/test_silent_endpoints.py
+++ b/tests/serving/test_silent_endpoints.py
@@ -9,6 +9,7 @@
 import subprocess
 import sys
 import time
+import types
 
 import pytest
 import trio
@@ -16,6 +17,7 @@
 from cactusmill.errors import (
     ConnectError,
     ConnectRefusedError,
+    NoEndpoint,
     SilentEndpointError,
 )
 from cactusmill.internal.http import client_connection, read_body
@@ -31,6 +33,8 @@
     enable_dead_peer_detection,
 )
 from cactusmill.serving.forwarding import LinkPool
+from cactusmill.serving.overload import Send
+from cactusmill.serving.placement import Placement
 from standins.loopback import EndpointStub, configuration
 from standins.silences import QUERY, Place, silent_handler, whole_body
 
@@ -327,6 +331,77 @@
     assert runs == 1 and took_s >= 3.0
 
 
+def reserve_together(monkeypatch, place_count, streams):
+    """Return the endpoints reserved by streams that fall silent in the same moment.
+
+    Each of two endpoints has places for `place_count` requests.
+    """
+    sent = []
+
+    def next_step(host, req, progress, is_forwarded, silent=()):
+        for name in ("engine-1", "engine-2"):
+            if sent.count(name) < place_count:
+                endpoint = types.SimpleNamespace(name=name, address=name)
+                choice = types.SimpleNamespace(endpoint=endpoint, entry=None)
+                return Send(choice=choice)
+        return NoEndpoint(detail="no place is left")
+
+    async def probe(name, address, now):
+        await trio.sleep(0.01)
+
+    monkeypatch.setattr(dispatch, "_next_step", next_step)
+    budget = types.SimpleNamespace(credit=10.0, spend=lambda: True)
+    host = types.SimpleNamespace(
+        now=trio.current_time,
+        retry_budget=lambda service, now: budget,
+        pool=types.SimpleNamespace(probe=probe),
+        loop=types.SimpleNamespace(lag_s=lambda now: 0.0),
+    )
+    route = types.SimpleNamespace(repeatable=True)
+    req = types.SimpleNamespace(route=route, service="engines")
+
+    async def fall_silent():
+        progress = types.SimpleNamespace(attempts_left=2, endpoint="engine-0")
+        args = (host, req, progress, False, lambda: True)
+        if not await dispatch._try_reserve_step(*args):
+            sent.append(progress.reserved_step.choice.endpoint.name)
+
+    async def main():
+        async with trio.open_nursery() as nursery:
+            for _ in range(streams):
+                nursery.start_soon(fall_silent)
+
+    trio.run(main)
+    return sent
+
+
+def test_streams_that_fall_silent_together_take_only_the_places_there_are(monkeypatch):
+    sent = reserve_together(monkeypatch, place_count=1, streams=5)
+    assert sorted(sent) == ["engine-1", "engine-2"]
+
+
+def test_streams_that_fall_silent_together_all_go_on_where_there_are_places(
+    monkeypatch,
+):
+    sent = reserve_together(monkeypatch, place_count=3, streams=5)
+    assert sorted(sent) == ["engine-1"] * 3 + ["engine-2"] * 2
+
+
+def test_silent_stream_does_not_go_on_at_an_endpoint_that_begins_to_drain(monkeypatch):
+    """It begins to drain while it is looked at whether it accepts connections."""
+    probe = ConnectionPool.probe
+
+    def drain_while_probed(deployment, other):
+        async def probe_and_drain(pool, name, address, now):
+            await probe(pool, name, address, now)
+            monkeypatch.setattr(Placement, "eligible_endpoints", lambda *args: [])
+
+        monkeypatch.setattr(ConnectionPool, "probe", probe_and_drain)
+
+    runs, took_s = stream_of_two_engines(drain_while_probed)
+    assert runs == 1 and took_s >= 3.0
+
+
 def test_silent_stream_is_kept_without_another_attempt():
     runs, _ = stream_of_two_engines(lambda deployment, other: None, max_attempts=1)
     assert runs == 1
