Connections: one turn of the loop, and a look before they fail

What callers saw: 503 NoEndpoint although the endpoint accepted connections, on a host whose turns were 0.2 s long. Cause: trio's open_tcp_stream needs several turns, so the host's own lateness ended the limits of 0.1 s (probe) and 0.6 s (connection, links), and a probe that timed out began a backoff. Numeric addresses now take one nonblocking connect and one wait, and once the limit passes the socket is looked at, so that a connection that is complete never fails; only a refusal of a probe begins a backoff.

--- a/src/cactusmill/internal/net.py
+++ b/src/cactusmill/internal/net.py
@@ -6,6 +6,9 @@
 
 import contextlib
 import errno
+import ipaddress
+import os
+import select
 import socket
 
 import attrs
@@ -20,6 +23,8 @@
 # Errors of accept() that end when connections or memory are freed, and the pause.
 _OUT_OF_RESOURCES = frozenset({errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM})
 _RESOURCES_PAUSE_S = 0.1
+# Results of a nonblocking connect() that goes on.
+_CONNECTING = frozenset({0, errno.EINPROGRESS, errno.EINTR})
 
 
 @attrs.frozen
@@ -52,6 +57,8 @@
 async def _connect_tcp(address, timeout_s):
     ip, port = split_address(address)
     try:
+        if _is_numeric(ip):
+            return await _connect_numeric(ip, port, timeout_s)
         with trio.fail_after(timeout_s):
             return await trio.open_tcp_stream(ip, port)
     except (OSError, trio.TooSlowError) as exc:
@@ -60,8 +67,51 @@
         raise ConnectError(f"no connection to {address}: {exc}") from exc
 
 
+def _is_numeric(ip):
+    try:
+        ipaddress.ip_address(ip)
+    except ValueError:
+        return False
+    return True
+
+
+async def _connect_numeric(ip, port, timeout_s):
+    """Connect within one turn of the event loop, if the other end accepts at once."""
+    sock = socket.socket(_family(ip), socket.SOCK_STREAM)
+    try:
+        sock.setblocking(False)
+        error = sock.connect_ex((ip, port))
+        if error in _CONNECTING:
+            with trio.move_on_after(timeout_s):
+                await trio.lowlevel.wait_writable(sock)
+            # On a late event loop, the limit may pass although it is connected.
+            if not _is_writable(sock):
+                raise trio.TooSlowError(f"not within {timeout_s:.2f} s")
+            error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        else:
+            await trio.lowlevel.checkpoint()
+        if error:
+            raise OSError(error, os.strerror(error))
+        return trio.SocketStream(trio.socket.from_stdlib_socket(sock))
+    except BaseException:
+        sock.close()
+        raise
+
+
+def _is_writable(sock):
+    poller = select.poll()
+    poller.register(sock.fileno(), select.POLLOUT)
+    return bool(poller.poll(0))
+
+
+def _family(ip):
+    return socket.AF_INET6 if ":" in ip else socket.AF_INET
+
+
 def _is_refused(exc):
-    """Return whether all attempts behind an error of `open_tcp_stream` were refused."""
+    """Return whether all attempts behind an error of a connection were refused."""
+    if isinstance(exc, ConnectionRefusedError):
+        return True
     cause = exc.__cause__
     causes = cause.exceptions if isinstance(cause, BaseExceptionGroup) else [cause]
     return all(isinstance(c, ConnectionRefusedError) for c in causes)
@@ -71,8 +121,9 @@
     address, handler, handler_nursery=None, task_status=trio.TASK_STATUS_IGNORED
 ):
     ip, port = split_address(address)
-    family = socket.AF_INET6 if ":" in ip else socket.AF_INET
-    with socket.create_server((ip, port), family=family, backlog=_BACKLOG) as listener:
+    with socket.create_server(
+        (ip, port), family=_family(ip), backlog=_BACKLOG
+    ) as listener:
         listener.setblocking(False)
         async with trio.open_nursery() as nursery:
             task_status.started()
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -306,9 +306,11 @@
         endpoint, now = choice.endpoint, host.now()
         try:
             await host.pool.probe(endpoint.name, endpoint.address, now)
-        except ConnectError as exc:
-            is_refused = isinstance(exc, ConnectRefusedError)
-            host.placement.record_unreachable(choice.entry, is_refused, host.now())
+        except ConnectRefusedError:
+            host.placement.record_unreachable(choice.entry, True, host.now())
+            return "the other endpoint refuses connections"
+        except ConnectError:
+            # The limit is short, and its end no evidence against the endpoint.
             return "the other endpoint does not accept connections"
         probed.add(endpoint.name)
         if not is_silent():
--- a/tests/serving/test_late_hosts.py
+++ b/tests/serving/test_late_hosts.py
@@ -16,7 +16,10 @@
 
 from cactusmill.internal.net import split_address
 from cactusmill.serving import edge
-from standins.loopback import KEY, EndpointStub, running_deployment
+from standins.late_loop import late_loop
+from standins.loopback import KEY, EndpointStub, configuration, running_deployment
+
+from .test_whole_path import on_deployment
 
 # Time for which the event loop stands still with each request that is dispatched.
 SLOWED_S = 0.02
@@ -155,3 +158,25 @@
     assert without.statuses["left"] > 0.3 * sum(without.statuses.values())
     assert outcome.statuses["left"] < 0.5 * without.statuses["left"]
     assert outcome.statuses[200] > without.statuses[200]
+
+
+@pytest.mark.parametrize("turn_s", [0.02, 0.2])
+def test_late_host_reaches_an_endpoint_that_accepts_connections(turn_s):
+    """With turns of 0.2 s the host took it for unreachable, and refused the request."""
+    routes = configuration()["routes"]
+    for route in routes:
+        route["timeout_ms"] = route["target_latency_ms"] = 15_000
+
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        host.shedder.is_on = False
+        with late_loop(turn_s):
+            reply = await deployment.send_request("e1", "/order/1", budget_ms=15_000)
+        assert reply.status == 200
+        assert host.gauges(host.now())["endpoints_down"] == 0
+
+    on_deployment(
+        scenario,
+        endpoints=(("desk-1", "east-a", "desk"),),
+        published=configuration(routes=routes),
+    )
--- a/tests/serving/test_silent_endpoints.py
+++ b/tests/serving/test_silent_endpoints.py
@@ -402,6 +402,31 @@
     assert runs == 1 and took_s >= 3.0
 
 
+@pytest.mark.parametrize(
+    ("error", "unreachable_count"), [(ConnectError, 0), (ConnectRefusedError, 1)]
+)
+def test_probe_that_only_takes_too_long_begins_no_backoff(
+    monkeypatch, error, unreachable_count
+):
+    found = []
+
+    async def fail(pool, name, address, now):
+        raise error("as in this test")
+
+    def change(deployment, other):
+        monkeypatch.setattr(ConnectionPool, "probe", fail)
+        record = Placement.record_unreachable
+
+        def record_and_count(placement, entry, is_refused, now):
+            found.append(entry.endpoint.name)
+            record(placement, entry, is_refused, now)
+
+        monkeypatch.setattr(Placement, "record_unreachable", record_and_count)
+
+    stream_of_two_engines(change)
+    assert len(set(found)) == unreachable_count
+
+
 def test_silent_stream_is_kept_without_another_attempt():
     runs, _ = stream_of_two_engines(lambda deployment, other: None, max_attempts=1)
     assert runs == 1
