Relay of streams: failing test of a stream that has arrived whole

What callers would see: on a late host, a stream that the host already holds is relayed one event in each turn, so that its deadline may cut it. Cause: relay_stream awaits a write for each event.

--- a/tests/serving/test_response_relay.py
+++ b/tests/serving/test_response_relay.py
@@ -1,12 +1,20 @@
 """Tests of the relay of responses when deadlines pass at any moment."""
 
+import types
+
 import h11
 import pytest
 import trio
 
-from cactusmill.internal.http import header, read_body
+from cactusmill.internal.http import client_connection, header, read_body
+from cactusmill.internal.request import Sink
 from cactusmill.serving import events, response_relay, sending
-from standins.loopback import configuration, not_executed, running_deployment
+from cactusmill.serving.connections import ConnectionPool, exchange
+from cactusmill.serving.progress import Progress
+from standins.late_loop import late_loop
+from standins.loopback import configuration, event, not_executed, running_deployment
+
+from .test_connections import tcp_pair
 
 BUDGET_MS = 250
 # A stream's budget covers its predicted length.
@@ -119,3 +127,54 @@
 
     reply = trio.run(main)
     assert reply.status in (503, 504) and reply.is_complete
+
+
+def test_stream_that_has_arrived_whole_is_relayed_within_a_few_turns():
+    """On a late host, a turn for each event took it past its deadline."""
+    count = 60
+    pieces = [event(n) for n in range(count)]
+    body = b"".join(b"%x\r\n%s\r\n" % (len(p), p) for p in pieces) + b"0\r\n\r\n"
+    head = (
+        b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+        b"transfer-encoding: chunked\r\n\r\n"
+    )
+    metadata = types.SimpleNamespace(request_id=None, will_close=False, idle_s=None)
+    relayed = []
+
+    async def relay(data):
+        # A write to the caller takes a turn.
+        await trio.lowlevel.checkpoint()
+        relayed.append(data)
+
+    async def main():
+        ours, theirs = await tcp_pair()
+        await theirs.send_all(head + body)
+        pool = ConnectionPool(net=None)
+        response = await exchange(
+            pool,
+            "engine-1",
+            client_connection(ours),
+            h11.Request(method="GET", target="/", headers=[("host", "-")]),
+            b"",
+            "r-1",
+            lambda status, headers: metadata,
+            (5.0, 1.6),
+        )
+        host = types.SimpleNamespace(
+            now=trio.current_time,
+            dialect=types.SimpleNamespace(filter_response_headers=lambda h: []),
+        )
+        sink = Sink(
+            head=lambda status, headers, first: relay(first),
+            data=relay,
+            end=lambda: relay(b""),
+        )
+        load = types.SimpleNamespace(mark_prompt_read=lambda: None, is_complete=False)
+        with late_loop(0.02) as loop:
+            await response_relay.relay_stream(
+                host, None, sink, Progress(1, "d"), None, response, load, 0.0
+            )
+        assert b"".join(relayed) == b"".join(pieces)
+        assert loop.turns <= count / 3
+
+    trio.run(main)
