Answer requests whose numbers are out of bounds and contain faults of the head

Callers got a close without an answer when Deadline-Ms or Token-Usage had hundreds of digits: the head was read outside the containment and an OverflowError ended the connection. Negative counts in Token-Usage added tokens to the bucket of their team, past its rate.

Numbers are now whole, from 0 to 2**53 - 1; a time limit or a size out of these bounds, or sent twice, is refused with 400 that names it. Hints and the numbers of endpoints out of bounds count as missing, as malformed ones do. A fault in reading a head gives 503 (nothing has run), and one in the refund is logged and the refusal is sent.

--- a/src/cactusmill/platform/dialect.py
+++ b/src/cactusmill/platform/dialect.py
@@ -2,11 +2,13 @@
 
 Parses the heads of callers' requests and of endpoints' responses, builds the headers of
 requests to endpoints, and renders refusals (responses of the gateway in place of an
-endpoint's). A malformed value of an optional header counts as missing. In header names,
-a tenant is a team and an instance is an endpoint.
+endpoint's). A malformed value of an optional header counts as missing; a time limit or
+a size that is out of bounds or repeated is a problem of the request. In header names, a
+tenant is a team and an instance is an endpoint.
 """
 
 import json
+import re
 
 from ..internal.http import end_to_end_headers, header, parse_retry_after
 from ..internal.request import request_priority
@@ -42,11 +44,34 @@
 _MAX_PRIORITY = 9
 
 
+_INTEGER = re.compile(r"-?[0-9]+", re.ASCII)
+# Floats represent each whole number up to this one exactly.
+_MAX_NUMBER = 2**53 - 1
+_MAX_LOGGED_CHARS = 20
+
+
 def _parse_int(text):
-    try:
-        return int(text)
-    except (TypeError, ValueError):
+    """Return a whole number from 0 to `_MAX_NUMBER`; None for anything else."""
+    text = (text or "").strip()
+    if not _INTEGER.fullmatch(text) or len(text) > len(str(_MAX_NUMBER)):
         return None
+    number = int(text)
+    return number if 0 <= number <= _MAX_NUMBER else None
+
+
+def _find_problem(headers):
+    """Return why a request's time limit or size cannot be accepted, or None."""
+    for name in (b"deadline-ms", b"token-usage"):
+        texts = [v.decode("latin-1") for k, v in headers if k == name]
+        if len(texts) > 1:
+            return f"{name.decode()} is sent {len(texts)} times; send it once"
+        for text in ",".join(texts).split(","):
+            if _INTEGER.fullmatch(text.strip()) and _parse_int(text) is None:
+                return (
+                    f"{name.decode()} has {text.strip()[:_MAX_LOGGED_CHARS]}; "
+                    f"send whole numbers from 0 to {_MAX_NUMBER}"
+                )
+    return None
 
 
 def _parse_usage(text):
@@ -115,6 +140,7 @@
         path=event.target.decode("latin-1").partition("?")[0],
         secret=secret,
         budget_s=None if budget_ms is None else budget_ms / 1000,
+        problem=_find_problem(headers),
         forwardable_headers=_filter_request_headers(headers),
         **_parse_token_counts(headers),
     )
--- a/src/cactusmill/serving/dialect.py
+++ b/src/cactusmill/serving/dialect.py
@@ -31,6 +31,8 @@
         Identifiers and token counts of the prompt's segments, in order.
     forwardable_headers : list of (bytes, bytes)
         Headers that may be sent to an endpoint.
+    problem : str or None
+        Why the request is refused as malformed; None if it is not.
     """
 
     request_id: str
@@ -43,6 +45,7 @@
     output_tokens: int
     prompt_segments: tuple
     forwardable_headers: list = attrs.field(repr=False)
+    problem: str | None = None
 
 
 @attrs.frozen(kw_only=True)
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -131,8 +131,13 @@
     try:
         now = host.now()
         arrived_at = host.loop.estimate_arrival(start, now)
-        with host.account.open() as entry:
+        try:
             head = host.dialect.read_head(event)
+        except Exception as exc:
+            log_fault("read_head", exc)
+            await _refuse_head(host, conn, InternalFault(detail="an internal error"))
+            return False
+        with host.account.open() as entry:
             caller = CallerRequest(conn, head, now, arrived_at, entry=entry)
             await _serve_request(host, caller, event)
     finally:
@@ -188,6 +193,11 @@
 async def _refuse_malformed(host, conn, status, problem):
     refusal = MalformedRequest(status_code=status, detail=problem)
     log_event("request_malformed", status=status, reason=problem)
+    await _refuse_head(host, conn, refusal)
+
+
+async def _refuse_head(host, conn, refusal):
+    """Refuse a request whose head could not be read, and end its connection."""
     with host.account.open() as entry:
         if conn.can_respond():
             rendered = host.dialect.render_refusal(refusal, "")
@@ -245,6 +255,8 @@
     try:
         with entry.open_scope() as exit_scope:
             await _wait_for_configuration(host)
+            if head.problem is not None:
+                raise _Refused(MalformedRequest(detail=head.problem))
             route, team = _authorize(host, head)
             limit_s = caller.arrived_at + _time_limit_s(head, route) - host.now()
             body = await _read_body(host, caller, count_held, limit_s)
@@ -268,7 +280,7 @@
         log_fault("serve_caller", exc, request_id=head.request_id)
         refusal = InternalFault(detail="an internal error", outcome=_outcome(progress))
     if req is not None and progress is not None and not progress.may_have_run:
-        host.refund(req)
+        _refund(host, req)
     try:
         if refusal is not None:
             failure = await _refuse(host, caller, event, refusal)
@@ -286,6 +298,13 @@
         _log_request(host, caller, route, req, progress, refusal, failure)
 
 
+def _refund(host, req):
+    try:
+        host.refund(req)
+    except Exception as exc:
+        log_fault("refund", exc, request_id=req.request_id)
+
+
 def _cut_reason(caller, failure):
     """Return the :class:`.Cut` of a request, whose deadline may end a blocked write."""
     reason = cut_reason(failure)
--- a/tests/serving/test_whole_path.py
+++ b/tests/serving/test_whole_path.py
@@ -1,11 +1,14 @@
 """End-to-end behaviour of hosts, endpoints and a store on loopback."""
 
+import attrs
 import h11
 import pytest
 import trio
 
+from cactusmill.errors import NoEndpoint
 from cactusmill.internal.http import client_connection, header, read_body
 from cactusmill.platform.directory import respond
+from cactusmill.serving import edge
 from cactusmill.serving.gateway_host import DRAIN_S
 from standins.loopback import (
     KEY,
@@ -737,3 +740,56 @@
         assert (await send_request_on(conn, "/look/1")).status == 200
 
     on_deployment(scenario, endpoints=ENDPOINTS, published=configuration(limits=limits))
+
+
+@pytest.mark.parametrize(
+    ("header", "status"),
+    [
+        ("deadline-ms: " + "9" * 400, b"400"),
+        ("token-usage: " + "9" * 400 + ",1", b"400"),
+        ("token-usage: -50000,1", b"400"),
+        ("length-hint: " + "9" * 400, b"200"),
+        ("prompt-prefix: a:" + "9" * 400, b"200"),
+    ],
+)
+def test_numbers_out_of_bounds_get_an_answer(header, status):
+    async def scenario(deployment):
+        stream = await deployment.connect("e1")
+        await stream.send_all(head_with(header))
+        with trio.fail_after(5):
+            data = await stream.receive_some()
+        assert data.startswith(b"HTTP/1.1 " + status)
+        await stream.aclose()
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+def head_with(header):
+    return (
+        "POST /look/1 HTTP/1.1\r\nhost: api.example\r\nrequest-id: r-1\r\n"
+        f"authorization: Token {KEY}\r\n{header}\r\ncontent-length: 1\r\n\r\nx"
+    ).encode()
+
+
+@pytest.mark.parametrize("place", ["read_head", "refund"])
+def test_fault_outside_the_dispatch_is_refused_as_not_run(monkeypatch, place):
+    def fail(*args):
+        raise RuntimeError("a fault of the test")
+
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        if place == "read_head":
+            host.dialect = attrs.evolve(host.dialect, read_head=fail)
+        else:
+            monkeypatch.setattr(type(host), place, fail)
+            monkeypatch.setattr(edge, "run_request", refuse)
+        stream = await deployment.connect("e1")
+        await stream.send_all(head_with("accept: */*"))
+        with trio.fail_after(5):
+            assert (await stream.receive_some()).startswith(b"HTTP/1.1 503")
+        await stream.aclose()
+
+    async def refuse(*args, **kwargs):
+        return NoEndpoint(detail="a refusal of the test")
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
