Say that nothing ran before a link ends for lack of room or by a fault

Callers of unsafe requests got 502 for requests that had never begun in another region: a host without room for a Forward frame closed the link without a word, and so did a fault in preparing the request, so the other host had to count them as requests that may have run.

A host without room now sends the last message on the link that a leaving host sends and discards the rest of the frame, so that the close destroys nothing; the other host then tries another one. A fault in preparing a request is refused as not run. Four of the five new tests fail without the change, with 'the link broke while receiving' and 'the peer closed the link'; the fifth guards a refusal that was right before.

--- a/src/cactusmill/errors.py
+++ b/src/cactusmill/errors.py
@@ -59,6 +59,10 @@
     """A link to a peer closed before the response to a call was complete."""
 
 
+class LinkFullError(LinkClosedError):
+    """No room for a frame is left on this host, so the link serves nothing more."""
+
+
 class ConnectError(CactusmillError):
     """Connecting failed, so the other end has received no byte."""
 
--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -16,7 +16,12 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAcceleratedFactory
 from thrift.transport.TTransport import TMemoryBuffer
 
-from ..errors import AnswerCutError, BufferLimitError, LinkClosedError
+from ..errors import (
+    AnswerCutError,
+    BufferLimitError,
+    LinkClosedError,
+    LinkFullError,
+)
 from .delivery import deliver, receive_some
 from .wire.ttypes import Frame, Hello, Proof
 
@@ -26,7 +31,7 @@
 _NONCE_BYTES = 16
 _LENGTH = struct.Struct(">I")
 # A frame that has begun is complete within this time.
-_FRAME_TIMEOUT_S = 15.0
+FRAME_TIMEOUT_S = 15.0
 _MAX_HANDSHAKE_FRAME_BYTES = 4096
 # What the other end may send while this one expects nothing.
 _MAX_SURPLUS_BYTES = 64 * 1024
@@ -156,6 +161,8 @@
 
         Raises
         ------
+        LinkFullError
+            If this host has no room for the frame.
         LinkClosedError
             If the link closes, receives something other than a frame, or a frame
             that has begun does not end in time.
@@ -163,11 +170,11 @@
         if not self._received:
             await self._receive_some()
         try:
-            with trio.fail_after(_FRAME_TIMEOUT_S):
+            with trio.fail_after(FRAME_TIMEOUT_S):
                 return await self._receive_frame()
         except trio.TooSlowError as exc:
             raise LinkClosedError(
-                f"a frame was not complete within {_FRAME_TIMEOUT_S} s"
+                f"a frame was not complete within {FRAME_TIMEOUT_S} s"
             ) from exc
 
     async def _receive_frame(self):
@@ -184,7 +191,7 @@
                 with self.buffers.hold() as count_held:
                     await self._fill(end, count_held)
             except BufferLimitError as exc:
-                raise LinkClosedError(str(exc)) from exc
+                raise LinkFullError(str(exc)) from exc
         data = bytes(self._received[_LENGTH.size : end])
         del self._received[:end]
         return decode(data)
@@ -212,6 +219,15 @@
             while len(self._received) <= _MAX_SURPLUS_BYTES:
                 await self._receive_some()
 
+    async def discard_until_closed(self):
+        """Discard what comes until the other end has closed, at most one frame."""
+        discarded_bytes = 0
+        with contextlib.suppress(LinkClosedError):
+            while discarded_bytes <= _LENGTH.size + self.max_frame_bytes:
+                discarded_bytes += len(self._received)
+                self._received.clear()
+                await self._receive_some()
+
     async def close(self):
         """Close the connection without waiting for the other end."""
         await trio.aclose_forcefully(self.stream)
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -22,6 +22,7 @@
     HostLeavingError,
     InternalFault,
     LinkClosedError,
+    LinkFullError,
     NoEndpoint,
     Outcome,
     Overloaded,
@@ -32,7 +33,7 @@
 from ..internal.answer_frames import answer_sink, read_body_frame
 from ..internal.framing import Framing, ReceivedBody
 from ..internal.http import is_idle_and_open
-from ..internal.link import Link
+from ..internal.link import FRAME_TIMEOUT_S, Link
 from ..internal.patience import give_up_always, receive_patiently
 from ..internal.request import Request
 from ..internal.wire.ttypes import (
@@ -62,8 +63,9 @@
 _RESPONSE_MARGIN_S = 0.3
 _ITEMS_TIMEOUT_S = 1.0
 _ITEMS = "items"
-# Last message of a host that leaves on a link that its other end opened. It begins no
-# request that it receives there after that, nor one that it has not answered.
+# Last message on a link that its other end opened, of a host that leaves or that has no
+# room for the frame that comes. It begins no request that it receives there after that,
+# nor one that it has not answered.
 _LEAVING = "Leaving"
 _FAREWELL_S = 0.5
 
@@ -359,9 +361,15 @@
                 if host.shedder.sheds(host.now()):
                     await _refuse(link, message, host.shedder.refusal(), entry)
                     continue
-                req = _request(host, message, arrived_at)
-                if not await _serve_forward(host, link, message, req, run, entry):
+                is_reusable = await _serve_forward(
+                    host, link, message, arrived_at, run, entry
+                )
+                if not is_reusable:
                     return
+    except LinkFullError as exc:
+        log_event("forward_without_room", reason=str(exc))
+        with contextlib.suppress(LinkClosedError):
+            await _say_farewell(host, link, FRAME_TIMEOUT_S)
     except (AnswerCutError, LinkClosedError):
         # Closing the link also cancels the request on it.
         return
@@ -389,7 +397,7 @@
         entry.refuse(Overloaded(detail="this host is shutting down"))
 
 
-async def _say_farewell(host, link):
+async def _say_farewell(host, link, timeout_s=_FAREWELL_S):
     """Tell the other host that nothing more is begun on a link.
 
     It is closed once the other host has done so, since a close with a request unread
@@ -403,28 +411,37 @@
         refusal=_LEAVING,
         not_run=True,
     )
-    with trio.move_on_after(_FAREWELL_S):
+    with trio.move_on_after(timeout_s):
         await link.send(answer_head=head)
         host.served_links.discard(link)
-        await link.wait_closed()
+        await link.discard_until_closed()
 
 
-async def _serve_forward(host, link, message, req, run, entry):
+async def _serve_forward(host, link, message, arrived_at, run, entry):
     """Serve one request; return whether the link can be reused."""
-    if req is None:
-        refusal = NoEndpoint(detail="this host does not know the route yet")
+    req = progress = None
+    refusal = NoEndpoint(detail="this host does not know the route yet")
+    try:
+        req = _request(host, message, arrived_at)
+        if req is not None:
+            progress = new_progress(req, message.attempts or 1)
+            progress.scanner.last_id = message.identifier or ""
+    except Exception as exc:
+        log_fault("serve_link", exc, request_id=message.request_id)
+        refusal = InternalFault(detail="an internal error")
+    if progress is None:
         await _refuse(link, message, refusal, entry)
         return True
     with host.buffers.hold() as count_held:
         try:
-            count_held(message.body)
+            count_held(req.body)
         except BufferLimitError as exc:
             await _refuse(link, message, Overloaded(detail=str(exc)), entry)
             return True
-        return await _run_forward(host, link, message, req, run, entry)
+        return await _run_forward(host, link, message, req, progress, run, entry)
 
 
-async def _run_forward(host, link, message, req, run, entry):
+async def _run_forward(host, link, message, req, progress, run, entry):
     """Run a forwarded request; return whether the link can be reused."""
     has_begun = False
 
@@ -434,8 +451,6 @@
         return _encode_head(message, status, headers)
 
     sink = answer_sink(link.send, 0, encode_head, link.stream, link.deliver)
-    progress = new_progress(req, message.attempts or 1)
-    progress.scanner.last_id = message.identifier or ""
     began_at = host.now()
     refusal, failure, is_complete = None, None, False
     try:
@@ -566,7 +581,7 @@
         method=message.method,
         target=message.target,
         headers=headers,
-        body=message.body,
+        body=message.body or b"",
         deadline=arrived_at + message.remaining_ms / 1000,
         service="",
         prompt_tokens=head.prompt_tokens,
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -9,12 +9,18 @@
 from hypothesis import example, given, settings
 from hypothesis import strategies as st
 
-from cactusmill.errors import ExchangeError, HostLeavingError
+from cactusmill.errors import (
+    ExchangeError,
+    HostLeavingError,
+    InternalFault,
+    Outcome,
+    Overloaded,
+)
 from cactusmill.internal.link import Link
 from cactusmill.internal.net import TCP
 from cactusmill.internal.request import Sink
 from cactusmill.platform.dialect import DIALECT
-from cactusmill.serving import gateway_host
+from cactusmill.serving import forwarding, gateway_host
 from cactusmill.serving.forwarding import LinkPool, forward, serve_link
 from cactusmill.serving.membership import Member
 
@@ -160,12 +166,15 @@
         await self.stream.aclose()
 
 
-async def forward_on(near):
+async def forward_on(near, body=b""):
     host = new_host("near", Clock(), dialect=DIALECT, routes=(ROUTE,))
     host.links = OneLink(Link(near))
     member = Member(id=host_id("far", "west"), last_seen_at=0.0)
     request = attrs.evolve(
-        req([("own", 10)]), deadline=host.now() + 4, objective_at=host.now()
+        req([("own", 10)]),
+        deadline=host.now() + 4,
+        objective_at=host.now(),
+        body=body,
     )
     return await forward(host, member, request, SINK, 1, "", 1.0)
 
@@ -200,6 +209,61 @@
     assert not runs
 
 
+def serve_one_forward(prepare, body):
+    """Return what the near host gets for one request, and what ran at the far one."""
+    runs, replies = [], []
+
+    async def run(host, request, *args):
+        runs.append(request)
+
+    async def main():
+        listeners = await trio.open_tcp_listeners(0, host="127.0.0.1")
+        near = await trio.open_tcp_stream(*listeners[0].socket.getsockname())
+        far = await listeners[0].accept()
+        await listeners[0].aclose()
+        other = new_host("far", Clock(), dialect=DIALECT, routes=(ROUTE,))
+        prepare(other)
+        with trio.fail_after(5):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(serve_link, other, far, run)
+                try:
+                    replies.append(await forward_on(near, body))
+                except (ExchangeError, HostLeavingError) as exc:
+                    replies.append(exc)
+                await near.aclose()
+                while other.served_links:
+                    await trio.sleep(0.01)
+                nursery.cancel_scope.cancel()
+        assert other.buffers.used_bytes == 0
+
+    trio.run(main)
+    return replies[0], runs
+
+
+@pytest.mark.parametrize("size", [5000, 200_000, 10_000_000])
+def test_host_without_room_for_a_forward_says_that_it_has_not_begun_it(size):
+    def prepare(host):
+        host.buffers.limit_bytes = 1000
+
+    reply, runs = serve_one_forward(prepare, b"x" * size)
+    is_whole_at_once = (
+        isinstance(reply, Overloaded) and reply.outcome is Outcome.NOT_RUN
+    )
+    assert isinstance(reply, HostLeavingError) or is_whole_at_once
+    assert not runs
+
+
+@pytest.mark.parametrize("place", ["_request", "new_progress"])
+def test_fault_before_a_forward_begins_is_refused_as_not_run(monkeypatch, place):
+    def fail(*args):
+        raise RuntimeError("a fault of the test")
+
+    monkeypatch.setattr(forwarding, place, fail)
+    reply, runs = serve_one_forward(lambda host: None, b"x")
+    assert isinstance(reply, InternalFault) and not runs
+    assert reply.outcome is Outcome.NOT_RUN
+
+
 def test_link_that_closes_without_a_word_leaves_open_whether_the_request_ran():
     async def main():
         near, far = trio.testing.memory_stream_pair()
