Count links as served until their close, so that an exit waits for it

A host that left forgot a link when it had sent its last message there, so the process could end before the other host had closed. Its own close then met a request that was on its way and unread, which resets the connection and may destroy the message; callers of unsafe requests got 502 for a request that was never begun.

The link now stays in served_links until the other host has closed or the time of the farewell is over, which the exit waits for within its grace time.

--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -413,7 +413,6 @@
     )
     with trio.move_on_after(timeout_s):
         await link.send(answer_head=head)
-        host.served_links.discard(link)
         await link.discard_until_closed()
 
 
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -124,7 +124,7 @@
     idle_callers : IdleWaits
         Those that wait for the next request.
     served_links : set of Link
-        Open links of other hosts that have not been told that this host leaves.
+        Open links of other hosts.
     idle_links : IdleWaits
         Those that wait for the next request.
     descriptors : Descriptors
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -200,15 +200,41 @@
                 other.leaving_since = other.now() - gateway_host.DRAIN_S - 1.0
                 other.idle_links.end_since(other.now())
                 await trio.testing.wait_all_tasks_blocked()
-                assert not other.served_links
+                assert other.served_links
                 with pytest.raises(HostLeavingError):
                     await forward_on(LastMessages(near, is_broken))
+                await near.aclose()
+                await trio.testing.wait_all_tasks_blocked()
+                assert not other.served_links
                 nursery.cancel_scope.cancel()
 
     trio.run(main)
     assert not runs
 
 
+@pytest.mark.parametrize("closes", [False, True])
+def test_exit_waits_for_the_close_of_links_that_got_the_last_message(closes):
+    # The process ended at once, and its close could meet an unread request and destroy
+    # what was told.
+    async def main():
+        near, far = trio.testing.memory_stream_pair()
+        other = new_host("far", Clock(), dialect=DIALECT, routes=(ROUTE,))
+        other.leaving_since = other.now() - gateway_host.DRAIN_S - 1.0
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(serve_link, other, far, None)
+            await near.receive_some()
+            await trio.sleep(forwarding._FAREWELL_S / 2)
+            assert other.served_links
+            if closes:
+                await near.aclose()
+                await trio.testing.wait_all_tasks_blocked()
+                assert not other.served_links
+            await trio.sleep(forwarding._FAREWELL_S)
+            assert not other.served_links
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
 def serve_one_forward(prepare, body):
     """Return what the near host gets for one request, and what ran at the far one."""
     runs, replies = [], []
