Own interface: parse the load of endpoints and counts of callers strictly

str.isdigit accepts digits such as a superscript two, and int raises for them and for more than 4300 digits. An endpoint that reported such a load made the request end as an internal fault, 'unknown' to its caller, though the endpoint had answered; a caller of the directory who asked for such a number of identifiers got an internal error.

parse_count, taken from the platform's dialect, is the one parser of counts from outside: whole numbers from 0 to 2**53 - 1, anything else counts as missing.

--- a/src/cactusmill/internal/attempts.py
+++ b/src/cactusmill/internal/attempts.py
@@ -31,7 +31,13 @@
 )
 from .event_stream import check_last_event, is_event_stream, last_bytes
 from .framing import Framing
-from .http import collect_body, end_to_end_headers, header, is_chunked
+from .http import (
+    collect_body,
+    end_to_end_headers,
+    header,
+    is_chunked,
+    parse_count,
+)
 
 # The endpoint's number of requests in progress, from all hosts.
 LOAD_HEADER = b"x-endpoint-load"
@@ -184,9 +190,9 @@
         record_notices(host, state, exchange)
     except ExchangeError as exc:
         return await _record_failure(host, req, progress, endpoint, exchange, exc)
-    load = header(exchange.headers, LOAD_HEADER)
-    if load is not None and load.isdigit():
-        state.reported_load, state.reported_at = int(load), host.now()
+    load = parse_count(header(exchange.headers, LOAD_HEADER))
+    if load is not None:
+        state.reported_load, state.reported_at = load, host.now()
     if exchange.status == _UNAVAILABLE and header(exchange.headers, LEAVING_HEADER):
         progress.tried.add(endpoint.name)
         await exchange.conn.close()
--- a/src/cactusmill/internal/directory.py
+++ b/src/cactusmill/internal/directory.py
@@ -7,7 +7,7 @@
 
 from ..errors import BadRequestError, UnknownKey
 from .caller_request import send_response
-from .http import read_body
+from .http import parse_count, read_body
 from .request import is_permitted
 from .routing import rank_hosts
 
@@ -95,6 +95,7 @@
     query = target.decode("latin-1").partition("?")[2]
     for part in query.split("&"):
         name, _, value = part.partition("=")
-        if name == "identifiers" and value.isdigit():
-            return min(int(value), MAX_IDENTIFIERS)
+        count = parse_count(value)
+        if name == "identifiers" and count is not None:
+            return min(count, MAX_IDENTIFIERS)
     return 0
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -35,6 +35,9 @@
 _EVENTS_PER_TURN = 64
 _LINGER = struct.Struct("ii")
 # A time in seconds. Longer texts are no time that anyone waits.
+# Floats represent each whole number up to this one exactly.
+MAX_COUNT = 2**53 - 1
+_DIGITS = re.compile(r"[0-9]{1,16}", re.ASCII)
 _SECONDS = re.compile(r"[0-9]{1,9}(\.[0-9]{1,9})?", re.ASCII)
 _MAX_LOGGED_CHARS = 64
 # Interval at which a connection that is not read is looked at for its close.
@@ -457,6 +460,15 @@
     return default
 
 
+def parse_count(text):
+    """Return a whole number from 0 to `MAX_COUNT`; None for anything else."""
+    text = (text or "").strip()
+    if not _DIGITS.fullmatch(text):
+        return None
+    number = int(text)
+    return number if number <= MAX_COUNT else None
+
+
 def parse_retry_after(headers):
     """Return the seconds of ``retry-after``, whole or with a fraction.
 
--- a/src/cactusmill/platform/dialect.py
+++ b/src/cactusmill/platform/dialect.py
@@ -10,7 +10,13 @@
 import json
 import re
 
-from ..internal.http import end_to_end_headers, header, parse_retry_after
+from ..internal.http import (
+    MAX_COUNT,
+    end_to_end_headers,
+    header,
+    parse_count,
+    parse_retry_after,
+)
 from ..internal.request import request_priority
 from ..serving.dialect import CallerHead, Dialect, ResponseMetadata
 
@@ -42,23 +48,10 @@
 )
 # Priorities range from 0, which engines serve first, to 9.
 _MAX_PRIORITY = 9
-
-
 _INTEGER = re.compile(r"-?[0-9]+", re.ASCII)
-# Floats represent each whole number up to this one exactly.
-_MAX_NUMBER = 2**53 - 1
 _MAX_LOGGED_CHARS = 20
 
 
-def _parse_int(text):
-    """Return a whole number from 0 to `_MAX_NUMBER`; None for anything else."""
-    text = (text or "").strip()
-    if not _INTEGER.fullmatch(text) or len(text) > len(str(_MAX_NUMBER)):
-        return None
-    number = int(text)
-    return number if 0 <= number <= _MAX_NUMBER else None
-
-
 def _find_problem(headers):
     """Return why a request's time limit or size cannot be accepted, or None."""
     for name in (b"deadline-ms", b"token-usage"):
@@ -66,10 +59,10 @@
         if len(texts) > 1:
             return f"{name.decode()} is sent {len(texts)} times; send it once"
         for text in ",".join(texts).split(","):
-            if _INTEGER.fullmatch(text.strip()) and _parse_int(text) is None:
+            if _INTEGER.fullmatch(text.strip()) and parse_count(text) is None:
                 return (
                     f"{name.decode()} has {text.strip()[:_MAX_LOGGED_CHARS]}; "
-                    f"send whole numbers from 0 to {_MAX_NUMBER}"
+                    f"send whole numbers from 0 to {MAX_COUNT}"
                 )
     return None
 
@@ -77,7 +70,7 @@
 def _parse_usage(text):
     """Return the token counts of "PROMPT,MAX_OUTPUT"; None if malformed or missing."""
     first, _, second = (text or "").partition(",")
-    prompt, max_output = _parse_int(first), _parse_int(second)
+    prompt, max_output = parse_count(first), parse_count(second)
     return None if prompt is None or max_output is None else (prompt, max_output)
 
 
@@ -92,7 +85,7 @@
     segments = []
     for entry in (text or "").split(","):
         segment, _, tokens = entry.strip().partition(":")
-        count = _parse_int(tokens)
+        count = parse_count(tokens)
         if not segment or count is None:
             return ()
         segments.append((segment, count))
@@ -107,7 +100,7 @@
     """
     usage = _parse_usage(header(headers, b"token-usage"))
     max_output = usage[1] if usage else 0
-    hint = _parse_int(header(headers, b"length-hint"))
+    hint = parse_count(header(headers, b"length-hint"))
     return {
         "size_tokens": None if usage is None else float(sum(usage)),
         "prompt_tokens": usage[0] if usage else 0,
@@ -133,7 +126,7 @@
     secret = b""
     if credentials[: len(_KEY_SCHEME)].lower() == _KEY_SCHEME:
         secret = credentials[len(_KEY_SCHEME) :].strip().encode("latin-1")
-    budget_ms = _parse_int(header(headers, b"deadline-ms"))
+    budget_ms = parse_count(header(headers, b"deadline-ms"))
     return CallerHead(
         request_id=header(headers, b"request-id", ""),
         host=header(headers, b"host", "").partition(":")[0].lower(),
@@ -244,7 +237,7 @@
 
 def _parse_load(text):
     """Return the numbers of "RUNNING,QUEUED,CAPACITY"; None if malformed or missing."""
-    numbers = [_parse_int(item) for item in (text or "").split(",")]
+    numbers = [parse_count(item) for item in (text or "").split(",")]
     return None if len(numbers) != 3 or None in numbers else tuple(numbers)
 
 
@@ -253,7 +246,7 @@
     for parameter in (text or "").split(","):
         name, _, value = parameter.strip().partition("=")
         if name.lower() == "timeout":
-            return _parse_int(value)
+            return parse_count(value)
     return None
 
 
--- a/tests/internal/test_attempts.py
+++ b/tests/internal/test_attempts.py
@@ -1,14 +1,22 @@
 """A response of a repeatable request that broke off does not get an end."""
 
+import functools
+
 import attrs
 import pytest
 import trio
 import trio.testing
 
 from cactusmill.errors import ExchangeError
+from cactusmill.internal import attempts
 from cactusmill.internal.attempts import RequestProgress, _relay_decoded
 from cactusmill.internal.chat import UsageMeter
-from cactusmill.internal.endpoints import Exchange, receive_head, send_request
+from cactusmill.internal.endpoints import (
+    EndpointState,
+    Exchange,
+    receive_head,
+    send_request,
+)
 from cactusmill.internal.event_stream import is_event_stream
 from cactusmill.internal.framing import Framing
 from cactusmill.internal.http import client_connection
@@ -114,3 +122,21 @@
 def test_stream_of_a_service_needs_no_last_event_of_a_chat():
     assert relay(Framing.CLOSE, WORDS) == (b"".join(WORDS), True)
     assert not relay(Framing.CLOSE, WORDS, len(WORDS[0]) + 3)[1]
+
+
+@pytest.mark.parametrize("load", [b"\xb2", b"-1", b"9" * 5000, b"x"])
+def test_load_that_is_no_count_is_ignored(monkeypatch, load):
+    async def nothing(*args):
+        pass
+
+    monkeypatch.setattr(attempts, "send_request", nothing)
+    monkeypatch.setattr(attempts, "receive_head", nothing)
+    monkeypatch.setattr(attempts, "record_notices", lambda *args: None)
+    state = EndpointState("e")
+    exchange = Exchange(None, reused=False)
+    exchange.status, exchange.headers = 200, [(attempts.LOAD_HEADER, load)]
+    progress = RequestProgress(set(), "d", None)
+    send = functools.partial(attempts._send_and_receive_head, PoolStub(), request())
+    args = progress, ENDPOINT, state, exchange, lambda silent: False
+    assert trio.run(send, *args) is None
+    assert state.reported_load is None
--- a/tests/internal/test_http.py
+++ b/tests/internal/test_http.py
@@ -7,11 +7,15 @@
 import pytest
 import trio
 import trio.testing
+from hypothesis import example, given
+from hypothesis import strategies as st
 
 from cactusmill.errors import BadRequestError
-from cactusmill.internal import edge
+from cactusmill.internal import directory, edge
 from cactusmill.internal.http import (
+    MAX_COUNT,
     has_other_end_closed,
+    parse_count,
     read_body,
     read_page_request,
     server_connection,
@@ -122,3 +126,21 @@
         await stream.aclose()
 
     trio.run(main)
+
+
+@given(st.integers() | st.text())
+@example("\xb2")
+@example("9" * 5000)
+@example(MAX_COUNT)
+@example(MAX_COUNT + 1)
+def test_counts_are_whole_numbers_within_bounds(value):
+    count = parse_count(str(value))
+    if isinstance(value, int):
+        assert count == (value if 0 <= value <= MAX_COUNT else None)
+    else:
+        assert count is None or count == int(value) <= MAX_COUNT
+
+
+@pytest.mark.parametrize("value", [b"\xb2", b"9" * 5000, b"-1"])
+def test_number_of_identifiers_that_is_no_count_is_ignored(value):
+    assert directory._requested_identifiers(b"/v1/hosts?identifiers=" + value) == 0
