Own interface: linger behind a raw response whose close was announced

A response that was relayed as raw bytes leaves the connection idle, and where its head had announced a close the host closed at once. What the caller had sent in the meantime was unread, so the close sent a reset, which may destroy the end of a response that the caller has not read yet.

The connection now closes as after all other responses: half closed first, with what still comes discarded. The test fails without the change, and its twin shows that a connection without an announced close stays open.

--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -86,8 +86,9 @@
     await _handle_request(host, caller)
     if conn.is_idle():
         # The caller relies on keep-alive unless either side announced a close.
-        return not (caller.announced_close or _wants_close(head))
-    if conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE:
+        if not (caller.announced_close or _wants_close(head)):
+            return True
+    elif conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE:
         return True
     await lingering_close(conn)
     return False
--- a/tests/internal/test_http.py
+++ b/tests/internal/test_http.py
@@ -3,7 +3,9 @@
 import itertools
 import socket
 import struct
+from types import SimpleNamespace
 
+import h11
 import pytest
 import trio
 import trio.testing
@@ -20,7 +22,9 @@
     read_page_request,
     server_connection,
 )
+from cactusmill.internal.idle_waits import IdleWaits
 
+IDLE = {"our_state": h11.IDLE, "their_state": h11.IDLE}
 POST = b"POST /order/1 HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
 
 
@@ -144,3 +148,34 @@
 @pytest.mark.parametrize("value", [b"\xb2", b"9" * 5000, b"-1"])
 def test_number_of_identifiers_that_is_no_count_is_ignored(value):
     assert directory._requested_identifiers(b"/v1/hosts?identifiers=" + value) == 0
+
+
+@pytest.mark.parametrize("announced_close", [False, True])
+def test_announced_close_behind_a_raw_response_destroys_nothing(
+    monkeypatch, announced_close
+):
+    # What the caller had sent meanwhile was unread, so that the close sent a reset.
+    lingered = []
+
+    async def handle(host, caller):
+        caller.announced_close = announced_close
+        monkeypatch.setattr(caller.conn, "h11", SimpleNamespace(**IDLE))
+
+    async def linger(conn):
+        lingered.append(conn)
+
+    async def main():
+        near, far = trio.testing.memory_stream_pair()
+        host = SimpleNamespace(
+            now=trio.current_time,
+            loop=SimpleNamespace(estimate_arrival=lambda start, now: now),
+            idle_callers=IdleWaits(trio.current_time),
+            cfg=SimpleNamespace(idle_timeout_s=5.0),
+        )
+        await far.send_all(b"GET / HTTP/1.1\r\nhost: x\r\n\r\n")
+        return await edge._serve_request(host, server_connection(near, 16384), 0.0)
+
+    monkeypatch.setattr(edge, "_handle_request", handle)
+    monkeypatch.setattr(edge, "lingering_close", linger)
+    assert trio.run(main) is not announced_close
+    assert len(lingered) == announced_close
