Own interface: a withdrawn key no longer says that a running request did not run

A repeatable request whose key was withdrawn while it ran got 'not run', though an endpoint may have been running it: the outcome followed from the kind of the route. It now is the outcome of the request itself, unknown once it was sent.

The burn report leaves out refusals that the caller caused only if they did not run. A repeatable request that a withdrawal ends therefore now counts as bad there, as requests of at-most-once routes did already, under no team, since the key no longer names one. The test of the repeatable route fails without the change; its twin on an at-most-once route passed before.

--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -349,8 +349,9 @@
     if key_scope.cancelled_caught:
         if caller.has_response_started:
             raise AnswerCutError("the key was withdrawn", Cut.KEY_WITHDRAWN)
-        outcome = Outcome.NOT_RUN if req.route.repeatable else Outcome.UNKNOWN
-        return Failure(UnknownKey(detail="the key was withdrawn", outcome=outcome))
+        return Failure(
+            UnknownKey(detail="the key was withdrawn", outcome=caller.outcome)
+        )
     raise failure or CallerGoneError("the caller disconnected")
 
 
--- a/tests/internal/test_http.py
+++ b/tests/internal/test_http.py
@@ -12,8 +12,9 @@
 from hypothesis import example, given
 from hypothesis import strategies as st
 
-from cactusmill.errors import BadRequestError
+from cactusmill.errors import BadRequestError, Outcome, UnknownKey
 from cactusmill.internal import directory, edge
+from cactusmill.internal.caller_request import CallerRequest
 from cactusmill.internal.http import (
     MAX_COUNT,
     has_other_end_closed,
@@ -23,6 +24,7 @@
     server_connection,
 )
 from cactusmill.internal.idle_waits import IdleWaits
+from cactusmill.internal.key_scopes import KeyScopes
 
 IDLE = {"our_state": h11.IDLE, "their_state": h11.IDLE}
 POST = b"POST /order/1 HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -179,3 +181,28 @@
     monkeypatch.setattr(edge, "lingering_close", linger)
     assert trio.run(main) is not announced_close
     assert len(lingered) == announced_close
+
+
+@pytest.mark.parametrize("repeatable", [False, True])
+def test_withdrawn_key_does_not_promise_that_a_running_request_did_not_run(
+    monkeypatch, repeatable
+):
+    async def run(host, req, sink):
+        host.key_scopes.cancel_withdrawn(SimpleNamespace(key_is_active=lambda d: False))
+        await trio.sleep_forever()
+
+    async def main():
+        near, _ = trio.testing.memory_stream_pair()
+        conn = server_connection(near, 16384)
+        head = h11.Request(method="POST", target="/", headers=[("host", "x")])
+        caller = CallerRequest(conn, head, "q", 0.0, 0.0, is_dispatched=True)
+        host = SimpleNamespace(key_scopes=KeyScopes())
+        req = SimpleNamespace(route=SimpleNamespace(repeatable=repeatable))
+        key = SimpleNamespace(digest="d")
+        with trio.fail_after(5):
+            return await edge._run_cancellable(host, caller, req, key)
+
+    monkeypatch.setattr(edge, "run_repeatable", run)
+    monkeypatch.setattr(edge, "run_at_most_once", run)
+    refusal = trio.run(main).failure()
+    assert isinstance(refusal, UnknownKey) and refusal.outcome is Outcome.UNKNOWN
