Count a malformed head that cannot be answered by that name

The account of requests showed 'internal fault' for bytes that are no valid request and came where no refusal could be sent, since their entry was left without an end. Operators then looked for a fault line that no log has. The two new tests fail without the change.

--- a/src/cactusmill/errors.py
+++ b/src/cactusmill/errors.py
@@ -113,6 +113,7 @@
     KEY_WITHDRAWN = "key withdrawn"
     HOST_EXITS = "host exits"
     INTERNAL_FAULT = "internal fault"
+    MALFORMED = "malformed request"
 
 
 class CallerGoneError(CactusmillError):
--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -122,6 +122,8 @@
             response = h11.Response(status_code=status, headers=headers)
             await conn.deliver(response, h11.Data(data=body), h11.EndOfMessage())
             entry.refuse(refusal)
+        else:
+            entry.cut(Cut.MALFORMED)
     await lingering_close(conn)
 
 
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -203,6 +203,8 @@
             rendered = host.dialect.render_refusal(refusal, "")
             await _send_refusal(conn, rendered, closes=True)
             entry.refuse(refusal)
+        elif isinstance(refusal, MalformedRequest):
+            entry.cut(Cut.MALFORMED)
     await lingering_close(conn)
 
 
--- a/tests/internal/test_http.py
+++ b/tests/internal/test_http.py
@@ -14,6 +14,7 @@
 
 from cactusmill.errors import BadRequestError, Outcome, UnknownKey
 from cactusmill.internal import directory, edge
+from cactusmill.internal.account import Account
 from cactusmill.internal.caller_request import CallerRequest
 from cactusmill.internal.http import (
     MAX_COUNT,
@@ -25,6 +26,7 @@
 )
 from cactusmill.internal.idle_waits import IdleWaits
 from cactusmill.internal.key_scopes import KeyScopes
+from cactusmill.serving import edge as serving_edge
 
 IDLE = {"our_state": h11.IDLE, "their_state": h11.IDLE}
 POST = b"POST /order/1 HTTP/1.1\r\nhost: x\r\ntransfer-encoding: chunked\r\n\r\n"
@@ -206,3 +208,18 @@
     monkeypatch.setattr(edge, "run_at_most_once", run)
     refusal = trio.run(main).failure()
     assert isinstance(refusal, UnknownKey) and refusal.outcome is Outcome.UNKNOWN
+
+
+@pytest.mark.parametrize("module", [edge, serving_edge])
+def test_malformed_head_that_cannot_be_answered_is_no_internal_fault(module):
+    async def main():
+        near, far = trio.testing.memory_stream_pair()
+        await far.aclose()
+        conn = server_connection(near, 16384)
+        conn.is_writing = True
+        host = SimpleNamespace(account=Account())
+        refuse = getattr(module, "_reject_head", None) or module._refuse_malformed
+        await refuse(host, conn, 400, "a problem of the test")
+        return host.account.ended
+
+    assert trio.run(main) == {("cut", "malformed request"): 1}
