Own interface: reuse only idle connections that are open

Callers saw waits and paid retries when an endpoint had closed its idle connections: the pool of the own interface handed them out without a look. It now uses the check of the platform's pool, is_idle_and_open, so a closed connection, or one with unread bytes, is dropped before anything is sent. The two tests of it fail on the code before, and a twin shows that the closed connection is reused without the look.

--- a/src/cactusmill/internal/endpoints.py
+++ b/src/cactusmill/internal/endpoints.py
@@ -13,7 +13,7 @@
     TruncatedAnswerError,
 )
 from .framing import new_received_body, response_framing
-from .http import client_connection, header, parse_retry_after
+from .http import client_connection, header, is_idle_and_open, parse_retry_after
 from .net import Network
 from .patience import give_up_always, receive_patiently
 
@@ -241,7 +241,8 @@
         state = self.state(endpoint.name)
         while state.idle and not new_connection:
             conn, idle_since = state.idle.pop()
-            if now - idle_since < IDLE_LIMIT_S:
+            is_fresh = now - idle_since < IDLE_LIMIT_S
+            if is_fresh and is_idle_and_open(conn.stream):
                 return Exchange(conn, reused=True)
             await conn.close()
         stream = await self.net.connect(endpoint.address, CONNECT_TIMEOUT_S)
--- a/tests/internal/test_endpoints.py
+++ b/tests/internal/test_endpoints.py
@@ -10,7 +10,7 @@
 from returns.result import Failure
 
 from cactusmill.errors import CallerGoneError, NoEndpoint, Outcome
-from cactusmill.internal import at_most_once, attempts
+from cactusmill.internal import at_most_once, attempts, endpoints
 from cactusmill.internal.crash_suspects import CrashSuspects
 from cactusmill.internal.endpoints import (
     LEAVING_HEADER,
@@ -23,6 +23,7 @@
 from cactusmill.internal.routing import make_candidate
 
 from .test_attempts import ENDPOINT, request
+from .test_relay import tcp_pair
 
 REQUEST = attrs.evolve(request(), identifier=types.SimpleNamespace(text="i"))
 
@@ -162,3 +163,54 @@
     with pytest.raises(CallerGoneError):
         attempt(host, sink, lambda host: has_left.append(True))
     assert len(host.pool.state(ENDPOINT.name).idle) == 1
+
+
+def is_reused_after(act):
+    """Return whether an idle connection is reused after `act` at the endpoint."""
+
+    async def main():
+        near, far = await tcp_pair()
+        fresh, _ = trio.testing.memory_stream_pair()
+
+        async def connect(address, timeout_s):
+            return fresh
+
+        pool = EndpointPool(types.SimpleNamespace(connect=connect))
+        pool.release_stream(ENDPOINT, near, 0.0)
+        await act(far)
+        # Lets the bytes or the end arrive.
+        await trio.sleep(0.05)
+        exchange = await pool.acquire(ENDPOINT, 0.1, new_connection=False)
+        is_reused = exchange.conn.stream is near
+        assert exchange.reused == is_reused
+        await near.aclose()
+        await far.aclose()
+        return is_reused
+
+    return trio.run(main)
+
+
+async def close(far):
+    await far.aclose()
+
+
+async def send_surplus(far):
+    await far.send_all(b"HTTP/1.1 408 Request Timeout\r\n\r\n")
+
+
+async def stay_open(far):
+    pass
+
+
+@pytest.mark.parametrize("act", [close, send_surplus])
+def test_idle_connection_that_the_endpoint_closed_or_wrote_to_is_not_reused(act):
+    assert not is_reused_after(act)
+
+
+def test_idle_connection_that_is_open_is_reused():
+    assert is_reused_after(stay_open)
+
+
+def test_closed_connection_is_reused_without_the_look(monkeypatch):
+    monkeypatch.setattr(endpoints, "is_idle_and_open", lambda stream: True)
+    assert is_reused_after(close)
