--- a/tests/serving/test_late_deliveries.py
+++ b/tests/serving/test_late_deliveries.py
@@ -74,10 +74,10 @@
         near, far = await tcp_pair()
         host = types.SimpleNamespace(now=trio.current_time, dialect=DIALECT)
         message = types.SimpleNamespace(request_id="r", attempts=1, identifier="")
-        link = Link(far)
+        link, request = Link(far), req()
         with Account().open() as entry:
             is_complete = await forwarding._run_forward(
-                host, link, message, req(), answer, entry
+                host, link, message, request, new_progress(request, 1), answer, entry
             )
         await link.close()
         with trio.move_on_after(1):
