Own interface: frames of a call are bounded by bytes, and relayed together

Callers of a late host saw answers cut as too slow: the reader of a link takes a whole read in one turn and the call took one frame a turn, so that over 1,024 small frames ended the call though its caller read.

--- a/src/cactusmill/internal/forward_client.py
+++ b/src/cactusmill/internal/forward_client.py
@@ -101,16 +101,32 @@
 
 
 async def _relay_body(frames, received, sink):
-    while True:
+    """Relay the rest of a response, with one write for all frames that have arrived.
+
+    Raises
+    ------
+    AnswerCutError
+        If the response broke off, after what came before was relayed.
+    """
+    is_complete, failure = False, None
+    while not is_complete:
+        chunks = []
         try:
-            data = read_body_frame(await next_frame(frames), received)
-        except LinkClosedError as exc:
-            raise AnswerCutError("the link closed during the response") from exc
-        except ExchangeError as exc:
-            raise AnswerCutError(str(exc)) from exc
-        if data is None:
-            return
-        await sink.data(data)
+            frame = await next_frame(frames)
+            while (data := read_body_frame(frame, received)) is not None:
+                chunks.append(data)
+                frame = frames.receive_nowait()
+            is_complete = True
+        except trio.WouldBlock:
+            pass
+        except (LinkClosedError, trio.EndOfChannel, ExchangeError) as exc:
+            failure = exc
+        if chunks:
+            await sink.data(b"".join(chunks))
+        if isinstance(failure, ExchangeError):
+            raise AnswerCutError(str(failure)) from failure
+        if failure is not None:
+            raise AnswerCutError("the link closed during the response") from failure
 
 
 def _encode_forward(host, peer, req, call_id):
--- a/src/cactusmill/internal/peers.py
+++ b/src/cactusmill/internal/peers.py
@@ -13,11 +13,15 @@
 import trio
 
 from ..errors import ConnectError, LinkClosedError
+from .framing import MAX_BODY_BYTES
 from .link import open_link
 from .wire.ttypes import EndpointLoad, Heartbeat, LoadReport, ServiceWait
 
-# Received frames that a call buffers; a call that reads too slowly is ended.
-CALL_BUFFER_FRAMES = 1024
+# Bytes of received frames that a call buffers; a call that reads too slowly is ended.
+# More than the longest body of a request without tokens.
+CALL_BUFFER_BYTES = 2 * MAX_BODY_BYTES
+# Roughly the memory of a decoded frame, without the data of a response.
+_FRAME_BYTES = 1024
 # Interval at which unchanged load reports are repeated.
 LOAD_REFRESH_S = 1.0
 # A heartbeat and its acknowledgement, without waits and leaving endpoints.
@@ -29,6 +33,50 @@
 _MAX_REDIAL_S = 2.0
 
 
+@attrs.define(eq=False)
+class CallFrames:
+    """Received frames of a call, in their order.
+
+    Attributes
+    ----------
+    held_bytes : int
+        Memory of the frames that the call has not taken yet.
+    """
+
+    held_bytes: int = 0
+    _channels: tuple = attrs.field(factory=lambda: trio.open_memory_channel(math.inf))
+
+    def put(self, frame):
+        """Add a received frame; return whether there was room for it."""
+        size = _held_size(frame)
+        if self.held_bytes + size > CALL_BUFFER_BYTES:
+            return False
+        self._channels[0].send_nowait(frame)
+        self.held_bytes += size
+        return True
+
+    def close(self):
+        """Let the frames end after those that were received."""
+        self._channels[0].close()
+
+    async def receive(self):
+        """Return the next frame, or raise `trio.EndOfChannel`."""
+        return self._take(await self._channels[1].receive())
+
+    def receive_nowait(self):
+        """Return the next frame, or raise `trio.WouldBlock` or `trio.EndOfChannel`."""
+        return self._take(self._channels[1].receive_nowait())
+
+    def _take(self, frame):
+        self.held_bytes -= _held_size(frame)
+        return frame
+
+
+def _held_size(frame):
+    data = frame.answer_data
+    return _FRAME_BYTES + (len(data.data) if data is not None else 0)
+
+
 @attrs.define(eq=False)
 class Peer:
     """Another host, as known to this one.
@@ -121,7 +169,7 @@
             Number that the frames of the call carry.
         link : Link
             Link on which to send them.
-        frames : trio.MemoryReceiveChannel
+        frames : CallFrames
             Received frames of the call; ends when the link closes.
 
         Raises
@@ -132,36 +180,31 @@
         if self.link is None:
             raise LinkClosedError(f"no link to {self.host.name}")
         call_id = next(self._call_ids)
-        send, receive = trio.open_memory_channel(CALL_BUFFER_FRAMES)
-        self._calls[call_id] = send
+        frames = self._calls[call_id] = CallFrames()
         if len(self._calls) == 1:
             # The heartbeat interval may have been long while the link had no
             # calls. From now on the loss of the link must be detected quickly.
             self.request_heartbeat()
         try:
-            yield call_id, self.link, receive
+            yield call_id, self.link, frames
         finally:
             self._calls.pop(call_id, None)
-            send.close()
+            frames.close()
 
     def deliver(self, call_id, frame):
         """Pass a received frame to its call; frames of closed calls are dropped."""
-        channel = self._calls.get(call_id)
-        if channel is None:
-            return
-        try:
-            channel.send_nowait(frame)
-        except (trio.WouldBlock, trio.BrokenResourceError):
+        frames = self._calls.get(call_id)
+        if frames is not None and not frames.put(frame):
             # The call's consumer is too slow for the bounded buffer. Ending the
             # call prevents it from blocking all others on the link.
-            self._calls.pop(call_id, None)
-            channel.close()
+            self._calls.pop(call_id)
+            frames.close()
 
     def drop_link(self):
         """End all calls after the link closed."""
         self.link = None
-        for channel in self._calls.values():
-            channel.close()
+        for frames in self._calls.values():
+            frames.close()
         self._calls.clear()
 
 
