Send cancelled before its first byte keeps the link open

One call's cancellation could cut all other calls between two hosts: a send whose task had been cancelled closed the shared link though not a byte had been written, since the write itself raises at its first checkpoint and any cancelled write counted as partly sent.

A send now looks for its cancellation before it begins to write; it sends nothing then, so that nothing is sent on for a caller who left, and the link stays. A write that has begun closes it as before, also if the socket is full and takes none of it. The new test fails without the change.

--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -116,12 +116,15 @@
     async def send(self, **field):
         """Send a frame with one field, given as a keyword argument.
 
+        Being cancelled before a byte is written leaves the link open.
+
         Raises
         ------
         LinkClosedError
             If the connection is broken.
         """
-        await self._write(self.stream.send_all, encode(Frame(**field)))
+        data = encode(Frame(**field))
+        await self._write(self.stream.send_all, data, is_cancellable=True)
 
     async def deliver(self, frames):
         """Send the frames of a complete response, as :func:`.deliver` does.
@@ -136,11 +139,20 @@
         data = b"".join(encode(frame) for frame in frames)
         await self._write(functools.partial(deliver, self.stream), data)
 
-    async def _write(self, write, data):
+    async def _write(self, write, data, is_cancellable=False):
         try:
             self._send_lock.acquire_nowait()
         except trio.WouldBlock:
             await self._send_lock.acquire()
+        try:
+            if is_cancellable:
+                await trio.lowlevel.checkpoint_if_cancelled()
+            await self._write_alone(write, data)
+        finally:
+            self._send_lock.release()
+        self.traffic.bytes_sent += len(data)
+
+    async def _write_alone(self, write, data):
         try:
             await write(data)
         except (trio.BrokenResourceError, trio.ClosedResourceError) as exc:
@@ -150,9 +162,6 @@
             with trio.CancelScope(shield=True):
                 await self.close()
             raise
-        finally:
-            self._send_lock.release()
-        self.traffic.bytes_sent += len(data)
 
     async def receive(self):
         """Return the next frame.
--- a/tests/internal/test_link.py
+++ b/tests/internal/test_link.py
@@ -104,3 +104,29 @@
             await open_link(near, Hello("h", "z", "i", b""), "secret", True)
 
     trio.run(main)
+
+
+def test_send_cancelled_before_its_first_byte_keeps_the_link_of_other_calls():
+    async def scenario(link, far):
+        with trio.CancelScope() as scope:
+            scope.cancel()
+            await link.send(load_report=LoadReport([]))
+        assert scope.cancelled_caught
+        await link.send(load_report=LoadReport([EndpointLoad(1, 1)]))
+        # Only the second frame has been sent.
+        received = await Link(far).receive()
+        assert received.load_report.loads == [EndpointLoad(1, 1)]
+
+    run_with_links(scenario)
+
+
+def test_send_cancelled_once_it_has_begun_closes_the_link():
+    async def scenario(link, far):
+        link.stream.send_stream.send_all_hook = trio.sleep_forever
+        with trio.move_on_after(1) as scope:
+            await link.send(load_report=LoadReport([]))
+        assert scope.cancelled_caught
+        with pytest.raises(LinkClosedError):
+            await link.send(load_report=LoadReport([]))
+
+    run_with_links(scenario)
