Benchmarks: the platform's words come from its folder

A key of the platform's store was spelled out, and a header had the name of the platform's; the benchmarks use the constant, and a header of their own.

--- a/benchmarks/answers.py
+++ b/benchmarks/answers.py
@@ -29,7 +29,7 @@
 REQUEST = b"GET / HTTP/1.1\r\nhost: api.example\r\n\r\n"
 RESPONSE = types.SimpleNamespace(
     status=200,
-    headers=[(b"request-id", b"r-1"), (b"response-signature", b"signed")],
+    headers=[(b"request-id", b"r-1"), (b"x-answer-signed-by", b"signed")],
 )
 
 
--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -56,6 +56,7 @@
     MemberNote,
     TeamDemand,
 )
+from cactusmill.platform.items import CONFIGURATION_KEY  # noqa: E402
 from cactusmill.platform.store import StoreClient  # noqa: E402
 from cactusmill.serving.gateway_host import GatewayHost, HostSettings  # noqa: E402
 from cactusmill.serving.gossip import MAX_DEMANDS, MAX_ENDPOINT_LOADS  # noqa: E402
@@ -305,7 +306,7 @@
             for t in range(teams)
         ],
     }
-    return store_item("op/config", version, value)
+    return store_item(CONFIGURATION_KEY, version, value)
 
 
 def platform_endpoint(number, revision):
