--- a/tests/serving/test_drain.py
+++ b/tests/serving/test_drain.py
@@ -1,8 +1,11 @@
 """Closes of callers' connections: leaving, idle time, and lack of descriptors."""
 
+import collections
+import functools
 import os
 import time
 
+import attrs
 import pytest
 import trio
 
@@ -171,3 +174,66 @@
         assert (counts["descriptors_short"] > shorts) == is_short
 
     on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+def leave_with_grace(host, grace_s):
+    """Let a host begin its shutdown, with a grace time in seconds."""
+    host.cfg = attrs.evolve(host.cfg, grace_s=grace_s)
+    host.is_leaving, host.leaving_since = True, host.now()
+    host._leaving.set()
+
+
+@pytest.mark.parametrize("grace_s", [3.0, 4.0, 8.0])
+def test_leaving_host_begins_no_stream_that_its_exit_would_cut(grace_s):
+    # It accepted streams for 2.5 s whatever its grace time was, and cut them.
+    stream_s = 1.6
+    ends = collections.Counter()
+
+    async def scenario(deployment):
+        engine = deployment.endpoints["engine-1"]
+        engine.events, engine.event_gap_s = 16, stream_s / 16
+        send = functools.partial(
+            deployment.send_request, "e1", "/draft/1", model="m", budget_ms=10_000
+        )
+        first = await send(request_id="first")
+        assert first.is_complete and first.status == 200
+        leave_with_grace(deployment.hosts["e1"], grace_s)
+        left_at = trio.current_time()
+
+        async def call(number):
+            await trio.sleep_until(left_at + number * 0.15)
+            try:
+                reply = await send(request_id=f"r-{number}")
+            except OSError:
+                ends["not connected"] += 1
+                return
+            whole = "whole" if reply.is_complete else "cut"
+            ends[reply.status, whole] += 1
+
+        async with trio.open_nursery() as nursery:
+            for number in range(20):
+                nursery.start_soon(call, number)
+
+    published = configuration()
+    for route in published["routes"]:
+        route["timeout_ms"] = 12_000
+    engines = (("engine-1", "east-a", "engines"),)
+    on_deployment(scenario, endpoints=engines, published=published)
+    # Some are served while there is time, the others are told to go elsewhere.
+    assert ends[200, "whole"] >= 2, ends
+    assert set(ends) <= {(200, "whole"), (503, "whole"), "not connected"}, ends
+
+
+def test_leaving_host_serves_short_requests_whose_route_allows_long_ones():
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        assert (await deployment.send_request("e1", "/look/1")).status == 200
+        leave_with_grace(host, 4.0)
+        await trio.sleep(1.5)
+        reply = await deployment.send_request("e1", "/look/2", budget_ms=9000)
+        assert reply.status == 200 and reply.header(b"connection") == "close"
+
+    published = configuration()
+    for route in published["routes"]:
+        route["timeout_ms"] = 12_000
+    on_deployment(scenario, endpoints=ENDPOINTS, published=published)
