A leaving host begins only what it can end before its exit

Callers with a stream that a host took late in its shutdown were cut at its exit: it accepted requests for 2.5 s after SIGTERM whatever its grace time was, so with 4 s a stream taken last had 1.1 s, with 3 s 0.1 s.

Now a host accepts for at most half of the time until its exit, and refuses, as not run, a request whose deadline lies behind the exit if more than a twentieth of the route's latest requests took longer than the time that is left, or none is known. Forwarded requests are told so by the link's last message. Short requests are served as before, and with a grace time of 8 s the acceptance still lasts 2.5 s.

Weighed: a prediction of each stream's end (kept for placement; wrong where an endpoint is late, and there is none for plain requests), and the longest request (one long request would turn all away).

The own interface has no grace time: it waits for all.

--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -263,7 +263,7 @@
             limit_s = caller.arrived_at + _time_limit_s(head, route) - host.now()
             body = await _read_body(host, caller, count_held, limit_s)
             req = _build_request(host, caller, event, route, team, body)
-            _check_draining(host)
+            _check_draining(host, req)
             _charge_tokens(host, req)
             progress = new_progress(req, route.attempts)
             refusal = await _run_until_disconnect(
@@ -288,6 +288,7 @@
             failure = await _refuse(host, caller, event, refusal)
         elif failure is None:
             entry.answer()
+            host.durations.record(route.name, host.now() - caller.began_at)
         if failure is not None:
             entry.cut(_cut_reason(caller, failure))
             raise failure
@@ -434,8 +435,11 @@
     return rng.choices(names, weights)[0]
 
 
-def _check_draining(host):
-    if host.refuses_requests(host.now()):
+def _check_draining(host, req):
+    now = host.now()
+    if host.refuses_requests(now) or not host.may_end_before_exit(
+        req.route, req.deadline, now
+    ):
         raise _Refused(
             Overloaded(
                 detail="this host is shutting down; use another",
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -431,6 +431,10 @@
     if progress is None:
         await _refuse(link, message, refusal, entry)
         return True
+    if not host.may_end_before_exit(req.route, req.deadline, host.now()):
+        await _say_farewell(host, link)
+        entry.refuse(Overloaded(detail="this host is shutting down"))
+        return False
     with host.buffers.hold() as count_held:
         try:
             count_held(req.body)
@@ -491,6 +495,7 @@
             await _refuse(link, message, refusal, entry)
         else:
             entry.answer()
+            host.durations.record(req.route.name, host.now() - began_at)
     except BaseException as exc:
         failure = exc
         if not entry.kind:
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -24,6 +24,7 @@
 from .catalog import Catalog
 from .connections import ConnectionPool
 from .dispatch import run_request
+from .durations import Durations
 from .edge import choose_service, serve_caller
 from .events import log_event, log_fault
 from .forwarding import LinkPool, serve_link
@@ -34,10 +35,12 @@
 from .retry_after import RetrySchedule
 from .source_sync import SourceHealth, sync_from_hosts, sync_from_source
 
-# A host that is shutting down accepts requests this long. Callers get the addresses of
-# hosts from the directory (:mod:`cactusmill.platform.directory`); responses that name
-# this host have expired by then.
+# A host that is shutting down accepts requests this long, and at most for this part of
+# the time until its exit. Callers get the addresses of hosts from the directory
+# (:mod:`cactusmill.platform.directory`); responses that name this host have expired
+# after DRAIN_S.
 DRAIN_S = 2.5
+_MAX_DRAIN_PART = 0.5
 # The process exits this long before it would be killed (see `HostSettings.grace_s`).
 _EXIT_MARGIN_S = 0.4
 # The part of it in which the requests that still run are refused.
@@ -139,6 +142,8 @@
         Number of requests forwarded by other hosts that run here.
     shedder : Shedder
         Refuses requests for lack of processor time.
+    durations : Durations
+        How long requests took lately.
     shed_average : ShedAverage
         Part of new requests that this host has refused lately.
     region_backoff_until : dict of (str, str) to float
@@ -164,6 +169,7 @@
     account: Account = attrs.field(factory=Account)
     forwards_account: Account = attrs.field(factory=Account)
     forwards_running: int = 0
+    durations: Durations = attrs.field(factory=Durations)
     shed_average: ShedAverage = attrs.field(factory=ShedAverage)
     catalog: Catalog = attrs.field(factory=Catalog)
     source_health: SourceHealth = attrs.field(factory=SourceHealth)
@@ -232,7 +238,38 @@
 
     def refuses_requests(self, now):
         """Return whether new requests are refused because of the shutdown."""
-        return now - self.leaving_since > DRAIN_S
+        return now - self.leaving_since > self.drain_s
+
+    @property
+    def drain_s(self):
+        """How long requests are accepted after the shutdown has begun, in seconds."""
+        until_exit_s = self.cfg.grace_s - _EXIT_MARGIN_S
+        return min(DRAIN_S, _MAX_DRAIN_PART * until_exit_s)
+
+    @property
+    def exits_at(self):
+        """When what still runs is cut by the shutdown; infinity without one."""
+        return self.leaving_since + self.cfg.grace_s - _EXIT_MARGIN_S
+
+    def may_end_before_exit(self, route, deadline, now):
+        """Return whether a request that begins now will probably end before the exit.
+
+        Parameters
+        ----------
+        route : Route
+            Its route.
+        deadline : float
+            Its deadline, in seconds.
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        bool
+        """
+        return self.durations.may_end_within(
+            route.name, self.exits_at - now, deadline - now
+        )
 
     def closes_connections(self, now):
         """Return whether responses announce that their connection closes."""
@@ -596,8 +633,9 @@
         while not self.refuses_requests(self.now()):
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
         await self._stop_accepting()
-        exit_at = self.leaving_since + self.cfg.grace_s - _EXIT_MARGIN_S
-        while self.now() < exit_at and (self.caller_connections or self.served_links):
+        while self.now() < self.exits_at and (
+            self.caller_connections or self.served_links
+        ):
             self.idle_callers.end_since(self.now() - IDLE_BEFORE_CLOSE_S)
             self.idle_links.end_since(self.now())
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -13,6 +13,7 @@
     ExchangeError,
     HostLeavingError,
     InternalFault,
+    NoEndpoint,
     Outcome,
     Overloaded,
 )
@@ -212,6 +213,35 @@
     assert not runs
 
 
+@pytest.mark.parametrize("duration_s", [0.5, 5.0])
+def test_leaving_host_begins_no_forward_that_its_exit_would_cut(duration_s):
+    runs = []
+
+    async def run(host, request, *args):
+        runs.append(request)
+        return NoEndpoint(detail="none")
+
+    async def main():
+        near, far = trio.testing.memory_stream_pair()
+        other = new_host("far", Clock(), dialect=DIALECT, routes=(ROUTE,))
+        other.cfg = attrs.evolve(other.cfg, grace_s=2.0)
+        other.durations.record(ROUTE.name, duration_s)
+        other.leaving_since = other.now()
+        with trio.fail_after(5):
+            async with trio.open_nursery() as nursery:
+                nursery.start_soon(serve_link, other, far, run)
+                if duration_s > 2.0:
+                    with pytest.raises(HostLeavingError):
+                        await forward_on(near)
+                else:
+                    await forward_on(near)
+                nursery.cancel_scope.cancel()
+        assert other.forwards_account.adds_up()
+
+    trio.run(main)
+    assert len(runs) == (duration_s < 2.0)
+
+
 @pytest.mark.parametrize("closes", [False, True])
 def test_exit_waits_for_the_close_of_links_that_got_the_last_message(closes):
     # The process ended at once, and its close could meet an unread request and destroy
