Test of late deliveries: its stand-in for a host knows durations

Since a forwarded request's duration is recorded by the host; the test's bare namespace lacked the field and its three cases failed. What it checks is unchanged.

--- a/tests/serving/test_late_deliveries.py
+++ b/tests/serving/test_late_deliveries.py
@@ -25,6 +25,7 @@
 from cactusmill.platform.dialect import DIALECT
 from cactusmill.records import Route
 from cactusmill.serving import dispatch, edge, forwarding, response_relay
+from cactusmill.serving.durations import Durations
 from cactusmill.serving.membership import Member
 from cactusmill.serving.overload import ForwardTo
 from cactusmill.serving.progress import new_progress
@@ -73,7 +74,9 @@
 
     async def main():
         near, far = await tcp_pair()
-        host = types.SimpleNamespace(now=trio.current_time, dialect=DIALECT)
+        host = types.SimpleNamespace(
+            now=trio.current_time, dialect=DIALECT, durations=Durations()
+        )
         message = types.SimpleNamespace(request_id="r", attempts=1, identifier="")
         link, request = Link(far), req()
         with Account().open() as entry:
