--- /dev/null
+++ b/soak/__main__.py
@@ -0,0 +1,181 @@
+"""Command line: ``python -m soak --seed N --minutes M --hosts H``.
+
+Exit codes: 0 without a finding, 1 with one, 2 for wrong usage or settings, 3 if a
+process did not start.
+"""
+
+import argparse
+import pathlib
+import sys
+
+from . import report
+from .checks import check_all
+from .findings import number_findings
+from .history import History, read_history
+from .reduce import reduce_schedule
+from .settings import SoakSettingsError, encode_settings, load_settings, prepare_folder
+
+CLEAN, FOUND, USAGE, NOT_STARTED = 0, 1, 2, 3
+HISTORY, SCHEDULE, FINDINGS = "history.jsonl", "schedule.json", "findings.jsonl"
+_SETTINGS_LINE_PLACES = ("zone_regions", "host_zones")
+
+
+class StartError(Exception):
+    """A process of the soak did not start."""
+
+
+def build_parser():
+    """Return the parser of the command line."""
+    parser = argparse.ArgumentParser(prog="python -m soak", description=__doc__)
+    parser.add_argument("--settings", metavar="FILE", help="settings in YAML")
+    parser.add_argument("--seed", type=int, help="seed of the schedule")
+    parser.add_argument("--seeds", metavar="A-B", help="play these seeds in turn")
+    parser.add_argument("--minutes", type=float, help="time of the faults")
+    parser.add_argument("--hosts", type=int, help="number of hosts")
+    parser.add_argument("--folder", help="folder for the history and logs")
+    parser.add_argument("--plot", action="store_true", help="draw plots (matplotlib)")
+    mode = parser.add_mutually_exclusive_group()
+    mode.add_argument("--replay", metavar="FILE", help="play this schedule")
+    mode.add_argument("--judge", metavar="FOLDER", help="judge an earlier run again")
+    mode.add_argument("--reduce", metavar="FOLDER", help="reduce an earlier run")
+    return parser
+
+
+def main(argv=None):
+    """Run the command and return its exit code."""
+    args = build_parser().parse_args(argv)
+    try:
+        plotter = report.load_plotter() if args.plot else None
+        if args.judge:
+            return judge(read_folder(args.judge), pathlib.Path(args.judge), plotter)
+        if args.reduce:
+            return reduce_folder(pathlib.Path(args.reduce))
+        cfg = load_settings(args.settings, **_overrides(args))
+        seeds = _parse_seeds(args.seeds) if args.seeds else [cfg.seed]
+        code = CLEAN
+        for seed in seeds:
+            folder = pathlib.Path(cfg.folder) / f"seed-{seed}"
+            one = load_settings(args.settings, **_overrides(args, seed=seed))
+            history = _play(one, _schedule(one, args.replay), folder)
+            code = max(code, judge(history, folder, plotter))
+        return code
+    except SoakSettingsError as exc:
+        print(f"soak: {exc}", file=sys.stderr)
+        return USAGE
+    except StartError as exc:
+        print(f"soak: {exc}", file=sys.stderr)
+        return NOT_STARTED
+
+
+def _overrides(args, **changes):
+    values = {"seed": args.seed, "hosts": args.hosts, "folder": args.folder}
+    if args.minutes is not None:
+        values["seconds"] = args.minutes * 60
+    return {k: v for k, v in {**values, **changes}.items() if v is not None}
+
+
+def _parse_seeds(text):
+    first, _, last = text.partition("-")
+    if not (first.isdigit() and last.isdigit() and int(first) <= int(last)):
+        raise SoakSettingsError("--seeds", f"{text!r} is no range; write it as 1-50")
+    return range(int(first), int(last) + 1)
+
+
+def _schedule(cfg, path):
+    from . import schedule
+
+    if path is None:
+        return schedule.draw_schedule(cfg, cfg.seed)
+    try:
+        return schedule.decode(pathlib.Path(path).read_text("utf-8"))
+    except OSError as exc:
+        raise SoakSettingsError(path, f"cannot be read: {exc.strerror}") from exc
+    except ValueError as exc:
+        raise SoakSettingsError(path, f"is no schedule: {exc}") from exc
+
+
+def _play(cfg, faults, folder):
+    """Play a schedule; its settings, history and schedule are kept in a folder."""
+    from . import schedule
+    from .run import play
+
+    prepare_folder(folder)
+    (folder / SCHEDULE).write_text(schedule.encode(faults), encoding="utf-8")
+    history = play(cfg, faults, folder)
+    history.settings = {**encode_settings(cfg), **history.settings}
+    return history
+
+
+def read_folder(folder):
+    """Return the history of an earlier run.
+
+    Raises
+    ------
+    SoakSettingsError
+        If the folder holds none that can be read.
+    """
+    folder = pathlib.Path(folder)
+    paths = [folder / HISTORY]
+    if not paths[0].exists():
+        paths = [p for p in sorted(folder.glob("*.jsonl")) if p.name != FINDINGS]
+    if not paths:
+        raise SoakSettingsError(
+            str(folder), f"holds no record file; name a folder with {HISTORY}"
+        )
+    history = History()
+    for path in paths:
+        try:
+            part = read_history(path.read_text("utf-8").splitlines())
+        except (OSError, ValueError) as exc:
+            raise SoakSettingsError(str(path), f"holds no history: {exc}") from exc
+        history.settings.update(part.settings)
+        for records in ("attempts", "runs", "strikes", "samples", "exits"):
+            getattr(history, records).extend(getattr(part, records))
+    return history
+
+
+def judge(history, folder, plotter=None):
+    """Check a history, write and print its findings, and return the exit code."""
+    findings = number_findings(check_all(history))
+    lines = [report.encode_finding(finding) + "\n" for finding in findings]
+    try:
+        (folder / FINDINGS).write_text("".join(lines), encoding="utf-8")
+    except OSError as exc:
+        raise SoakSettingsError(
+            str(folder), f"cannot be written: {exc.strerror}; free it or copy the run"
+        ) from exc
+    print(report.format_report(history, findings), end="")
+    if plotter is not None:
+        report.plot_history(plotter, history, findings, folder / "plot.png")
+    return FOUND if findings else CLEAN
+
+
+def reduce_folder(folder):
+    """Reduce the schedule of an earlier run and return the exit code."""
+    history = read_folder(folder)
+    kinds = {type(finding) for finding in check_all(history)}
+    if not kinds:
+        print("no finding: nothing to reduce")
+        return CLEAN
+    values = dict(history.settings)
+    for name in _SETTINGS_LINE_PLACES:
+        values.pop(name, None)
+    cfg = load_settings(None, **values)
+    plays = iter(range(1, 1000))
+
+    def still_fails(faults):
+        place = folder / f"reduce-{next(plays)}"
+        found = {type(f) for f in check_all(_play(cfg, faults, place))}
+        return not kinds.isdisjoint(found)
+
+    faults, count = reduce_schedule(_schedule(cfg, folder / SCHEDULE), still_fails)
+    from . import schedule
+
+    path = folder / "reduced.json"
+    path.write_text(schedule.encode(faults), encoding="utf-8")
+    print(f"{len(faults)} faults are left after {count} plays: {path}")
+    return FOUND
+
+
+if __name__ == "__main__":
+    sys.exit(main())
