Fault soak: kinds of faults as the schedule names them; reducer, report, command

Strikes that end an endpoint excuse from its exit on. A caller that reads slowly may be cut after 4 s. The folder of a run must be empty, since its processes append to it.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -5,23 +5,21 @@
 """
 
 import argparse
+import itertools
 import pathlib
 import sys
 
+import attrs
+
 from . import report
 from .checks import check_all
 from .findings import number_findings
-from .history import History, read_history
+from .history import read_history
 from .reduce import reduce_schedule
-from .settings import SoakSettingsError, encode_settings, load_settings, prepare_folder
+from .settings import SoakSettings, SoakSettingsError, load_settings, prepare_folder
 
 CLEAN, FOUND, USAGE, NOT_STARTED = 0, 1, 2, 3
 HISTORY, SCHEDULE, FINDINGS = "history.jsonl", "schedule.json", "findings.jsonl"
-_SETTINGS_LINE_PLACES = ("zone_regions", "host_zones")
-
-
-class StartError(Exception):
-    """A process of the soak did not start."""
 
 
 def build_parser():
@@ -36,8 +34,15 @@
     parser.add_argument("--plot", action="store_true", help="draw plots (matplotlib)")
     mode = parser.add_mutually_exclusive_group()
     mode.add_argument("--replay", metavar="FILE", help="play this schedule")
-    mode.add_argument("--judge", metavar="FOLDER", help="judge an earlier run again")
-    mode.add_argument("--reduce", metavar="FOLDER", help="reduce an earlier run")
+    mode.add_argument(
+        "--judge",
+        metavar="FOLDER",
+        type=pathlib.Path,
+        help="judge an earlier run again",
+    )
+    mode.add_argument(
+        "--reduce", metavar="FOLDER", type=pathlib.Path, help="reduce an earlier run"
+    )
     return parser
 
 
@@ -45,33 +50,50 @@
     """Run the command and return its exit code."""
     args = build_parser().parse_args(argv)
     try:
-        plotter = report.load_plotter() if args.plot else None
-        if args.judge:
-            return judge(read_folder(args.judge), pathlib.Path(args.judge), plotter)
-        if args.reduce:
-            return reduce_folder(pathlib.Path(args.reduce))
-        cfg = load_settings(args.settings, **_overrides(args))
-        seeds = _parse_seeds(args.seeds) if args.seeds else [cfg.seed]
-        code = CLEAN
-        for seed in seeds:
-            folder = pathlib.Path(cfg.folder) / f"seed-{seed}"
-            one = load_settings(args.settings, **_overrides(args, seed=seed))
-            history = _play(one, _schedule(one, args.replay), folder)
-            code = max(code, judge(history, folder, plotter))
-        return code
+        return _run(args)
     except SoakSettingsError as exc:
         print(f"soak: {exc}", file=sys.stderr)
         return USAGE
-    except StartError as exc:
+
+
+def _run(args):
+    plotter = report.load_plotter() if args.plot else None
+    if args.judge:
+        return judge(read_folder(args.judge), args.judge, plotter)
+    if args.reduce:
+        return _until_start_fails(lambda: reduce_folder(args.reduce))
+    cfg = load_settings(args.settings, **_overrides(args))
+    code = CLEAN
+    for seed in _parse_seeds(args.seeds) if args.seeds else [cfg.seed]:
+        one = attrs.evolve(cfg, seed=seed)
+        folder = pathlib.Path(cfg.folder) / f"seed-{seed}"
+        faults = _schedule(one, args.replay)
+        code = max(
+            code,
+            _until_start_fails(
+                lambda one=one, faults=faults, folder=folder: judge(
+                    _play(one, faults, folder), folder, plotter
+                )
+            ),
+        )
+    return code
+
+
+def _until_start_fails(work):
+    from .fleet import WorldError
+
+    try:
+        return work()
+    except WorldError as exc:
         print(f"soak: {exc}", file=sys.stderr)
         return NOT_STARTED
 
 
-def _overrides(args, **changes):
+def _overrides(args):
     values = {"seed": args.seed, "hosts": args.hosts, "folder": args.folder}
     if args.minutes is not None:
         values["seconds"] = args.minutes * 60
-    return {k: v for k, v in {**values, **changes}.items() if v is not None}
+    return {k: v for k, v in values.items() if v is not None}
 
 
 def _parse_seeds(text):
@@ -84,26 +106,21 @@
 def _schedule(cfg, path):
     from . import schedule
 
-    if path is None:
-        return schedule.draw_schedule(cfg, cfg.seed)
     try:
-        return schedule.decode(pathlib.Path(path).read_text("utf-8"))
+        if path is None:
+            return schedule.draw_schedule(cfg, cfg.seed)
+        return schedule.decode_schedule(pathlib.Path(path).read_text("utf-8"))
     except OSError as exc:
-        raise SoakSettingsError(path, f"cannot be read: {exc.strerror}") from exc
+        raise SoakSettingsError(str(path), f"cannot be read: {exc.strerror}") from exc
     except ValueError as exc:
-        raise SoakSettingsError(path, f"is no schedule: {exc}") from exc
+        raise SoakSettingsError(str(path or "faults"), f"{exc}; replace it") from exc
 
 
 def _play(cfg, faults, folder):
-    """Play a schedule; its settings, history and schedule are kept in a folder."""
-    from . import schedule
     from .run import play
 
     prepare_folder(folder)
-    (folder / SCHEDULE).write_text(schedule.encode(faults), encoding="utf-8")
-    history = play(cfg, faults, folder)
-    history.settings = {**encode_settings(cfg), **history.settings}
-    return history
+    return play(cfg, faults, folder)
 
 
 def read_folder(folder):
@@ -114,24 +131,15 @@
     SoakSettingsError
         If the folder holds none that can be read.
     """
-    folder = pathlib.Path(folder)
-    paths = [folder / HISTORY]
-    if not paths[0].exists():
-        paths = [p for p in sorted(folder.glob("*.jsonl")) if p.name != FINDINGS]
-    if not paths:
+    path = folder / HISTORY
+    try:
+        return read_history(path.read_text("utf-8").splitlines())
+    except OSError as exc:
         raise SoakSettingsError(
-            str(folder), f"holds no record file; name a folder with {HISTORY}"
-        )
-    history = History()
-    for path in paths:
-        try:
-            part = read_history(path.read_text("utf-8").splitlines())
-        except (OSError, ValueError) as exc:
-            raise SoakSettingsError(str(path), f"holds no history: {exc}") from exc
-        history.settings.update(part.settings)
-        for records in ("attempts", "runs", "strikes", "samples", "exits"):
-            getattr(history, records).extend(getattr(part, records))
-    return history
+            str(path), f"cannot be read: {exc.strerror}; name the folder of a run"
+        ) from exc
+    except ValueError as exc:
+        raise SoakSettingsError(str(path), f"holds no history: {exc}") from exc
 
 
 def judge(history, folder, plotter=None):
@@ -142,7 +150,7 @@
         (folder / FINDINGS).write_text("".join(lines), encoding="utf-8")
     except OSError as exc:
         raise SoakSettingsError(
-            str(folder), f"cannot be written: {exc.strerror}; free it or copy the run"
+            str(folder), f"cannot be written: {exc.strerror}; copy the run elsewhere"
         ) from exc
     print(report.format_report(history, findings), end="")
     if plotter is not None:
@@ -152,28 +160,26 @@
 
 def reduce_folder(folder):
     """Reduce the schedule of an earlier run and return the exit code."""
+    from . import schedule
+
     history = read_folder(folder)
     kinds = {type(finding) for finding in check_all(history)}
     if not kinds:
         print("no finding: nothing to reduce")
         return CLEAN
-    values = dict(history.settings)
-    for name in _SETTINGS_LINE_PLACES:
-        values.pop(name, None)
-    cfg = load_settings(None, **values)
-    plays = iter(range(1, 1000))
+    known = attrs.fields_dict(SoakSettings)
+    cfg = load_settings(**{k: v for k, v in history.settings.items() if k in known})
+    numbers = itertools.count(1)
 
     def still_fails(faults):
-        place = folder / f"reduce-{next(plays)}"
+        place = folder / f"reduce-{next(numbers)}"
         found = {type(f) for f in check_all(_play(cfg, faults, place))}
         return not kinds.isdisjoint(found)
 
-    faults, count = reduce_schedule(_schedule(cfg, folder / SCHEDULE), still_fails)
-    from . import schedule
-
+    faults, plays = reduce_schedule(_schedule(cfg, folder / SCHEDULE), still_fails)
     path = folder / "reduced.json"
-    path.write_text(schedule.encode(faults), encoding="utf-8")
-    print(f"{len(faults)} faults are left after {count} plays: {path}")
+    path.write_text(schedule.encode_schedule(faults), encoding="utf-8")
+    print(f"{len(faults)} faults are left after {plays} plays: {path}")
     return FOUND
 
 
--- a/soak/checks/lost.py
+++ b/soak/checks/lost.py
@@ -5,6 +5,7 @@
     LAST_REQUEST_S,
     LATE_SLACK_S,
     LOSS_SLACK_S,
+    READER_S,
     STABLE_S,
     Excuses,
 )
@@ -59,6 +60,8 @@
 
 
 def _is_unfinished(att):
+    if att.ending is Ending.CUT and "slow reader" in att.habits and att.first_at:
+        return att.ended_at < att.first_at + READER_S
     if att.ending in (Ending.CUT, Ending.NO_ANSWER):
         return True
     if att.ending is Ending.COMPLETE:
@@ -78,7 +81,7 @@
     if not is_late and att.ended_at >= att.began_at + _limit_s(att) - CLOCK_SLACK_S:
         return "its time was over (RULES.md, LOST)"
     if att.kind in (Kind.STREAM, Kind.RESUMABLE):
-        on_store = excuses.on_store(since, att.ended_at)
+        on_store = excuses.on_store(att.host, since, att.ended_at)
     else:
         on_store = ""
     return (
--- a/soak/excuses.py
+++ b/soak/excuses.py
@@ -6,6 +6,7 @@
 
 import collections
 import math
+import types
 
 import attrs
 
@@ -14,10 +15,14 @@
 LOSS_SLACK_S = 0.2
 LATE_SLACK_S = 0.5
 MIN_SILENCE_S = 2.0
+# A caller that takes no bytes is cut after this (docs/design/time-limits.md).
+READER_S = 4.0
 # A request sent this long after SIGTERM may be at work when the grace time ends.
 LAST_REQUEST_S = 3.0
 # An endpoint's own lateness in telling the time.
 CLOCK_SLACK_S = 0.05
+# The soak sees the end of a process this late at most.
+EXIT_SLACK_S = 0.2
 
 
 @attrs.frozen
@@ -33,47 +38,57 @@
         The page and rule from which its excuse follows.
     min_s : float
         What it must last to be an excuse at endpoints, in seconds.
+    is_from_exit : bool
+        Whether it begins to be an excuse when the target's process has ended.
     """
 
     on: str = ""
     page: str = ""
     min_s: float = 0.0
+    is_from_exit: bool = False
 
 
 _TOUCH = "RULES.md, In touch (1)"
 _SOUND = "RULES.md, LOST: the worker broke off"
 _SILENT = "docs/design/time-limits.md: silences of 2 s or more"
 _CORE = "RULES.md, In touch (2)"
+# Kinds of faults that a schedule draws by default.
 EFFECTS = {
-    "host_pause": Effect("host", _TOUCH),
-    "host_kill": Effect("host", _TOUCH),
-    "host_restart": Effect("host", _TOUCH),
+    "endpoint_silent": Effect("endpoint", _SILENT, MIN_SILENCE_S),
+    "configuration": Effect(),
     "host_term": Effect(),
-    "host_reload": Effect(),
-    "endpoint_pause": Effect("endpoint", _SILENT, MIN_SILENCE_S),
+    "rolling_restart": Effect(),
+    "host_kill": Effect("host", _TOUCH),
+    "host_pause": Effect("host", _TOUCH),
+    "host_hup": Effect(),
     "endpoint_kill": Effect("endpoint", _SOUND),
-    "endpoint_leave": Effect(),
-    "endpoint_cold": Effect(),
-    "endpoint_crash": Effect("endpoint", _SOUND),
-    "endpoint_break_off": Effect("endpoint", _SOUND),
-    "endpoint_spoil": Effect("endpoint", _SOUND),
+    "endpoint_leaves": Effect("endpoint", _SOUND, is_from_exit=True),
+    "crash_request": Effect("endpoint", _SOUND),
+    "store_503": Effect("store", _CORE),
+    "store_429": Effect("store", _CORE),
+    "store_reset": Effect("store", _CORE),
+    "store_silent": Effect("store", _CORE),
+    "store_slow": Effect("store", _CORE),
+    "store_stale": Effect("store", _CORE),
+    "store_compacted": Effect("store", _CORE),
+    "store_turns_away": Effect("store", "RULES.md, In touch (3)"),
+    "store_older": Effect("store", _CORE),
+    "evacuation": Effect(),
+}
+# Kinds that are planted to test the checkers, or need proxies.
+RARE_EFFECTS = {
+    "endpoint_breaks_off": Effect("endpoint", _SOUND),
+    "endpoint_spoils": Effect("endpoint", _SOUND),
+    "endpoint_loses": Effect("endpoint", _SOUND),
+    "endpoint_slow": Effect(),
     "link_delay": Effect(),
     "link_reset": Effect("link", _TOUCH),
     "link_one_way": Effect("link", _TOUCH),
-    "link_silence": Effect("link", _TOUCH, MIN_SILENCE_S),
+    "link_silent": Effect("link", _TOUCH, MIN_SILENCE_S),
     "link_loss": Effect("link", _TOUCH),
-    "region_part": Effect("link", _TOUCH),
-    "store_down": Effect("store", _CORE),
-    "store_slow": Effect("store", _CORE),
-    "store_stale": Effect("store", _CORE),
-    "store_forget": Effect("store", _CORE),
-    "store_turn_away": Effect("store", _CORE),
-    "store_copy": Effect("store", _CORE),
-    "configuration": Effect(),
-    "key_give": Effect(),
-    "key_withdraw": Effect(),
-    "zone_evacuate": Effect(),
+    "region_cut": Effect("link", _TOUCH),
 }
+_ALL_EFFECTS = {**EFFECTS, **RARE_EFFECTS}
 
 
 class Excuses:
@@ -85,8 +100,8 @@
     """
 
     def __init__(self, history):
-        self._zones = history.settings.get("host_zones", {})
-        self._regions = history.settings.get("zone_regions", {})
+        self._zones, self._regions = _find_places(history.settings)
+        self._exits = history.exits
         self.strikes = sorted(history.strikes, key=lambda s: s.began_at)
         self.runs = collections.defaultdict(list)
         for run in sorted(history.runs, key=lambda r: r.received_at):
@@ -122,9 +137,9 @@
             places = set().union(*(self._places.get(e, {e}) for e in endpoints))
         return self._find(("endpoint", "link"), places, since, until, is_endpoint=True)
 
-    def on_store(self, since, until):
-        """Return what disturbs the store, or an empty string."""
-        return self._find(("store",), None, since, until)
+    def on_store(self, host, since, until):
+        """Return what disturbs a host's use of the store, or an empty string."""
+        return self._find(("store",), {"store", host}, since, until)
 
     def in_touch(self, host, at):
         """Return whether a host has been in touch at a moment."""
@@ -133,19 +148,67 @@
             host in s.targets and since <= s.began_at <= at
             for s in self.of_kind("host_term")
         )
-        disturbed = self.on_host(host, since, at) or self.on_store(since, at)
+        disturbed = self.on_host(host, since, at) or self.on_store(host, since, at)
         return not is_leaving and not disturbed
 
     def _find(self, on, places, since, until, is_endpoint=False):
         for strike in self.strikes:
-            effect = EFFECTS.get(strike.kind, Effect())
-            end = math.inf if strike.ended_at is None else strike.ended_at
+            effect = _ALL_EFFECTS.get(strike.kind, Effect())
             is_hit = places is None or not places.isdisjoint(strike.targets)
             if effect.on not in on or not is_hit:
                 continue
-            if is_endpoint and end - strike.began_at < effect.min_s:
+            begin, end = self._span(strike, effect)
+            if is_endpoint and end - begin < effect.min_s:
                 continue
-            if strike.began_at <= until and end >= since:
+            if begin <= until and end >= since:
                 target = ", ".join(strike.targets)
                 return f"{strike.kind} of {target} ({effect.page})"
         return ""
+
+    def _span(self, strike, effect):
+        """Return when a strike's effect begins and ends."""
+        end = math.inf if strike.ended_at is None else strike.ended_at
+        if not effect.is_from_exit:
+            return strike.began_at, end
+        exits = (
+            e.at - EXIT_SLACK_S
+            for e in self._exits
+            if e.name in strike.targets and strike.began_at <= e.at <= end
+        )
+        return next(exits, math.inf), end
+
+
+def _find_places(settings):
+    """Return the zone of each host and the region of each zone."""
+    if "host_zones" in settings:
+        return settings["host_zones"], settings["zone_regions"]
+    if "hosts" not in settings:
+        return {}, {}
+    from . import places
+
+    cfg = types.SimpleNamespace(**settings)
+    return places.hosts(cfg), places.zones(cfg)
+
+
+def list_configurations(history):
+    """Return when each configuration was acknowledged, and what it holds."""
+    return [
+        (strike.began_at, strike.details["configuration"])
+        for strike in sorted(history.strikes, key=lambda s: s.began_at)
+        if strike.kind == "configuration" and "configuration" in strike.details
+    ]
+
+
+def in_force(configurations, sent_at, until):
+    """Return the configurations by which a request may be handled."""
+    begun = [cfg for at, cfg in configurations if at <= sent_at - CONFIG_APPLY_S]
+    later = [cfg for at, cfg in configurations if sent_at - CONFIG_APPLY_S < at < until]
+    return begun[-1:] + later
+
+
+def allows(cfg, route, key):
+    """Return whether a configuration allows a route with a key."""
+    keys = {k for team in cfg["tenants"] for k in team["api_keys"]}
+    return any(
+        r["name"] == route and (r.get("public") or key in keys) for r in cfg["routes"]
+    )
--- a/soak/findings.py
+++ b/soak/findings.py
@@ -31,106 +31,66 @@
     id: str = ""
 
 
-class LostRequest(Finding):
-    """A request that was read ended in neither an answer, a refusal nor a cut."""
-
-    rule = "RULES.md, LOST"
-
-
-class LateEnd(Finding):
-    """A request had no end when its time was over."""
-
-    rule = "RULES.md, CONFIG: unanswered 0.5 s after timeout_ms"
-
-
-class MixedAnswer(Finding):
-    """An answer is not whole, not its request's own, or not its endpoint's."""
-
-    rule = "RULES.md, MIXED"
-
-
-class BrokenOrder(Finding):
-    """A stream misses an event, has one twice, or ends early as complete."""
-
-    rule = "RULES.md, ORDER"
-
-
-class SecondRun(Finding):
-    """A request that may run once has run more than once."""
-
-    rule = "RULES.md, TWICE"
-
-
-class RefusedRun(Finding):
-    """A request that was refused as not run has run."""
-
-    rule = "RULES.md, REFUSED"
-
-
-class WithdrawnKey(Finding):
-    """A withdrawn key was served after its time."""
-
-    rule = "RULES.md, CONFIG: config_apply_ms"
-
-
-class LeakedKey(Finding):
-    """An endpoint received an API key."""
-
-    rule = "RULES.md, UNASKED: API keys"
-
-
-class WrongRegion(Finding):
-    """A request reached a region that is not permitted."""
-
-    rule = "RULES.md, HOME"
-
-
-class RateExceeded(Finding):
-    """More of a team's requests ran than its rate and burst admit."""
-
-    rule = "RULES.md, QUOTA"
-
-
-class TooManyRetries(Finding):
-    """A request ran at too many endpoints, or a service got too many retries."""
-
-    rule = "RULES.md, BUDGET"
-
-
-class LeftEndpointUsed(Finding):
-    """A request reached an endpoint or a zone after it had left."""
-
-    rule = "RULES.md, DRAIN and EVAC"
-
-
-class OldConfiguration(Finding):
-    """A request was handled by a configuration that is no longer in force."""
-
-    rule = "RULES.md, CONFIG"
-
-
-class WorkedForNobody(Finding):
-    """An endpoint worked on a request whose caller had left."""
-
-    rule = "RULES.md, GONE"
-
-
-class BadExit(Finding):
-    """A host did not end as it should after SIGTERM."""
-
-    rule = "docs/OPERATIONS.md, Start, check, stop"
-
-
-class UnbalancedAccount(Finding):
-    """A host's account of requests does not add up."""
-
-    rule = "docs/OPERATIONS.md, The account of requests"
-
-
-class BoundExceeded(Finding):
-    """A process outgrew its bounds or ended by itself."""
-
-    rule = "RULES.md, Faults"
+def _define(name, rule, doc):
+    """Return a type of findings."""
+    return type(name, (Finding,), {"rule": rule, "__doc__": doc, "__slots__": ()})
+
+
+LostRequest = _define(
+    "LostRequest", "RULES.md, LOST", "A request that was read has no proper end."
+)
+LateEnd = _define(
+    "LateEnd",
+    "RULES.md, CONFIG: timeout_ms",
+    "A request had no end 0.5 s after its time was over.",
+)
+MixedAnswer = _define(
+    "MixedAnswer", "RULES.md, MIXED", "An answer is not whole, own or the endpoint's."
+)
+BrokenOrder = _define(
+    "BrokenOrder", "RULES.md, ORDER", "A stream lacks an event, or has one twice."
+)
+SecondRun = _define(
+    "SecondRun", "RULES.md, TWICE", "A request that may run once ran again."
+)
+RefusedRun = _define(
+    "RefusedRun", "RULES.md, REFUSED", "A request refused as not run has run."
+)
+WithdrawnKey = _define(
+    "WithdrawnKey", "RULES.md, CONFIG", "A withdrawn key was served after its time."
+)
+LeakedKey = _define(
+    "LeakedKey", "RULES.md, UNASKED: API keys", "An endpoint received an API key."
+)
+WrongRegion = _define(
+    "WrongRegion", "RULES.md, HOME", "A request ran in a region that is not permitted."
+)
+RateExceeded = _define(
+    "RateExceeded", "RULES.md, QUOTA", "More of a team's tokens ran than permitted."
+)
+TooManyRetries = _define(
+    "TooManyRetries", "RULES.md, BUDGET", "Too many runs of requests, or retries."
+)
+LeftEndpointUsed = _define(
+    "LeftEndpointUsed", "RULES.md, DRAIN, EVAC", "A request reached what had left."
+)
+OldConfiguration = _define(
+    "OldConfiguration", "RULES.md, CONFIG", "An older configuration was followed."
+)
+WorkedForNobody = _define(
+    "WorkedForNobody", "RULES.md, GONE", "Work went on after the caller had left."
+)
+BadExit = _define(
+    "BadExit", "docs/OPERATIONS.md: SIGTERM", "A host did not exit as it should."
+)
+UnbalancedAccount = _define(
+    "UnbalancedAccount",
+    "docs/OPERATIONS.md, The account of requests",
+    "A host's account does not add up, or not with what callers saw.",
+)
+BoundExceeded = _define(
+    "BoundExceeded", "RULES.md, Faults", "A process outgrew its bounds or ended."
+)
 
 
 def number_findings(findings):
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -8,9 +8,10 @@
 
 from cactusmill.errors import SettingsError
 
-from .excuses import EFFECTS
+from .excuses import EFFECTS, RARE_EFFECTS
 
 PATHS = ("platform", "own")
+_FAULTS = (*EFFECTS, *RARE_EFFECTS)
 # Lowest and highest value of each number.
 _RANGES = {
     "seed": (0, 2**63),
@@ -43,7 +44,7 @@
     seconds : float
         Time during which faults strike, in seconds.
     hosts, zones, endpoints, callers : int
-        Size of the fleet; each zone is a region of its own.
+        Size of the fleet; each zone has a host or more.
     grace_s : float
         Grace time of hosts, in seconds.
     faults : tuple of str
@@ -59,8 +60,8 @@
     path : str
         ``"platform"`` or ``"own"``: the interface under test.
     source, old_source : str
-        Folders of the sources of hosts, and of an older version that some run;
-        empty for this repository's, and for none.
+        Checkouts whose code hosts run, and an older one that some begin with;
+        empty for the present folder, and for none.
     folder : str
         Folder for the history and the logs.
     """
@@ -82,17 +83,6 @@
     old_source: str = ""
     folder: str = "soak-logs"
 
-    @property
-    def zone_regions(self):
-        """Region of each zone, by name of the zone."""
-        return {f"zone-{n}": f"region-{n}" for n in range(1, self.zones + 1)}
-
-    @property
-    def host_zones(self):
-        """Zone of each host, by name of the host."""
-        names = tuple(self.zone_regions)
-        return {f"host-{n + 1}": names[n % self.zones] for n in range(self.hosts)}
-
 
 def load_settings(path=None, **changes):
     """Return checked settings from a YAML file, or the defaults, with changes.
@@ -144,9 +134,9 @@
         if not isinstance(value, list | tuple):
             raise SoakSettingsError(name, f"{value!r} is no list; write [a, b]")
         for entry in value:
-            if entry not in EFFECTS:
+            if entry not in _FAULTS:
                 raise SoakSettingsError(
-                    name, f"{entry!r} is no fault; known are {', '.join(EFFECTS)}"
+                    name, f"{entry!r} is no fault; known are {', '.join(_FAULTS)}"
                 )
         return
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
@@ -162,37 +152,33 @@
     if name == "path" and value not in PATHS:
         raise SoakSettingsError(name, f"{value!r} is none of {', '.join(PATHS)}")
     if name in ("source", "old_source") and value:
-        if not (pathlib.Path(value) / "cactusmill").is_dir():
+        if not (pathlib.Path(value) / "src" / "cactusmill").is_dir():
             raise SoakSettingsError(
-                name, f"{value!r} has no folder `cactusmill`; name a folder `src`"
+                name, f"{value!r} has no src/cactusmill; name a checkout's root"
             )
 
 
 def prepare_folder(folder):
-    """Create the folder for logs and check that it can be written.
+    """Create the folder for the history and logs, and check that it can be written.
 
     Raises
     ------
     SoakSettingsError
-        If it cannot be created or written, or its disk is full.
+        If it holds files, cannot be written, or its disk is full.
     """
     probe = pathlib.Path(folder) / ".probe"
     try:
-        pathlib.Path(folder).mkdir(parents=True, exist_ok=True)
-        probe.write_bytes(bytes(_PROBE_BYTES))
+        probe.parent.mkdir(parents=True, exist_ok=True)
+        if any(probe.parent.iterdir()):
+            raise SoakSettingsError(
+                "folder", f"{str(folder)!r} is not empty; name another or remove it"
+            )
+        try:
+            probe.write_bytes(bytes(_PROBE_BYTES))
+        finally:
+            probe.unlink(missing_ok=True)
     except OSError as exc:
-        fix = "free some space" if exc.errno == errno.ENOSPC else "name another folder"
+        fix = "free some space" if exc.errno == errno.ENOSPC else "name another"
         raise SoakSettingsError(
             "folder", f"{str(folder)!r} cannot be written: {exc.strerror}; {fix}"
         ) from exc
-    finally:
-        try:
-            probe.unlink(missing_ok=True)
-        except OSError:
-            pass  # Reported above.
-
-
-def encode_settings(cfg):
-    """Return settings as the dictionary that begins a history."""
-    places = {"zone_regions": cfg.zone_regions, "host_zones": cfg.host_zones}
-    return {**attrs.asdict(cfg), **places}
