--- a/soak/checks/__init__.py
+++ b/soak/checks/__init__.py
@@ -1,8 +1,40 @@
 """Checkers: each reads a history and returns its findings."""
 
-from . import answers, lost
+from . import (
+    accounts,
+    answers,
+    at_most_once,
+    bounds,
+    configuration,
+    gone,
+    keys,
+    leaving,
+    lost,
+    not_run,
+    rate,
+    regions,
+    retries,
+    shutdown,
+    streams,
+)
 
-CHECKS = (lost, answers)
+CHECKS = (
+    lost,
+    answers,
+    streams,
+    at_most_once,
+    not_run,
+    keys,
+    regions,
+    rate,
+    retries,
+    leaving,
+    configuration,
+    gone,
+    shutdown,
+    accounts,
+    bounds,
+)
 
 
 def check_all(history):
--- /dev/null
+++ b/soak/checks/not_run.py
@@ -0,0 +1,27 @@
+"""REFUSED: a request that a host refused as not run has not run, and never will."""
+
+from ..excuses import Excuses
+from ..findings import RefusedRun
+from ..history import Ending
+
+PROMISES = (408, 421, 429, 503)
+
+
+def check(history):
+    """Return the requests that were refused as not run and have run."""
+    runs = Excuses(history).runs
+    findings = []
+    for att in history.attempts:
+        is_refused = att.ending is Ending.COMPLETE and att.status in PROMISES
+        ran = [r for r in runs[att.request_id] if r.ending != "refused"]
+        if is_refused and not att.is_signed and ran:
+            findings.append(
+                RefusedRun(
+                    at=att.ended_at,
+                    what=f"{att.kind.value} request was refused with {att.status}, and"
+                    f" {ran[0].endpoint} ran it at {ran[0].received_at:.3f} s",
+                    request_ids=(att.request_id,),
+                    hosts=(att.host,),
+                )
+            )
+    return findings
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -108,11 +108,15 @@
         try:
             values = yaml.safe_load(pathlib.Path(path).read_text("utf-8")) or {}
         except OSError as exc:
-            raise SoakSettingsError(path, f"cannot be read: {exc.strerror}") from exc
+            raise SoakSettingsError(
+                str(path), f"cannot be read: {exc.strerror}"
+            ) from exc
         except (yaml.YAMLError, UnicodeDecodeError) as exc:
-            raise SoakSettingsError(path, f"is not YAML: {exc}") from exc
+            raise SoakSettingsError(str(path), f"is not YAML: {exc}") from exc
         if not isinstance(values, dict):
-            raise SoakSettingsError(path, "is no mapping; write lines of `name: value`")
+            raise SoakSettingsError(
+                str(path), "is no mapping; write lines of `name: value`"
+            )
     values = {**values, **changes}
     fields = attrs.fields_dict(SoakSettings)
     for name, value in values.items():
--- a/tests/soak/records.py
+++ b/tests/soak/records.py
@@ -70,4 +70,19 @@
     return result
 
 
-__all__ = ["Exit", "Sample", "attempt", "history", "run", "strike"]
+def configuration(at, version=1, keys=("key-of-red",), routes=("plain",), **fields):
+    """Return the strike of a configuration with one team and some routes."""
+    published = {
+        "version": version,
+        "routes": [
+            {"name": name, "service": name, "max_attempts": 2, **fields}
+            for name in routes
+        ],
+        "tenants": [
+            {"name": "red", "api_keys": list(keys), "rate_per_s": 100, "burst": 200}
+        ],
+    }
+    return strike("configuration", "store", began_at=at, configuration=published)
+
+
+__all__ = ["Exit", "Sample", "attempt", "configuration", "history", "run", "strike"]
