--- a/soak/checks/leaving.py
+++ b/soak/checks/leaving.py
@@ -6,7 +6,7 @@
 from ..findings import LeftEndpointUsed
 
 # By kind of strike: the time until which requests may still come.
-_BOUNDS_S = {"endpoint_leaves": 4.0, "evacuation": 5.0}
+_BOUNDS_S = {"endpoint_leave": 4.0, "zone_evacuate": 5.0}
 
 
 def check(history):
--- a/soak/excuses.py
+++ b/soak/excuses.py
@@ -6,7 +6,6 @@
 
 import collections
 import math
-import types
 
 import attrs
 
@@ -54,41 +53,38 @@
 _CORE = "RULES.md, In touch (2)"
 # Kinds of faults that a schedule draws by default.
 EFFECTS = {
-    "endpoint_silent": Effect("endpoint", _SILENT, MIN_SILENCE_S),
+    "endpoint_pause": Effect("endpoint", _SILENT, MIN_SILENCE_S),
     "configuration": Effect(),
     "host_term": Effect(),
     "rolling_restart": Effect(),
     "host_kill": Effect("host", _TOUCH),
     "host_pause": Effect("host", _TOUCH),
-    "host_hup": Effect(),
+    "host_reload": Effect(),
     "endpoint_kill": Effect("endpoint", _SOUND),
-    "endpoint_leaves": Effect("endpoint", _SOUND, is_from_exit=True),
-    "crash_request": Effect("endpoint", _SOUND),
-    "store_503": Effect("store", _CORE),
-    "store_429": Effect("store", _CORE),
-    "store_reset": Effect("store", _CORE),
-    "store_silent": Effect("store", _CORE),
+    "endpoint_leave": Effect("endpoint", _SOUND, is_from_exit=True),
+    "endpoint_crash": Effect("endpoint", _SOUND),
+    "endpoint_break_off": Effect("endpoint", _SOUND),
+    "endpoint_spoil": Effect("endpoint", _SOUND),
+    "endpoint_lose": Effect("endpoint", _SOUND),
+    "endpoint_slow": Effect(),
+    "store_down": Effect("store", _CORE),
     "store_slow": Effect("store", _CORE),
     "store_stale": Effect("store", _CORE),
-    "store_compacted": Effect("store", _CORE),
-    "store_turns_away": Effect("store", "RULES.md, In touch (3)"),
-    "store_older": Effect("store", _CORE),
-    "evacuation": Effect(),
+    "store_forget": Effect("store", _CORE),
+    "store_turn_away": Effect("store", "RULES.md, In touch (3)"),
+    "store_copy": Effect("store", _CORE),
+    "zone_evacuate": Effect(),
 }
-# Kinds that are planted to test the checkers, or need proxies.
-RARE_EFFECTS = {
-    "endpoint_breaks_off": Effect("endpoint", _SOUND),
-    "endpoint_spoils": Effect("endpoint", _SOUND),
-    "endpoint_loses": Effect("endpoint", _SOUND),
-    "endpoint_slow": Effect(),
+# Kinds that need proxies.
+LINK_EFFECTS = {
     "link_delay": Effect(),
     "link_reset": Effect("link", _TOUCH),
     "link_one_way": Effect("link", _TOUCH),
-    "link_silent": Effect("link", _TOUCH, MIN_SILENCE_S),
+    "link_silence": Effect("link", _TOUCH, MIN_SILENCE_S),
     "link_loss": Effect("link", _TOUCH),
-    "region_cut": Effect("link", _TOUCH),
+    "region_part": Effect("link", _TOUCH),
 }
-_ALL_EFFECTS = {**EFFECTS, **RARE_EFFECTS}
+_ALL_EFFECTS = {**EFFECTS, **LINK_EFFECTS}
 
 
 class Excuses:
@@ -100,7 +96,8 @@
     """
 
     def __init__(self, history):
-        self._zones, self._regions = _find_places(history.settings)
+        self._zones = history.settings.get("host_zones", {})
+        self._regions = history.settings.get("zone_regions", {})
         self._exits = history.exits
         self.strikes = sorted(history.strikes, key=lambda s: s.began_at)
         self.runs = collections.defaultdict(list)
@@ -178,18 +175,6 @@
         return next(exits, math.inf), end
 
 
-def _find_places(settings):
-    """Return the zone of each host and the region of each zone."""
-    if "host_zones" in settings:
-        return settings["host_zones"], settings["zone_regions"]
-    if "hosts" not in settings:
-        return {}, {}
-    from . import places
-
-    cfg = types.SimpleNamespace(**settings)
-    return places.hosts(cfg), places.zones(cfg)
-
-
 def list_configurations(history):
     """Return when each configuration was acknowledged, and what it holds."""
     return [
--- a/soak/settings.py
+++ b/soak/settings.py
@@ -8,10 +8,10 @@
 
 from cactusmill.errors import SettingsError
 
-from .excuses import EFFECTS, RARE_EFFECTS
+from .excuses import EFFECTS, LINK_EFFECTS
 
 PATHS = ("platform", "own")
-_FAULTS = (*EFFECTS, *RARE_EFFECTS)
+_FAULTS = (*EFFECTS, *LINK_EFFECTS)
 # Lowest and highest value of each number.
 _RANGES = {
     "seed": (0, 2**63),
