--- a/soak/history.py
+++ b/soak/history.py
@@ -67,6 +67,12 @@
     ended_at : float
         When the attempt ended.
     ending : Ending
+    reason : str
+        Why the caller left: ``"deadline"``, ``"gap"`` (a stream was silent for too
+        long), ``"habit"`` or because of an earlier request on the connection; of a
+        cut: what was not HTTP.
+    habits : tuple of str
+        Habits of its caller.
     is_reset : bool
         Whether a reset ended the connection.
     was_closing : bool
@@ -110,6 +116,8 @@
     first_at: float | None = None
     ended_at: float
     ending: Ending = attrs.field(converter=Ending)
+    reason: str = ""
+    habits: tuple = attrs.field(default=(), converter=tuple)
     is_reset: bool = False
     was_closing: bool = False
     announces_close: bool = False
