--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -29,7 +29,6 @@
 
 BUFFER_BYTES = 256 * 1024
 _CONNECT_TIMEOUT_S = 5.0
-_BACKLOG = 1024
 _MAX_DATAGRAM_BYTES = 64 * 1024
 _MAX_SOURCES = 1024
 _MAX_DELAYED = 10_000
@@ -226,36 +225,30 @@
         CommandError
             If the address is in use or not this machine's.
         """
-        kind = socket.SOCK_DGRAM if self.is_udp else socket.SOCK_STREAM
-        sock = trio.socket.socket(socket.AF_INET, kind)
+        scope = trio.CancelScope()
         try:
-            if not self.is_udp:
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                # A stall is felt by those who send; what is accepted inherits it.
-                sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES // 4)
-            await sock.bind(split_address(self.listen))
-            if not self.is_udp:
-                sock.listen(_BACKLOG)
+            await self.nursery.start(self._serve, scope)
         except OSError as exc:
-            sock.close()
             reason = "is in use" if exc.errno == errno.EADDRINUSE else exc.strerror
             raise CommandError(f"{self.name}: {self.listen}: {reason}") from exc
-        self._listening = trio.CancelScope()
-        self.nursery.start_soon(self._serve, sock, self._listening)
+        self._listening = scope
 
-    async def _serve(self, sock, scope):
-        with sock, scope:
+    async def _serve(self, scope, task_status=trio.TASK_STATUS_IGNORED):
+        with scope:
             if self.is_udp:
-                await self._pass_datagrams(sock)
-            else:
-                listener = trio.SocketListener(sock)
-                await trio.serve_listeners(
-                    self._pass_connection, [listener], handler_nursery=self.nursery
-                )
+                with trio.socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+                    await sock.bind(split_address(self.listen))
+                    task_status.started()
+                    await self._pass_datagrams(sock)
+            await TCP.serve(
+                self.listen, self._pass_connection, self.nursery, task_status
+            )
 
     async def _pass_connection(self, near):
         scope = trio.CancelScope()
         streams = [near]
+        # A stall is felt by those who send.
+        near.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, BUFFER_BYTES // 4)
 
         def set_reset():
             for stream in streams:
