Fault soak: a fleet of processes under silences and configurations

A run starts the platform's store, endpoints and hosts as processes on a loopback network of its own, and records what callers, endpoints and the system saw. The test plays eight seconds with a caller of its own.

--- /dev/null
+++ b/soak/schedule.py
@@ -0,0 +1,214 @@
+"""Schedules of faults, drawn from a seed.
+
+Each kind of fault draws from a generator of its own, so that leaving out one kind
+changes nothing of the others. Times are seconds since the start of the run's load.
+"""
+
+import json
+import random
+
+import attrs
+
+from . import configurations, places
+
+# Nothing strikes in the first seconds, and what began ends before the run does.
+CALM_S = 2.0
+_SILENCE_S = (0.8, 1.9)
+_PAUSE_S = (0.8, 8.0)
+
+
+@attrs.frozen(kw_only=True)
+class Fault:
+    """One fault.
+
+    Attributes
+    ----------
+    kind : str
+        A name of `KINDS`.
+    at_s, for_s : float
+        When it begins, and for how long it lasts; 0 for what has no duration.
+    targets : tuple of str
+        Names of hosts, endpoints or zones, or ``"store"``.
+    details : dict
+        Parameters of the kind.
+    """
+
+    kind: str
+    at_s: float
+    for_s: float = 0.0
+    targets: tuple = attrs.field(default=(), converter=tuple)
+    details: dict = attrs.field(factory=dict)
+
+
+def _series(kind, gap_s, for_s, choose, details=None):
+    """Return how to draw a series of faults of a kind.
+
+    Parameters
+    ----------
+    gap_s, for_s : (float, float)
+        Range of the pauses between them, and of their durations, in seconds.
+    choose : callable
+        ``choose(cfg, rng)`` returns the targets of one.
+    details : callable or None
+        ``details(cfg, rng)`` returns its parameters.
+    """
+
+    def draw(cfg, rng):
+        faults = []
+        at_s = CALM_S + rng.uniform(0, gap_s[1])
+        while True:
+            lasts_s = rng.uniform(*for_s)
+            if at_s + lasts_s > cfg.seconds - CALM_S:
+                return faults
+            faults.append(
+                Fault(
+                    kind=kind,
+                    at_s=round(at_s, 3),
+                    for_s=round(lasts_s, 3),
+                    targets=choose(cfg, rng),
+                    details=details(cfg, rng) if details else {},
+                )
+            )
+            at_s += rng.uniform(*gap_s)
+
+    return draw
+
+
+def _some_endpoints(cfg, rng):
+    names = list(places.endpoints(cfg))
+    return rng.sample(names, min(len(names), rng.choice((1, 1, 2, 4))))
+
+
+def _one_endpoint(cfg, rng):
+    return [rng.choice(list(places.endpoints(cfg)))]
+
+
+def _one_host(cfg, rng):
+    return [rng.choice(list(places.hosts(cfg)))]
+
+
+def _all_hosts(cfg, rng):
+    names = list(places.hosts(cfg))
+    rng.shuffle(names)
+    return names
+
+
+def _one_zone(cfg, rng):
+    return [rng.choice(list(places.zones(cfg)))]
+
+
+def _store(_cfg, _rng):
+    return ["store"]
+
+
+def _host_gap(cfg, _rng):
+    return {"grace_s": cfg.grace_s}
+
+
+def _store_series(mode, for_s):
+    """Return how to draw a mode of failure of the store."""
+    return _series("store_" + mode, (4.0, 15.0), for_s, _store)
+
+
+# How each kind is drawn: ``KINDS[name](cfg, rng)`` returns its faults.
+KINDS = {
+    "endpoint_silent": _series(
+        "endpoint_silent", (0.3, 2.5), _SILENCE_S, _some_endpoints
+    ),
+    "configuration": _series(
+        "configuration",
+        (0.3, 3.0),
+        (0.0, 0.0),
+        _store,
+        lambda _cfg, rng: configurations.draw_change(rng),
+    ),
+    "host_term": _series("host_term", (2.0, 6.0), (0.2, 2.0), _one_host, _host_gap),
+    "rolling_restart": _series(
+        "rolling_restart", (20.0, 40.0), (0.2, 1.0), _all_hosts, _host_gap
+    ),
+    "host_kill": _series("host_kill", (4.0, 10.0), (0.2, 3.0), _one_host),
+    "host_pause": _series("host_pause", (4.0, 10.0), _PAUSE_S, _one_host),
+    "host_hup": _series("host_hup", (2.0, 6.0), (0.0, 0.0), _one_host),
+    "endpoint_kill": _series(
+        "endpoint_kill",
+        (3.0, 8.0),
+        (0.5, 3.0),
+        _one_endpoint,
+        lambda _cfg, rng: {
+            "new_name": rng.random() < 0.5,
+            "cold_s": rng.choice((0, 2, 5)),
+        },
+    ),
+    "endpoint_leaves": _series(
+        "endpoint_leaves",
+        (5.0, 12.0),
+        (4.0, 6.0),
+        _one_endpoint,
+        lambda _cfg, rng: {"says_so": rng.random() < 0.7},
+    ),
+    "crash_request": _series("crash_request", (8.0, 15.0), (0.5, 2.0), _one_endpoint),
+    "store_503": _store_series("503", (0.5, 5.0)),
+    "store_429": _store_series("429", (0.5, 3.0)),
+    "store_reset": _store_series("reset", (0.5, 5.0)),
+    "store_silent": _store_series("silent", (0.5, 5.0)),
+    "store_slow": _store_series("slow", (1.0, 6.0)),
+    "store_stale": _store_series("stale", (1.0, 6.0)),
+    "store_compacted": _store_series("compacted", (0.0, 0.0)),
+    "store_turns_away": _series("store_turns_away", (4.0, 12.0), (1.0, 8.0), _one_host),
+    "store_older": _series(
+        "store_older",
+        (10.0, 25.0),
+        (0.5, 2.0),
+        _store,
+        lambda _cfg, rng: {"age_s": round(rng.uniform(1.0, 5.0), 3)},
+    ),
+    "evacuation": _series("evacuation", (8.0, 20.0), (3.0, 8.0), _one_zone),
+}
+
+
+def draw_schedule(cfg, seed):
+    """Return the faults of a run in the order of their times.
+
+    Parameters
+    ----------
+    cfg : SoakSettings
+        Settings of the run; `faults` names the kinds.
+    seed : int
+        Equal seeds and settings give equal schedules.
+
+    Raises
+    ------
+    ValueError
+        If a kind is unknown.
+    """
+    unknown = [kind for kind in cfg.faults if kind not in KINDS]
+    if unknown:
+        known = ", ".join(KINDS)
+        raise ValueError(f"unknown fault {unknown[0]!r}; use some of: {known}")
+    faults = []
+    for kind in cfg.faults:
+        faults += KINDS[kind](cfg, random.Random(f"{seed}:{kind}"))
+    return tuple(sorted(faults, key=lambda f: (f.at_s, f.kind)))
+
+
+def encode_schedule(schedule):
+    """Return a schedule as JSON."""
+    return json.dumps([attrs.asdict(fault) for fault in schedule], indent=1)
+
+
+def decode_schedule(text):
+    """Return the schedule in a JSON document.
+
+    Raises
+    ------
+    ValueError
+        If it holds no list of faults, or an unknown kind.
+    """
+    try:
+        schedule = tuple(Fault(**fields) for fields in json.loads(text))
+    except (TypeError, AttributeError) as exc:
+        raise ValueError(f"not a schedule of faults: {exc}") from exc
+    for fault in schedule:
+        if fault.kind not in KINDS:
+            raise ValueError(f"unknown fault {fault.kind!r}")
+    return schedule
--- /dev/null
+++ b/tests/soak/test_run.py
@@ -0,0 +1,48 @@
+"""A whole run with real processes, a trivial caller and silences."""
+
+import pathlib
+
+import attrs
+import pytest
+
+from soak.history import Ending
+from soak.run import play
+from soak.schedule import draw_schedule
+
+CALLER = pathlib.Path(__file__).parent / "trivial_caller.py"
+REPOSITORY = pathlib.Path(__file__).parent.parent.parent
+pytestmark = pytest.mark.processes
+
+
+@attrs.frozen(kw_only=True)
+class Settings:
+    seed: int = 1
+    seconds: float = 20.0
+    hosts: int = 3
+    zones: int = 3
+    endpoints: int = 6
+    callers: int = 4
+    grace_s: float = 8.0
+    faults: tuple = ("endpoint_silent", "configuration")
+    events: int = 10
+    event_gap_s: float = 0.05
+    deadline_s: float = 15.0
+    proxies: bool = False
+    path: str = "platform"
+    source: str = str(REPOSITORY)
+    old_source: str = ""
+
+
+def test_silences_and_configurations_cut_no_response(tmp_path):
+    cfg = Settings(seconds=8.0)
+    schedule = draw_schedule(cfg, cfg.seed)
+    history = play(cfg, schedule, tmp_path, callers=[str(CALLER)])
+    assert {s.kind for s in history.strikes} >= {"endpoint_silent", "configuration"}
+    assert len(history.attempts) > 20
+    assert {a.ending for a in history.attempts} == {Ending.COMPLETE}
+    assert {r.ending for r in history.runs} <= {"answered", "cancelled", "refused"}
+    runs = {r.request_id: r for r in history.runs if r.ending == "answered"}
+    assert any(runs[a.request_id].digest == a.digest for a in history.attempts)
+    assert {s.host for s in history.samples} == {"host-1", "host-2", "host-3"}
+    assert all(e.is_expected for e in history.exits)
+    assert {e.code for e in history.exits if e.name.startswith("host")} == {0}
