--- a/soak/configurations.py
+++ b/soak/configurations.py
@@ -6,7 +6,7 @@
 
 from . import places
 
-TEAMS = ("red", "blue", "hot")
+TEAMS = ("hot", "red", "blue")
 _HOT_RATE_PER_S, _HOT_BURST = 400, 800
 _NEAR_DEADLINE = 0.9
 # What a change may do, and how it is drawn.
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -22,7 +22,6 @@
 _DRAIN_S = 4.0
 _READY_TIMEOUT_S = 30.0
 _EXIT_POLL_S = 0.02
-_TURNED_AWAY = ("503", "429", "reset", "silent")
 # Endpoints write their entries again within this time after the store's return.
 _REWRITE_S = 2.0
 
@@ -57,9 +56,16 @@
 
     def publish(self, published, **details):
         """Publish a configuration."""
+        before = set(_keys(self.published))
         at = self.fleet.put("op/config", published)
         self.published = published
         self.changed()
+        for kind, keys in (
+            ("key_give", set(_keys(published)) - before),
+            ("key_withdraw", before - set(_keys(published))),
+        ):
+            for key in sorted(keys):
+                self.record(Strike(kind=kind, targets=[key], began_at=at))
         self.record(
             Strike(
                 kind="configuration",
@@ -107,6 +113,10 @@
         return f"{first}.{int(number or 1) + 1}"
 
 
+def _keys(published):
+    return [key for team in published["tenants"] for key in team["api_keys"]]
+
+
 async def strike_all(stage, schedule, started_at):
     """Carry out the faults of a schedule, each at its time.
 
@@ -130,7 +140,7 @@
         )
         stage.publish(changed, **fault.details)
         return
-    holds = not fault.kind.startswith(("store_", "evacuation"))
+    holds = not fault.kind.startswith(("store_", "zone_"))
     targets = [t for t in fault.targets if not holds or t not in stage.held]
     if not targets:
         return
@@ -266,33 +276,27 @@
     return plant
 
 
-def _store_mode(mode):
-    async def fail(stage, targets, for_s, details):
-        address = "*"
-        if targets != ["store"]:
-            address = stage.fleet.store_address(targets[0])
-            details["down"] = random.Random(targets[0] + str(for_s)).choice(
-                _TURNED_AWAY
-            )
-        applied = mode or {"down": details["down"]}
-        stage.fleet.command("store", do="mode", address=address, mode=applied)
-        try:
-            await trio.sleep(for_s)
-        finally:
-            with contextlib.suppress(KeyError, OSError):
-                stage.fleet.command("store", do="mode", address=address, mode={})
-
-    return fail
+async def _fail_store(stage, targets, for_s, details):
+    """Make the store fail for all hosts, or for one."""
+    fleet = stage.fleet
+    address = "*" if targets == ["store"] else fleet.store_address(targets[0])
+    mode = {k: details[k] for k in ("down", "slow_s", "stale_s") if k in details}
+    fleet.command("store", do="mode", address=address, mode=mode)
+    try:
+        await trio.sleep(for_s)
+    finally:
+        with contextlib.suppress(KeyError, OSError):
+            fleet.command("store", do="mode", address=address, mode={})
 
 
 async def _compact(stage, _targets, _for_s, _details):
     stage.fleet.command("store", do="compact")
 
 
-async def _restore_older(stage, _targets, for_s, details):
+async def _restore_copy(stage, _targets, for_s, details):
     """Bring the store back from a copy; then all write their items again."""
     fleet = stage.fleet
-    await _store_mode({"down": "503"})(stage, ["store"], for_s, details)
+    await _fail_store(stage, ["store"], for_s, {"down": "503"})
     details["era"] = fleet.command("store", do="restore", age_s=details["age_s"])["era"]
     details["back_at"] = time.monotonic()
     order = random.Random(for_s)
@@ -313,28 +317,25 @@
 
 
 _ACTIONS = {
-    "endpoint_silent": _pause,
+    "endpoint_pause": _pause,
     "host_term": _terminate_host,
     "host_kill": _kill_host,
     "host_pause": _pause,
-    "host_hup": _reload_host,
+    "host_reload": _reload_host,
     "endpoint_kill": _kill_endpoint,
-    "endpoint_leaves": _leave,
-    "crash_request": _crash,
-    "endpoint_breaks_off": _plant("break_off"),
-    "endpoint_spoils": _plant("spoil"),
-    "endpoint_loses": _plant("lose"),
+    "endpoint_leave": _leave,
+    "endpoint_crash": _crash,
+    "endpoint_break_off": _plant("break_off"),
+    "endpoint_spoil": _plant("spoil"),
+    "endpoint_lose": _plant("lose"),
     "endpoint_slow": _plant("slower"),
-    "store_503": _store_mode({"down": "503"}),
-    "store_429": _store_mode({"down": "429"}),
-    "store_reset": _store_mode({"down": "reset"}),
-    "store_silent": _store_mode({"down": "silent"}),
-    "store_slow": _store_mode({"slow_s": 0.5}),
-    "store_stale": _store_mode({"stale_s": 3.0}),
-    "store_compacted": _compact,
-    "store_turns_away": _store_mode(None),
-    "store_older": _restore_older,
-    "evacuation": _evacuate,
+    "store_down": _fail_store,
+    "store_slow": _fail_store,
+    "store_stale": _fail_store,
+    "store_turn_away": _fail_store,
+    "store_forget": _compact,
+    "store_copy": _restore_copy,
+    "zone_evacuate": _evacuate,
 }
 
 
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -97,12 +97,14 @@
         Running processes by name.
     expected : set of str
         Names of processes that the soak is ending.
+    exit_codes : dict of str to int
+        Last exit code of each process that ended.
     record : callable
         Called with an `Exit` for each process that ended.
     entries : dict of str to dict
         Published entry of each endpoint, by its present name.
     sources : dict of str to str
-        Folder whose ``src/`` a host runs from, if not that of the settings.
+        Folder of the package that a host runs from, if not that of the settings.
     network : int
         Second number of the run's IP addresses.
     """
@@ -112,6 +114,7 @@
     record: object
     processes: dict = attrs.field(factory=dict)
     expected: set = attrs.field(factory=set)
+    exit_codes: dict = attrs.field(factory=dict)
     entries: dict = attrs.field(factory=dict)
     sources: dict = attrs.field(factory=dict)
     network: int = 0
@@ -165,7 +168,7 @@
 
     def start(self, name, command, source=None, pipes=False, **env):
         """Start a process."""
-        src = pathlib.Path(source or _REPOSITORY).resolve() / "src"
+        src = pathlib.Path(source or _REPOSITORY / "src").resolve()
         env = {**os.environ, "PYTHONPATH": f"{src}{os.pathsep}{_REPOSITORY}", **env}
         pipe = subprocess.PIPE if pipes else subprocess.DEVNULL
         with (self.folder / f"{name}.log").open("ab") as log:
@@ -317,6 +320,7 @@
             if code is None:
                 continue
             del self.processes[name]
+            self.exit_codes[name] = code
             for pipe in (process.stdin, process.stdout):
                 with contextlib.suppress(OSError):
                     if pipe is not None:
--- a/soak/places.py
+++ b/soak/places.py
@@ -1,20 +1,12 @@
 """Names and places of the hosts and endpoints of a run."""
 
-import string
-
 SERVICES = ("engines", "desk")
 _ENDPOINT_PATTERN = ("engines", "desk", "engines")
 
 
 def zones(cfg):
-    """Return the region of each availability zone; two zones or more share one."""
-    regions = ("east", "west", "north", "south", "middle")[: max(2, cfg.zones // 2)]
-    return {
-        f"{regions[i % len(regions)]}-{string.ascii_lowercase[i // len(regions)]}": (
-            regions[i % len(regions)]
-        )
-        for i in range(cfg.zones)
-    }
+    """Return the region of each availability zone, which is one of its own."""
+    return {f"zone-{n}": f"region-{n}" for n in range(1, cfg.zones + 1)}
 
 
 def hosts(cfg):
--- a/soak/run.py
+++ b/soak/run.py
@@ -15,8 +15,8 @@
 from . import configurations, places
 from .faults import Stage, first_names, strike_all
 from .fleet import BOUNDS, Fleet, WorldError
-from .history import Run, Sample, encode_record, read_history
-from .schedule import encode_schedule
+from .history import Sample, encode_record, read_history
+from .schedule import encode
 
 _READY_TIMEOUT_S = 60.0
 _SETTLE_S = 1.5
@@ -54,7 +54,7 @@
     """
     folder = pathlib.Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
-    (folder / "schedule.json").write_text(encode_schedule(schedule))
+    (folder / "schedule.json").write_text(encode(schedule))
     before = signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         with (folder / "world.jsonl").open("w") as file:
@@ -121,9 +121,18 @@
         with trio.move_on_after(max(0, until[0] - time.monotonic()) + _CALLERS_END_S):
             while "callers" in fleet.processes:
                 await trio.sleep(_EXIT_POLL_S)
+        _check_callers(fleet)
         nursery.cancel_scope.cancel()
 
 
+def _check_callers(fleet):
+    if fleet.exit_codes.get("callers") != 0:
+        raise WorldError(
+            f"the callers did not end well (exit code {fleet.exit_codes.get('callers')}"
+            f"); their log:\n{fleet.log_tail('callers')}"
+        )
+
+
 def _write_atomically(path, text):
     new = path.with_suffix(".new")
     new.write_text(text)
@@ -192,7 +201,12 @@
                 part = read_history(lines)
             records += part.attempts + part.strikes + part.samples + part.exits
             records += _last_states(part.runs)
-    settings = {**attrs.asdict(cfg), "bounds": {**BOUNDS, "grace_s": cfg.grace_s}}
+    settings = {
+        **attrs.asdict(cfg),
+        "zone_regions": places.zones(cfg),
+        "host_zones": places.hosts(cfg),
+        "bounds": {**BOUNDS, "grace_s": cfg.grace_s},
+    }
     lines = [json.dumps({"settings": settings}), *map(encode_record, records)]
     (folder / "history.jsonl").write_text("\n".join(lines) + "\n")
     return read_history(lines)
@@ -201,5 +215,4 @@
 def _last_states(runs):
     """Return the last record of each run: one is written at its start and its end."""
     by_run = {(r.incarnation, r.request_id, r.received_at): r for r in runs}
-    assert all(isinstance(run, Run) for run in by_run.values())
     return list(by_run.values())
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -101,19 +101,30 @@
     return ["store"]
 
 
-def _host_gap(cfg, _rng):
+def _down(_cfg, rng):
+    return {"down": rng.choice(("503", "429", "reset", "silent"))}
+
+
+def _grace(cfg, _rng):
     return {"grace_s": cfg.grace_s}
 
 
-def _store_series(mode, for_s):
-    """Return how to draw a mode of failure of the store."""
-    return _series("store_" + mode, (4.0, 15.0), for_s, _store)
+def _plant(kind, details):
+    """Return how to draw a misbehaviour of one endpoint."""
+    return _series(
+        kind, (4.0, 12.0), (1.0, 4.0), _one_endpoint, lambda _cfg, _rng: details
+    )
+
+
+def _store_series(kind, for_s, details=None):
+    """Return how to draw a failure of the store."""
+    return _series(kind, (4.0, 15.0), for_s, _store, details)
 
 
 # How each kind is drawn: ``KINDS[name](cfg, rng)`` returns its faults.
 KINDS = {
-    "endpoint_silent": _series(
-        "endpoint_silent", (0.3, 2.5), _SILENCE_S, _some_endpoints
+    "endpoint_pause": _series(
+        "endpoint_pause", (0.3, 2.5), _SILENCE_S, _some_endpoints
     ),
     "configuration": _series(
         "configuration",
@@ -122,13 +133,13 @@
         _store,
         lambda _cfg, rng: configurations.draw_change(rng),
     ),
-    "host_term": _series("host_term", (2.0, 6.0), (0.2, 2.0), _one_host, _host_gap),
+    "host_term": _series("host_term", (2.0, 6.0), (0.2, 2.0), _one_host, _grace),
     "rolling_restart": _series(
-        "rolling_restart", (20.0, 40.0), (0.2, 1.0), _all_hosts, _host_gap
+        "rolling_restart", (20.0, 40.0), (0.2, 1.0), _all_hosts, _grace
     ),
     "host_kill": _series("host_kill", (4.0, 10.0), (0.2, 3.0), _one_host),
     "host_pause": _series("host_pause", (4.0, 10.0), _PAUSE_S, _one_host),
-    "host_hup": _series("host_hup", (2.0, 6.0), (0.0, 0.0), _one_host),
+    "host_reload": _series("host_reload", (2.0, 6.0), (0.0, 0.0), _one_host),
     "endpoint_kill": _series(
         "endpoint_kill",
         (3.0, 8.0),
@@ -139,30 +150,37 @@
             "cold_s": rng.choice((0, 2, 5)),
         },
     ),
-    "endpoint_leaves": _series(
-        "endpoint_leaves",
+    "endpoint_leave": _series(
+        "endpoint_leave",
         (5.0, 12.0),
         (4.0, 6.0),
         _one_endpoint,
         lambda _cfg, rng: {"says_so": rng.random() < 0.7},
     ),
-    "crash_request": _series("crash_request", (8.0, 15.0), (0.5, 2.0), _one_endpoint),
-    "store_503": _store_series("503", (0.5, 5.0)),
-    "store_429": _store_series("429", (0.5, 3.0)),
-    "store_reset": _store_series("reset", (0.5, 5.0)),
-    "store_silent": _store_series("silent", (0.5, 5.0)),
-    "store_slow": _store_series("slow", (1.0, 6.0)),
-    "store_stale": _store_series("stale", (1.0, 6.0)),
-    "store_compacted": _store_series("compacted", (0.0, 0.0)),
-    "store_turns_away": _series("store_turns_away", (4.0, 12.0), (1.0, 8.0), _one_host),
-    "store_older": _series(
-        "store_older",
+    "endpoint_break_off": _plant("endpoint_break_off", {"count": 2}),
+    "endpoint_spoil": _plant("endpoint_spoil", {"count": 2}),
+    "endpoint_lose": _plant("endpoint_lose", {"count": 2}),
+    "endpoint_slow": _plant("endpoint_slow", {"factor": 3.0}),
+    "endpoint_crash": _series("endpoint_crash", (8.0, 15.0), (0.5, 2.0), _one_endpoint),
+    "store_down": _store_series("store_down", (0.5, 5.0), _down),
+    "store_slow": _store_series(
+        "store_slow", (1.0, 6.0), lambda _cfg, rng: {"slow_s": rng.uniform(0.1, 1.0)}
+    ),
+    "store_stale": _store_series(
+        "store_stale", (1.0, 6.0), lambda _cfg, rng: {"stale_s": rng.uniform(1.0, 5.0)}
+    ),
+    "store_forget": _store_series("store_forget", (0.0, 0.0)),
+    "store_turn_away": _series(
+        "store_turn_away", (4.0, 12.0), (1.0, 8.0), _one_host, _down
+    ),
+    "store_copy": _series(
+        "store_copy",
         (10.0, 25.0),
         (0.5, 2.0),
         _store,
         lambda _cfg, rng: {"age_s": round(rng.uniform(1.0, 5.0), 3)},
     ),
-    "evacuation": _series("evacuation", (8.0, 20.0), (3.0, 8.0), _one_zone),
+    "zone_evacuate": _series("zone_evacuate", (8.0, 20.0), (3.0, 8.0), _one_zone),
 }
 
 
@@ -191,12 +209,12 @@
     return tuple(sorted(faults, key=lambda f: (f.at_s, f.kind)))
 
 
-def encode_schedule(schedule):
+def encode(schedule):
     """Return a schedule as JSON."""
     return json.dumps([attrs.asdict(fault) for fault in schedule], indent=1)
 
 
-def decode_schedule(text):
+def decode(text):
     """Return the schedule in a JSON document.
 
     Raises
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -10,7 +10,6 @@
 from soak.schedule import draw_schedule
 
 CALLER = pathlib.Path(__file__).parent / "trivial_caller.py"
-REPOSITORY = pathlib.Path(__file__).parent.parent.parent
 pytestmark = pytest.mark.processes
 
 
@@ -23,13 +22,13 @@
     endpoints: int = 6
     callers: int = 4
     grace_s: float = 8.0
-    faults: tuple = ("endpoint_silent", "configuration")
+    faults: tuple = ("endpoint_pause", "configuration")
     events: int = 10
     event_gap_s: float = 0.05
     deadline_s: float = 15.0
     proxies: bool = False
     path: str = "platform"
-    source: str = str(REPOSITORY)
+    source: str = ""
     old_source: str = ""
 
 
@@ -37,7 +36,7 @@
     cfg = Settings(seconds=8.0)
     schedule = draw_schedule(cfg, cfg.seed)
     history = play(cfg, schedule, tmp_path, callers=[str(CALLER)])
-    assert {s.kind for s in history.strikes} >= {"endpoint_silent", "configuration"}
+    assert {s.kind for s in history.strikes} >= {"endpoint_pause", "configuration"}
     assert len(history.attempts) > 20
     assert {a.ending for a in history.attempts} == {Ending.COMPLETE}
     assert {r.ending for r in history.runs} <= {"answered", "cancelled", "refused"}
