--- a/soak/configurations.py
+++ b/soak/configurations.py
@@ -28,6 +28,11 @@
         route["timeout_ms"] = timeout_ms
         if "allowed_regions" in route:
             route["allowed_regions"] = regions[:1]
+    chat = published["routes"][0]
+    published["routes"] += [
+        {**chat, "name": f"chat-{n}", "path_prefix": f"/chat-{n}/", "max_attempts": n}
+        for n in (1, 3)
+    ]
     published["tenants"] = [_team(name) for name in TEAMS]
     return published
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -15,6 +15,8 @@
 CALM_S = 2.0
 _SILENCE_S = (0.8, 1.9)
 _PAUSE_S = (0.8, 8.0)
+# Endpoints that are silent at once, and the share of silences that strike a zone.
+_MOST_SILENT, _ZONE_SHARE = 4, 0.3
 
 
 @attrs.frozen(kw_only=True)
@@ -75,8 +77,12 @@
 
 
 def _some_endpoints(cfg, rng):
-    names = list(places.endpoints(cfg))
-    return rng.sample(names, min(len(names), rng.choice((1, 1, 2, 4))))
+    """Return one to four endpoints, at times all of one zone."""
+    zones = places.endpoints(cfg)
+    if rng.random() < _ZONE_SHARE:
+        zone = rng.choice(list(places.zones(cfg)))
+        return [name for name in zones if zones[name][0] == zone][:_MOST_SILENT]
+    return rng.sample(list(zones), min(len(zones), rng.choice((1, 2, _MOST_SILENT))))
 
 
 def _one_endpoint(cfg, rng):
@@ -124,7 +130,7 @@
 # How each kind is drawn: ``KINDS[name](cfg, rng)`` returns its faults.
 KINDS = {
     "endpoint_pause": _series(
-        "endpoint_pause", (0.3, 2.5), _SILENCE_S, _some_endpoints
+        "endpoint_pause", (0.3, 1.5), _SILENCE_S, _some_endpoints
     ),
     "configuration": _series(
         "configuration",
