--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,6 +6,7 @@
 """
 
 import contextlib
+import functools
 import random
 import signal
 import time
@@ -22,6 +23,10 @@
 _DRAIN_S = 4.0
 _READY_TIMEOUT_S = 30.0
 _EXIT_POLL_S = 0.02
+# Beginnings of the kinds that may strike what another fault holds.
+_SHARED = ("store_", "zone_", "link_", "region_")
+# How many times slower a cold endpoint works.
+_COLD_FACTOR = 2.0
 # Endpoints write their entries again within this time after the store's return.
 _REWRITE_S = 2.0
 
@@ -134,13 +139,13 @@
 
 async def _strike(stage, fault, at):
     await trio.sleep(max(0.0, at - time.monotonic()))
-    if fault.kind == "configuration":
+    if "change" in fault.details:
         changed = configurations.apply_change(
             stage.published, fault.details, stage.cfg.deadline_s
         )
         stage.publish(changed, **fault.details)
         return
-    holds = not fault.kind.startswith(("store_", "zone_"))
+    holds = not fault.kind.startswith(_SHARED)
     targets = [t for t in fault.targets if not holds or t not in stage.held]
     if not targets:
         return
@@ -153,7 +158,7 @@
     names = [stage.name(target) for target in targets]
     began_at, ended_at = time.monotonic(), None
     try:
-        await _ACTIONS[fault.kind](stage, targets, fault.for_s, details)
+        await ACTIONS[fault.kind](stage, targets, fault.for_s, details)
         ended_at = time.monotonic()
     finally:
         stage.held.difference_update(targets if holds else ())
@@ -316,7 +321,61 @@
     details["taken_back_at"] = stage.fleet.remove(key)
 
 
-_ACTIONS = {
+async def _cool_down(stage, targets, for_s, details):
+    """Publish that an endpoint is cold again; it works slower meanwhile."""
+    name = stage.name(targets[0])
+    fleet = stage.fleet
+    details["acknowledged_at"] = fleet.publish_endpoint(
+        name, cold_left_ms=int(for_s * 1000)
+    )
+    fleet.command(name, do="slower", factor=_COLD_FACTOR)
+    await trio.sleep(for_s)
+    if name in fleet.processes:
+        fleet.command(name, do="slower", factor=1.0)
+        fleet.publish_endpoint(name, cold_left_ms=0)
+
+
+async def _fail_links(stage, targets, for_s, details):
+    """Let the proxies before hosts or endpoints fail."""
+    names = [link for target in targets for link in stage.fleet.links(target)]
+    await _fail_proxies(stage, names, for_s, details)
+
+
+async def _fail_proxies(stage, names, for_s, details):
+    command = functools.partial(stage.fleet.command, "proxies")
+    if "share" in details:
+        for name in names:
+            command(reset=name, share=details["share"])
+        return
+    rule = {k: details[k] for k in ("delay_s", "silence") if k in details}
+    try:
+        for name in names:
+            command(set=name, **rule)
+        await trio.sleep(for_s)
+    finally:
+        with contextlib.suppress(KeyError, OSError):
+            for name in names:
+                command(heal=name)
+
+
+async def _part_region(stage, targets, for_s, _details):
+    zones = places.zones(stage.cfg)
+    names = [
+        f"{host}/control"
+        for host, zone in places.hosts(stage.cfg).items()
+        if zones[zone] in targets
+    ]
+    await _fail_proxies(stage, names, for_s, {"silence": "both"})
+
+
+ACTIONS = {
+    "host_restart": _kill_host,
+    "endpoint_cold": _cool_down,
+    "link_delay": _fail_links,
+    "link_reset": _fail_links,
+    "link_one_way": _fail_links,
+    "link_silence": _fail_links,
+    "region_part": _part_region,
     "endpoint_pause": _pause,
     "host_term": _terminate_host,
     "host_kill": _kill_host,
--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -134,10 +134,7 @@
 
     def known_ip(self, host):
         """Return the IP address by which a host is known."""
-        if not self.cfg.proxies:
-            return self.listen_ip(host)
-        zone, number = self._place(host)
-        return f"127.{self.network + _PROXY_OFFSET}.{zone + 1}.{number}"
+        return self.known_address(self.listen_ip(host))
 
     def _place(self, host):
         hosts, zones = places.hosts(self.cfg), list(places.zones(self.cfg))
@@ -152,6 +149,23 @@
         number = list(places.endpoints(self.cfg)).index(slot(name)) + 1
         return f"127.{self.network}.{_ENDPOINT_NET}.{number}:{_ENDPOINT_PORT}"
 
+    def known_address(self, address):
+        """Return the address by which others reach one of the run's addresses."""
+        if not self.cfg.proxies:
+            return address
+        return address.replace(
+            f"127.{self.network}.", f"127.{self.network + _PROXY_OFFSET}.", 1
+        )
+
+    def links(self, target):
+        """Return the proxies before a host or an endpoint: name and target address."""
+        if slot(target) in places.endpoints(self.cfg):
+            return {slot(target): self.endpoint_address(target)}
+        ip = self.listen_ip(target)
+        ports = {n: p for n, p in _PORTS.items() if n != "ready_address"}
+        addresses = {f"{target}/{n}": f"{ip}:{port}" for n, port in ports.items()}
+        return {**addresses, f"{target}/store": self.store_address(target)}
+
     def world(self):
         """Return the hosts as callers see them."""
         zones = places.zones(self.cfg)
@@ -195,6 +209,15 @@
             check_port_free(address)
         self.start_standin("store", "--role", "store", "--listen", ",".join(listen))
 
+    def start_proxies(self):
+        """Start the proxies before all hosts, their store and the endpoints."""
+        self.start("proxies", ["-m", "soak.proxies"], pipes=True)
+        for place in (*places.hosts(self.cfg), *places.endpoints(self.cfg)):
+            for name, target in self.links(place).items():
+                listen = self.known_address(target)
+                check_port_free(listen)
+                self.command("proxies", open=name, listen=listen, target=target)
+
     def start_endpoint(self, name, cold_s=0.0):
         """Start an endpoint and publish it."""
         zone, service = places.endpoints(self.cfg)[slot(name)]
@@ -209,7 +232,7 @@
         self.start_standin(name, *args)
         self.entries[name] = {
             "service": service,
-            "address": address,
+            "address": self.known_address(address),
             "zone": zone,
             "version": "v1",
             "slots": 16,
@@ -245,7 +268,10 @@
             "internal_ports": [7600, 7615],
             "seeds": seeds,
             "bounds": {**BOUNDS, "grace_s": self.cfg.grace_s},
-            "platform": {"address": self.store_address(host), "form": "read"},
+            "platform": {
+                "address": self.known_address(self.store_address(host)),
+                "form": "read",
+            },
         }
         path = self.folder.resolve() / f"{host}.json"
         path.write_text(json.dumps(settings, indent=1))
--- a/soak/run.py
+++ b/soak/run.py
@@ -84,6 +84,8 @@
 
 async def _play(cfg, schedule, fleet, record, callers):
     fleet.start_store()
+    if cfg.proxies:
+        fleet.start_proxies()
     first = configurations.first_configuration(cfg)
     world_file = fleet.folder.resolve() / "world.json"
     until = [time.monotonic() + 10 * _READY_TIMEOUT_S]
@@ -156,8 +158,8 @@
 async def _watch_exits(fleet):
     while True:
         fleet.collect_exits()
-        if "store" not in fleet.processes:
-            raise WorldError(f"the store ended; its log:\n{fleet.log_tail('store')}")
+        for name in {"store", "proxies"} & set(fleet.exit_codes):
+            raise WorldError(f"the {name} ended; log:\n{fleet.log_tail(name)}")
         await trio.sleep(_EXIT_POLL_S)
 
 
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -127,6 +127,40 @@
     return _series(kind, (4.0, 15.0), for_s, _store, details)
 
 
+def _link_series(kind, for_s, details):
+    """Return how to draw a failure of the proxies before a host or an endpoint."""
+
+    def choose(cfg, rng):
+        return rng.choice((_one_host, _one_endpoint))(cfg, rng)
+
+    draw = _series(kind, (3.0, 8.0), for_s, choose, details)
+    return lambda cfg, rng: draw(cfg, rng) if cfg.proxies else []
+
+
+def _part_series(kind):
+    """Return how to draw the parting of a region's hosts from all other hosts."""
+
+    def choose(cfg, rng):
+        return [rng.choice(sorted(set(places.zones(cfg).values())))]
+
+    draw = _series(kind, (10.0, 20.0), (1.0, 5.0), choose)
+    return lambda cfg, rng: draw(cfg, rng) if cfg.proxies else []
+
+
+def _silence(*choices):
+    return lambda _cfg, rng: {"silence": rng.choice(choices)}
+
+
+def _change_series(kind, change):
+    return _series(
+        kind,
+        (2.0, 6.0),
+        (0.0, 0.0),
+        _store,
+        lambda _cfg, rng: {"change": change, "draw": rng.random()},
+    )
+
+
 # How each kind is drawn: ``KINDS[name](cfg, rng)`` returns its faults.
 KINDS = {
     "endpoint_pause": _series(
@@ -139,11 +173,14 @@
         _store,
         lambda _cfg, rng: configurations.draw_change(rng),
     ),
+    "key_give": _change_series("key_give", "add_key"),
+    "key_withdraw": _change_series("key_withdraw", "withdraw_key"),
     "host_term": _series("host_term", (2.0, 6.0), (0.2, 2.0), _one_host, _grace),
     "rolling_restart": _series(
         "rolling_restart", (20.0, 40.0), (0.2, 1.0), _all_hosts, _grace
     ),
     "host_kill": _series("host_kill", (4.0, 10.0), (0.2, 3.0), _one_host),
+    "host_restart": _series("host_restart", (6.0, 12.0), (0.0, 0.2), _one_host),
     "host_pause": _series("host_pause", (4.0, 10.0), _PAUSE_S, _one_host),
     "host_reload": _series("host_reload", (2.0, 6.0), (0.0, 0.0), _one_host),
     "endpoint_kill": _series(
@@ -163,6 +200,12 @@
         _one_endpoint,
         lambda _cfg, rng: {"says_so": rng.random() < 0.7},
     ),
+    "endpoint_cold": _series(
+        "endpoint_cold",
+        (5.0, 12.0),
+        (2.0, 5.0),
+        _one_endpoint,
+    ),
     "endpoint_break_off": _plant("endpoint_break_off", {"count": 2}),
     "endpoint_spoil": _plant("endpoint_spoil", {"count": 2}),
     "endpoint_lose": _plant("endpoint_lose", {"count": 2}),
@@ -187,6 +230,15 @@
         lambda _cfg, rng: {"age_s": round(rng.uniform(1.0, 5.0), 3)},
     ),
     "zone_evacuate": _series("zone_evacuate", (8.0, 20.0), (3.0, 8.0), _one_zone),
+    "link_delay": _link_series(
+        "link_delay", (1.0, 5.0), lambda _cfg, rng: {"delay_s": rng.uniform(0.02, 0.5)}
+    ),
+    "link_reset": _link_series(
+        "link_reset", (0.0, 0.0), lambda _cfg, rng: {"share": rng.choice((0.3, 1.0))}
+    ),
+    "link_one_way": _link_series("link_one_way", (0.5, 4.0), _silence("in", "out")),
+    "link_silence": _link_series("link_silence", (0.5, 4.0), _silence("both", "stall")),
+    "region_part": _part_series("region_part"),
 }
 
 
@@ -229,7 +281,10 @@
         If it holds no list of faults, or an unknown kind.
     """
     try:
-        schedule = tuple(Fault(**fields) for fields in json.loads(text))
+        entries = json.loads(text)
+        if not isinstance(entries, list):
+            raise ValueError("not a schedule of faults: the document is no list")
+        schedule = tuple(Fault(**fields) for fields in entries)
     except (TypeError, AttributeError) as exc:
         raise ValueError(f"not a schedule of faults: {exc}") from exc
     for fault in schedule:
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -2,36 +2,18 @@
 
 import pathlib
 
-import attrs
 import pytest
 
 from soak.history import Ending
 from soak.run import play
 from soak.schedule import draw_schedule
 
+from .settings import Settings
+
 CALLER = pathlib.Path(__file__).parent / "trivial_caller.py"
 pytestmark = pytest.mark.processes
 
 
-@attrs.frozen(kw_only=True)
-class Settings:
-    seed: int = 1
-    seconds: float = 20.0
-    hosts: int = 3
-    zones: int = 3
-    endpoints: int = 6
-    callers: int = 4
-    grace_s: float = 8.0
-    faults: tuple = ("endpoint_pause", "configuration")
-    events: int = 10
-    event_gap_s: float = 0.05
-    deadline_s: float = 15.0
-    proxies: bool = False
-    path: str = "platform"
-    source: str = ""
-    old_source: str = ""
-
-
 def test_silences_and_configurations_cut_no_response(tmp_path):
     cfg = Settings(seconds=8.0)
     schedule = draw_schedule(cfg, cfg.seed)
