Order what the store publishes by era and revision

In a drill the store comes back from a copy some seconds old and gives revisions out again. A first listing also ended evacuations and dropped endpoints that the copy lacked, and an older entry brought back an endpoint that leaves.

A position is (era, revision), as one number that the store's client makes of each response, so that catalog, heartbeats, exports and logs order by it.

--- a/src/cactusmill/internal/platform_client.py
+++ b/src/cactusmill/internal/platform_client.py
@@ -120,7 +120,7 @@
             `_RESPONSE_MARGIN_S` seconds.
         """
         target = f"/v1/changes?since={since}&wait={wait_s:g}"
-        status, body = await self._client.get(target, wait_s + _RESPONSE_MARGIN_S)
+        status, _, body = await self._client.get(target, wait_s + _RESPONSE_MARGIN_S)
         if status != _OK:
             raise PlatformError(f"{self.address}: status {status}")
         return await parse_update(body)
--- a/src/cactusmill/internal/service_client.py
+++ b/src/cactusmill/internal/service_client.py
@@ -44,6 +44,7 @@
         Returns
         -------
         status : int
+        headers : list of (bytes, bytes)
         body : bytes
 
         Raises
@@ -57,7 +58,7 @@
             with trio.fail_after(timeout_s):
                 if self._conn is None:
                     self._conn = await self._open()
-                status, _, body = await perform_request(
+                status, headers, body = await perform_request(
                     self._conn, "GET", target, [(b"host", self.address.encode())]
                 )
                 self._conn.h11.start_next_cycle()
@@ -67,7 +68,7 @@
         except BaseException:
             await self.close()
             raise
-        return status, body
+        return status, headers, body
 
     async def _open(self):
         stream = await self.net.connect(self.address, _CONNECT_TIMEOUT_S)
--- a/src/cactusmill/platform/items.py
+++ b/src/cactusmill/platform/items.py
@@ -121,6 +121,7 @@
         live=state == "ready",
         warmup_left_s=_get_typed(data, "cold_left_ms", int | float, 0) / _MS_PER_S,
         started_ms=int(_get_typed(data, "born", int | float, 0)),
+        sequence=int(_get_typed(data, "seq", int | float, 0)),
     )
 
 
--- a/src/cactusmill/platform/store.py
+++ b/src/cactusmill/platform/store.py
@@ -13,15 +13,19 @@
 import trio
 
 from ..errors import PlatformError, RecordError
+from ..internal.http import header
 from ..internal.service_client import ServiceClient
 from ..internal.steps import Steps, parse_json
 from ..serving.connections import IDLE_SILENCE_MS, enable_dead_peer_detection
+from ..serving.positions import MAX_ERA, MAX_REVISION, era_of, position, revision_of
 from ..serving.source_sync import HistoryLostError, Source
 from .items import change_from_item
 
 # Responses normally take milliseconds, and up to 60 times that when the store is slow.
 _RESPONSE_TIMEOUT_S = 1.5
 _OK, _GONE = 200, 410
+# Rises when the store comes back from an older copy.
+_ERA_HEADER = b"store-era"
 _MAX_PAGES = 100
 # Configurations are repetitive: the fastest level shrinks them to about a tenth.
 _COMPRESSION_LEVEL = 1
@@ -49,6 +53,7 @@
     address: str
     net: object
     zones: dict
+    _listed_era: int = -1
     _items: dict = attrs.field(factory=dict)
     _tombstones: dict = attrs.field(factory=dict)
     _last_export: tuple | None = None
@@ -123,22 +128,25 @@
 
     async def list_all(self):
         """Return all items as changes, and the revision to watch from."""
-        changes, after, revision = [], "", None
+        changes, after, start = [], "", None
         keys = set()
         for _ in range(_MAX_PAGES):
             query = {"path_prefix": ""}
             if after:
                 query["after"] = after
-            page = await self._get("kv-range", query, _RESPONSE_TIMEOUT_S)
+            page, era = await self._get("kv-range", query, _RESPONSE_TIMEOUT_S)
             items = _get_field(page, "items", list)
             # Pages are not a consistent snapshot: watch from the first page's revision.
-            if revision is None:
-                revision = _get_field(page, "store_revision", int)
-            changes += await self._decode_items(items)
+            if start is None:
+                start = position(era, _get_revision(page, "store_revision"))
+            if era != era_of(start):
+                raise PlatformError(f"era {era} began during the listing")
+            changes += await self._decode_items(_locate_items(items, era))
             keys.update(item["key"] for item in items)
             if not page.get("has_more") or not items:
-                self._record_removed(keys, revision)
-                return changes, revision
+                self._record_removed(keys, start)
+                self._listed_era = era
+                return changes, start
             after = items[-1].get("key", "")
         raise PlatformError(f"listing has more than {_MAX_PAGES} pages")
 
@@ -158,10 +166,21 @@
         revision : int
             Revision from which to wait next.
         """
-        query = {"path_prefix": "", "after": revision, "wait_ms": int(wait_s * 1000)}
-        page = await self._get("kv-watch", query, wait_s + _RESPONSE_TIMEOUT_S)
-        changes = await self._decode_items(_get_field(page, "events", list))
-        return changes, max(revision, _get_field(page, "store_revision", int))
+        query = {
+            "path_prefix": "",
+            "after": revision_of(revision),
+            "wait_ms": int(wait_s * 1000),
+        }
+        page, era = await self._get("kv-watch", query, wait_s + _RESPONSE_TIMEOUT_S)
+        if era > era_of(revision):
+            raise HistoryLostError(f"era {era} has begun")
+        if era < era_of(revision):
+            raise PlatformError(f"the response is of era {era}, which has ended")
+        events = _locate_items(_get_field(page, "events", list), era)
+        changes = await self._decode_items(events)
+        return changes, max(
+            revision, position(era, _get_revision(page, "store_revision"))
+        )
 
     async def _decode_items(self, items):
         changes, steps = [], Steps()
@@ -178,9 +197,14 @@
         return changes
 
     def _record_removed(self, keys, revision):
-        """Record cached items missing from a listing as removed, for exports."""
+        """Record cached items missing from a listing as removed, for exports.
+
+        The first listing of an era may lack items that are about to be published again.
+        """
+        era = era_of(revision)
+        first = 0 if era == self._listed_era else position(era, 0)
         for key, item in list(self._items.items()):
-            if key not in keys and item["revision"] <= revision:
+            if key not in keys and first <= item["revision"] <= revision:
                 self._cache_item({"key": key, "revision": revision, "tombstone": True})
 
     def _cache_item(self, item):
@@ -197,8 +221,9 @@
                 del self._tombstones[oldest], self._items[oldest]
 
     async def _get(self, name, query, timeout_s):
+        """Return the decoded body of a response, and its era."""
         target = f"/cactusmill/{name}?{urllib.parse.urlencode(query)}"
-        status, body = await self._client.get(target, timeout_s)
+        status, headers, body = await self._client.get(target, timeout_s)
         if status == _GONE:
             raise HistoryLostError(f"{name}: history was compacted")
         if status != _OK:
@@ -209,7 +234,30 @@
             raise PlatformError(f"{name}: response is not valid JSON") from exc
         if not isinstance(page, dict):
             raise PlatformError(f"{name}: response is not a JSON object")
-        return page
+        return page, _parse_era(header(headers, _ERA_HEADER, "0"))
+
+
+def _parse_era(text):
+    if not (text.isascii() and text.isdigit() and int(text) <= MAX_ERA):
+        raise PlatformError(f"the era {text[:40]!r} is no number up to {MAX_ERA}")
+    return int(text)
+
+
+def _locate_items(items, era):
+    """Return items of the store with the positions of their revisions."""
+    return [
+        {**item, "revision": position(era, _get_revision(item, "revision"))}
+        if isinstance(item, dict)
+        else item
+        for item in items
+    ]
+
+
+def _get_revision(data, name):
+    revision = _get_field(data, name, int)
+    if not 0 <= revision <= MAX_REVISION:
+        raise PlatformError(f"{name}: {revision} is no revision")
+    return revision
 
 
 async def _unpack(data, steps):
--- a/src/cactusmill/records.py
+++ b/src/cactusmill/records.py
@@ -289,6 +289,8 @@
         Remaining warm-up time when the record was written, in seconds.
     started_ms : int
         Start time, in Unix milliseconds; 0 if unknown.
+    sequence : int
+        Counts what it has published since its start; 0 if unknown.
     """
 
     name: str
@@ -301,6 +303,7 @@
     checks_fencing: bool = False
     warmup_left_s: float = 0.0
     started_ms: int = 0
+    sequence: int = 0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -4,6 +4,11 @@
 for a configuration its version, is higher than that of the same item in the
 catalog. Applying changes is therefore commutative, whether they come from the log
 or from another host, and nothing ever reverts.
+
+Revisions are positions (:mod:`.positions`). After the start of an era, the source shows
+an older copy until what it lost has been published again. Until then, what the copy
+lacks or contradicts stays as it was, and an endpoint's entry counts only if it is newer
+by the endpoint's own count.
 """
 
 import hashlib
@@ -11,7 +16,10 @@
 import attrs
 
 from ..records import CallerLimits, Endpoint
+from .positions import era_of, position
 
+# What the source lost is published again within this time of the start of an era.
+SETTLE_S = 2.2
 # Revisions of removed endpoints that are kept, so that an older entry that arrives
 # late does not restore one.
 _MAX_REMOVED = 4096
@@ -147,6 +155,12 @@
     reopened_at: float = float("-inf")
 
 
+def _life(endpoint):
+    """Return an endpoint's own order of its entries; None without one."""
+    life = (endpoint.started_ms, endpoint.sequence)
+    return life if any(life) else None
+
+
 def key_digest(secret):
     """Return the SHA-256 digest under which an API key is stored.
 
@@ -162,6 +176,14 @@
     return hashlib.sha256(secret).hexdigest()
 
 
+def _is_known(endpoint, listed):
+    """Return whether an entry of a later era says no more than the known one."""
+    life, known_life = _life(endpoint), _life(listed.endpoint)
+    if endpoint == listed.endpoint:
+        return listed.removed_at is None or life is not None
+    return life is not None and known_life is not None and life < known_life
+
+
 def _mark_reopened(listed, evacuation):
     """Record the end of an evacuation if the entry was published before it."""
     if listed.revision <= evacuation.revision:
@@ -178,14 +200,19 @@
         None until the first one has been applied.
     revision : int
         Revision up to which every change has been applied.
+    settles_at : float
+        When what the source shows counts as complete again after the start of an era,
+        in seconds; minus infinity if none has started.
     """
 
     configuration: Configuration | None = None
     revision: int = 0
+    settles_at: float = float("-inf")
     _endpoints: dict = attrs.field(factory=dict)
     _removed: dict = attrs.field(factory=dict)
     _withdrawn: set = attrs.field(factory=set)
     _evacuations: dict = attrs.field(factory=dict)
+    _doubtful_evacuations: dict = attrs.field(factory=dict)
     _routes_by_host: dict = attrs.field(factory=dict)
     _names_by_service: dict = attrs.field(factory=dict)
 
@@ -213,6 +240,37 @@
                 return self._apply_evacuation(change, now)
         return False
 
+    def enter_era(self, revision, now):
+        """Begin the era of a revision if it is newer; return whether one begins.
+
+        The first era that a host learns of has nothing before it.
+        """
+        if era_of(revision) <= era_of(self.revision):
+            return False
+        is_first = self.revision == 0
+        self.mark_synced_to(position(era_of(revision), 0))
+        if not is_first:
+            self.settles_at = now + SETTLE_S
+        return not is_first
+
+    def is_settled(self, now):
+        """Return whether all that was published before the era is so again, or gone."""
+        return now >= self.settles_at
+
+    def settle(self, now):
+        """Apply the evacuations and ends that were in doubt, once it is settled.
+
+        Returns
+        -------
+        list of EvacuationChange
+            Those that had an effect.
+        """
+        if not self._doubtful_evacuations or not self.is_settled(now):
+            return []
+        changes = list(self._doubtful_evacuations.values())
+        self._doubtful_evacuations.clear()
+        return [change for change in changes if self.apply(change, now)]
+
     def mark_synced_to(self, revision):
         """Record that every change up to a revision has been applied."""
         self.revision = max(self.revision, revision)
@@ -232,14 +290,27 @@
 
     def _apply_endpoint(self, change, now):
         current = self._endpoints.get(change.name)
-        known_revision = (
-            current.revision if current else self._removed.get(change.name, 0)
+        known_revision, removed_life = (
+            (current.revision, None)
+            if current
+            else self._removed.get(change.name, (0, None))
         )
         if change.revision <= known_revision:
             return False
         if change.endpoint is not None:
+            is_later_era = era_of(change.revision) > era_of(known_revision)
+            life = _life(change.endpoint)
+            if is_later_era and current and _is_known(change.endpoint, current):
+                current.revision = change.revision
+                return False
+            if is_later_era and removed_life and life and life <= removed_life:
+                self._remember_removed(change.name, change.revision, removed_life)
+                return False
             self._removed.pop(change.name, None)
             listed = ListedEndpoint(change.endpoint, change.revision, now)
+            if is_later_era and current:
+                listed.reopened_at = current.reopened_at
+                listed.refused_at = current.refused_at
             self._list(change.name, listed)
             evacuation = self._evacuations.get(change.endpoint.zone)
             if evacuation is not None:
@@ -248,7 +319,7 @@
             current.revision = change.revision
             self._mark_removed(change.name, now)
         else:
-            self._remember_removed(change.name, change.revision)
+            self._remember_removed(change.name, change.revision, removed_life)
         return True
 
     def _list(self, name, listed):
@@ -274,16 +345,28 @@
         self._endpoints[name].removed_at = now
         self._withdrawn.add(name)
 
-    def _remember_removed(self, name, revision):
+    def _remember_removed(self, name, revision, life):
         if len(self._removed) >= _MAX_REMOVED:
             self._removed.pop(next(iter(self._removed)))
-        self._removed[name] = revision
+        self._removed[name] = revision, life
 
     def _apply_evacuation(self, change, now):
         known = self._evacuations.get(change.zone)
         if known is not None and change.revision <= known.revision:
             return False
         was_evacuated = self.is_evacuated(change.zone)
+        doubtful = self._doubtful_evacuations.get(change.zone)
+        if doubtful is not None and change.revision <= doubtful.revision:
+            return False
+        self._doubtful_evacuations.pop(change.zone, None)
+        if (
+            known is not None
+            and not self.is_settled(now)
+            and era_of(change.revision) > era_of(known.revision)
+            and change.is_evacuated != was_evacuated
+        ):
+            self._doubtful_evacuations[change.zone] = change
+            return False
         self._record_evacuation(change, now)
         return change.is_evacuated != was_evacuated
 
@@ -363,14 +446,21 @@
         list of EvacuationChange
             The ends of evacuations that this applied.
         """
+        is_settled = self.is_settled(now)
+
+        def is_outdated(published):
+            if not is_settled and era_of(published.revision) < era_of(revision):
+                return False
+            return published.revision <= revision
+
         for name, listed in list(self._endpoints.items()):
-            is_absent = name not in names and listed.revision <= revision
+            is_absent = name not in names and is_outdated(listed)
             if is_absent and listed.removed_at is None:
                 self._mark_removed(name, now)
         ended = [
             EvacuationChange(revision=revision, zone=zone, is_evacuated=False)
             for zone, known in self._evacuations.items()
-            if known.is_evacuated and zone not in zones and known.revision <= revision
+            if known.is_evacuated and zone not in zones and is_outdated(known)
         ]
         for change in ended:
             self._record_evacuation(change, now)
@@ -380,7 +470,9 @@
         """Delete endpoints removed before a time in seconds, keeping revisions."""
         for name in sorted(self._withdrawn):
             if self._endpoints[name].removed_at < before:
-                self._remember_removed(name, self._unlist(name).revision)
+                listed = self._unlist(name)
+                life = _life(listed.endpoint)
+                self._remember_removed(name, listed.revision, life)
 
     def is_evacuated(self, zone):
         """Return whether a zone is evacuated, so that its endpoints get no requests."""
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -31,6 +31,7 @@
 from .gossip import Gossip
 from .membership import HostId, Membership
 from .placement import WARMUP_HOLDOFF_S, Placement
+from .positions import era_of, revision_of
 from .quota import Quotas, RateExcess
 from .retry_after import RetrySchedule
 from .source_sync import SourceHealth, sync_from_hosts, sync_from_source
@@ -508,7 +509,8 @@
         return {
             "ready": float(self.is_ready(now)),
             "configuration_version": configuration.version if configuration else 0,
-            "revision": self.catalog.revision,
+            "revision": revision_of(self.catalog.revision),
+            "era": era_of(self.catalog.revision),
             "platform_answer_age_seconds": now - self.source_health.responded_at,
             "platform_calls": self.source.count_calls(),
             "members_live": len(self.membership.live(now)),
--- a/src/cactusmill/serving/source_sync.py
+++ b/src/cactusmill/serving/source_sync.py
@@ -8,12 +8,15 @@
 meanwhile. Hosts that are behind their peers fetch the changes from one of them.
 """
 
+import math
+
 import attrs
 import trio
 
 from ..errors import ConnectError, LinkClosedError, PlatformError
 from ..internal.steps import Steps
 from .catalog import (
+    SETTLE_S,
     ConfigurationChange,
     EndpointChange,
     EvacuationChange,
@@ -21,6 +24,7 @@
 )
 from .events import log_event
 from .forwarding import fetch_items
+from .positions import era_of, revision_of
 from .watchers import WATCH_TIMEOUT_S, may_follow
 
 # Interval at which a host checks for peers with newer revisions: shorter than the
@@ -36,7 +40,9 @@
 _LAST_RETRY_S = 1.0
 # Entries of endpoints that expired while the source was unavailable are published
 # again this soon after it recovers; until then they count as listed.
-REMOVAL_GRACE_S = 2.2
+REMOVAL_GRACE_S = SETTLE_S
+# Hosts list again spread over this time once an era has settled.
+_SETTLE_SPREAD_S = 0.3
 # Removed endpoints are kept this long, so that late entries do not restore them.
 _KEEP_REMOVED_S = 30.0
 
@@ -156,6 +162,7 @@
     """
     revision, retry_s = None, _FIRST_RETRY_S
     is_following = False
+    list_again_at = math.inf
     while True:
         should_follow = revision is not None and _is_follower(host, host.now())
         if should_follow != is_following:
@@ -170,14 +177,25 @@
             await trio.sleep(PEER_SYNC_INTERVAL_S)
             continue
         try:
-            if revision is None:
+            if (
+                revision is None
+                or host.now() >= list_again_at
+                or era_of(revision) < era_of(host.catalog.revision)
+            ):
+                list_again_at = math.inf
                 changes, revision = await source.list_all()
+                if era_of(revision) < era_of(host.catalog.revision):
+                    raise PlatformError("the listing is of an era that has ended")
+                enter_era(host, revision)
+                if not host.catalog.is_settled(host.now()):
+                    spread_s = _SETTLE_SPREAD_S * host.rng.random()
+                    list_again_at = host.catalog.settles_at + spread_s
                 await _apply_listing(host, changes, revision)
             else:
                 # Other hosts may have supplied later changes meanwhile.
                 revision = max(revision, host.catalog.revision)
                 changes, revision = await source.wait_for_changes(
-                    revision, WATCH_TIMEOUT_S
+                    revision, min(WATCH_TIMEOUT_S, max(0.0, list_again_at - host.now()))
                 )
                 await apply_changes(host, changes)
             host.catalog.mark_synced_to(revision)
@@ -208,6 +226,8 @@
     """
     while True:
         await trio.sleep(PEER_SYNC_INTERVAL_S)
+        for change in host.catalog.settle(host.now()):
+            _log_change(change)
         member = choose_sync_peer(host, host.now())
         if member is None:
             continue
@@ -219,10 +239,24 @@
             host.source_health.follow_after = host.now() + _WATCH_AFTER_PEER_FAILURE_S
             continue
         log_event("caught_up", host=member.id.name, revision=revision)
+        enter_era(host, revision)
         await apply_changes(host, changes)
         host.catalog.mark_synced_to(revision)
 
 
+def enter_era(host, revision):
+    """Begin the era of a revision of the source if it is newer, and log it."""
+    previous = host.catalog.revision
+    if host.catalog.enter_era(revision, host.now()):
+        log_event(
+            "era_begun",
+            era=era_of(revision),
+            revision=revision_of(revision),
+            previous_era=era_of(previous),
+            previous_revision=revision_of(previous),
+        )
+
+
 def _is_follower(host, now):
     """Return whether this host leaves watching to others of its region."""
     is_allowed = now >= host.source_health.follow_after
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -57,6 +57,8 @@
         Whether every request gets status 503.
     oldest : int
         Oldest revision from which a watch can start.
+    era : int or None
+        Rises when the store comes back from an older copy; None if it does not say.
     """
 
     items: dict = attrs.field(factory=dict)
@@ -65,6 +67,7 @@
     calls: int = 0
     is_down: bool = False
     oldest: int = 0
+    era: int | None = None
     changed: trio.Event = attrs.field(factory=trio.Event)
 
     def put(self, key, value):
@@ -90,13 +93,35 @@
         self.events.clear()
         self.oldest = self.revision
 
+    def copy(self):
+        """Return the store's revision and items, for :meth:`restore`."""
+        return self.revision, dict(self.items)
+
+    def restore(self, copy):
+        """Go back to a copy: what was published since is lost."""
+        self.revision, items = copy
+        self.items = dict(items)
+        self.events = [e for e in self.events if e["revision"] <= self.revision]
+        if self.era is not None:
+            self.era += 1
+        self._wake()
+
     def _publish(self, event):
         self.events.append(event)
+        self._wake()
+
+    def _wake(self):
         self.changed.set()
         self.changed = trio.Event()
 
     async def handle_request(self, request, _body):
         """Return status, headers and body of the response to a request."""
+        status, headers, body = await self._respond(request)
+        if self.era is not None:
+            headers = [*headers, (b"store-era", str(self.era).encode())]
+        return status, headers, body
+
+    async def _respond(self, request):
         self.calls += 1
         if self.is_down:
             return 503, [], b"{}"
@@ -108,10 +133,14 @@
             return _json_response(
                 items=page, has_more=len(keys) > 3, store_revision=self.revision
             )
-        after = int(params["after"])
+        after, era = int(params["after"]), self.era
+        if after > self.revision:
+            return 410, [], b"{}"
         with trio.move_on_after(int(params["wait_ms"]) / 1000):
-            while self.revision <= after:
+            while self.revision <= after and self.era == era:
                 await self.changed.wait()
+        if self.era != era:
+            return 503, [], b"{}"
         if after < self.oldest:
             return 410, [], b"{}"
         newer = [e for e in self.events if e["revision"] > after]
