Tell a crash from a silence by evidence, not by the moment of one probe

The refusals that came next, when the same request was sent to these endpoints again, were not used.

Silences still count as nothing, nor does an endpoint that answers later requests and then refuses.

Equal requests count once for each crash: those sent before it was counted do not count again. Both interfaces share internal/crash_evidence.py and internal/crash_probe.py. request_suspected logs the evidence.

--- a/src/cactusmill/errors.py
+++ b/src/cactusmill/errors.py
@@ -71,6 +71,10 @@
     """The other end refused the connection: no process listens at the address."""
 
 
+class ConnectResetError(ConnectError):
+    """The other end reset the connection: its listener closes, or it is full."""
+
+
 class ExchangeError(CactusmillError):
     """A connection failed after bytes may have reached the other end."""
 
--- a/src/cactusmill/internal/attempts.py
+++ b/src/cactusmill/internal/attempts.py
@@ -21,6 +21,8 @@
     TruncatedAnswerError,
 )
 from .chat import UsageMeter
+from .crash_evidence import Evidence, Interruption
+from .crash_probe import probe_twice
 from .endpoints import (
     LEAVING_HEADER,
     STALL_LIMIT_S,
@@ -72,6 +74,8 @@
         True once an endpoint may have received a byte of the request.
     has_paid_retry : bool
         True if the next attempt has been paid for, since the latest endpoint is silent.
+    sent_at : float
+        When the latest attempt was sent, in seconds.
     """
 
     tried: set
@@ -79,6 +83,7 @@
     meter: UsageMeter | None
     was_sent: bool = False
     has_paid_retry: bool = False
+    sent_at: float = 0.0
 
 
 async def try_endpoint(host, req, sink, progress, endpoint, may_replace):
@@ -136,6 +141,8 @@
             endpoint, host.now(), new_connection=is_suspect
         )
     except ConnectError as exc:
+        if isinstance(exc, ConnectRefusedError):
+            await host.record_crash_evidence(endpoint.name, Evidence.REFUSED)
         state.record_failure(host.now())
         progress.tried.add(endpoint.name)
         # Nothing was sent, so trying another endpoint does not use the retry budget.
@@ -174,7 +181,7 @@
     """Return None once the head of a usable response has arrived, or else a refusal."""
     timeout_s = _head_timeout_s(host, req, progress, state, exchange)
     progress.was_sent = True
-    sent_at = host.now()
+    sent_at = progress.sent_at = host.now()
     # A reused connection may be at fault itself, and is replaced by a new one.
     silent = () if exchange.reused else (endpoint.name,)
 
@@ -190,6 +197,7 @@
         if scope.cancelled_caught:
             raise SilentEndpointError("no answer before the deadline")
         record_notices(host, state, exchange)
+        host.suspects.interruptions.record_answer(endpoint.name, sent_at)
     except ExchangeError as exc:
         return await _record_failure(host, req, progress, endpoint, exchange, exc)
     load = parse_count(header(exchange.headers, LOAD_HEADER))
@@ -335,22 +343,29 @@
     """
     if isinstance(exc, SilentEndpointError):
         return False
+    host.suspects.interruptions.record(
+        Interruption(
+            digest=progress.digest,
+            request_id=req.request_id,
+            team=req.team,
+            route=req.route,
+            endpoint=endpoint,
+            sent_at=progress.sent_at,
+            broke_at=host.now(),
+            # It may have crashed before the request was sent on a reused connection.
+            may_block=not exchange.reused,
+        )
+    )
     try:
-        stream = await host.net.connect(endpoint.address, _RETRY_AFTER_S)
+        stream = await probe_twice(
+            lambda: host.net.connect(endpoint.address, _RETRY_AFTER_S)
+        )
     except ConnectRefusedError:
-        pass
+        await host.record_crash_evidence(endpoint.name, Evidence.REFUSED)
+        return True
     except ConnectError:
         # Unreachable does not mean crashed: a partition must not create suspects.
         return False
-    else:
+    if stream is not None:
         await trio.aclose_forcefully(stream)
-        return False
-    if exchange.reused and host.suspects.crash_count(progress.digest, host.now()) > 0:
-        # The endpoint may have crashed before the request was sent, so this crash can
-        # make the request a suspect but never block it.
-        return True
-    crash_count = host.suspects.record_crash(progress.digest, host.now())
-    # Reported before the request is retried or the caller gets a response, so that
-    # another host already knows of the crash if the caller resends the request to it.
-    await host.broadcast_suspect(req, progress.digest, crash_count)
-    return True
+    return False
--- a/src/cactusmill/internal/crash_suspects.py
+++ b/src/cactusmill/internal/crash_suspects.py
@@ -12,6 +12,8 @@
 
 import attrs
 
+from .crash_evidence import Interruptions
+
 # Crashes from which a request is blocked.
 BLOCKING_CRASHES = 2
 # Time after the last report of its crashes for which a request is a suspect or blocked.
@@ -46,8 +48,15 @@
 
 @attrs.define
 class CrashSuspects:
-    """Crash counts of suspected requests, as known to one host."""
+    """Crash counts of suspected requests, as known to one host.
 
+    Attributes
+    ----------
+    interruptions : Interruptions
+        Interrupted requests whose endpoints may have crashed.
+    """
+
+    interruptions: Interruptions = attrs.field(factory=Interruptions)
     _by_digest: dict = attrs.field(factory=dict)
     _running_suspects: dict = attrs.field(factory=dict)
 
@@ -74,6 +83,30 @@
         self.merge_crash_count(digest, crash_count, now)
         return crash_count
 
+    def count_crashes(self, endpoint_name, evidence, now):
+        """Count an endpoint's crash against the requests that it interrupted.
+
+        Parameters
+        ----------
+        endpoint_name : str
+            The endpoint.
+        evidence : Evidence
+            What shows that it has ended.
+        now : float
+            Current time, in seconds.
+
+        Returns
+        -------
+        list of (Interruption, int)
+            The interruptions that counted, and the crashes of their requests so far.
+        """
+        counted = []
+        for interruption in self.interruptions.confirm(endpoint_name, evidence, now):
+            digest = interruption.digest
+            if interruption.may_block or not self.crash_count(digest, now):
+                counted.append((interruption, self.record_crash(digest, now)))
+        return counted
+
     def merge_crash_count(self, digest, crash_count, now):
         """Merge the count of another host; the higher count wins."""
         if len(self._by_digest) >= _MAX_SUSPECTS:
@@ -85,6 +118,7 @@
 
     def clear(self, digest):
         """Drop a suspect that was served without a crash, unless it is blocked."""
+        self.interruptions.clear(digest)
         entry = self._by_digest.get(digest)
         if entry is not None and entry.crash_count < BLOCKING_CRASHES:
             del self._by_digest[digest]
--- a/src/cactusmill/internal/host_process.py
+++ b/src/cactusmill/internal/host_process.py
@@ -19,6 +19,7 @@
 from .buffer_budget import BufferBudget
 from .burn import BurnCounter
 from .configuration import RecordStore
+from .crash_evidence import Evidence
 from .crash_suspects import CrashSuspects
 from .descriptors import Descriptors
 from .edge import serve_caller
@@ -269,12 +270,41 @@
 
         self.nursery.start_soon(send)
 
-    async def broadcast_suspect(self, req, digest, crash_count):
+    async def record_crash_evidence(self, endpoint_name, evidence):
+        """Count an endpoint's crash against the requests that were running there.
+
+        Peers learn of it before this returns, so that another host already knows of
+        the crash if the caller resends the request to it.
+
+        Parameters
+        ----------
+        endpoint_name : str
+            The endpoint.
+        evidence : Evidence
+            What shows that it has ended.
+        """
+        now = self.now()
+        for interruption, crash_count in self.suspects.count_crashes(
+            endpoint_name, evidence, now
+        ):
+            log_fields(
+                "request_suspected",
+                request_id=interruption.request_id,
+                endpoint=endpoint_name,
+                deaths=crash_count,
+                evidence=evidence.value,
+                waited_s=round(now - interruption.broke_at, 3),
+            )
+            await self._broadcast_suspect(interruption, crash_count)
+
+    async def _broadcast_suspect(self, interruption, crash_count):
         """Report a request's crash count to the peers that may run the request."""
+        suspect = Suspect(interruption.digest, crash_count)
+        team, route = interruption.team, interruption.route
         for peer in list(self.peers.values()):
-            if peer.link and is_permitted(peer.host.region, req.team, req.route):
+            if peer.link and is_permitted(peer.host.region, team, route):
                 with contextlib.suppress(LinkClosedError):
-                    await peer.link.send(suspect=Suspect(digest, crash_count))
+                    await peer.link.send(suspect=suspect)
 
     def record_request(self, caller, route, refusal, name):
         """Count a finished request in the metrics and the burn report.
@@ -336,10 +366,28 @@
                 by_service.setdefault(service, []).append(endpoint)
         self._endpoints_by_service = by_service
         self.pool.update_listed(e.name for e in endpoints)
+        self._start_counting_crashes(endpoints)
         self._update_slot()
         if self.nursery is not None:
             reconcile_peers(self)
 
+    def _start_counting_crashes(self, endpoints):
+        """Count the crashes that a new list of endpoints shows, in the background."""
+        interruptions = self.suspects.interruptions
+        if self.nursery is None or not len(interruptions):
+            return
+        found = {
+            name: Evidence.REPLACED
+            for endpoint in endpoints
+            for name in interruptions.find_replaced(endpoint)
+        }
+        listed = {endpoint.name for endpoint in endpoints}
+        for name in interruptions.endpoint_names():
+            if name not in listed:
+                found.setdefault(name, Evidence.REMOVED)
+        for name, evidence in found.items():
+            self.nursery.start_soon(self.record_crash_evidence, name, evidence)
+
     def _update_slot(self):
         listed = self.host_list.get("host", self.cfg.host)
         # Two machines may briefly run under one name while one replaces the
@@ -436,6 +484,7 @@
                 next_expiry = self.now() + EXPIRY_S
                 self._log_descriptors()
                 self.ledger.expire(self.now())
+                self.suspects.interruptions.expire(self.now())
                 self._update_slot()
                 reconcile_peers(self)
 
--- a/src/cactusmill/internal/net.py
+++ b/src/cactusmill/internal/net.py
@@ -15,7 +15,7 @@
 import trio
 from absl import logging
 
-from ..errors import ConnectError, ConnectRefusedError
+from ..errors import ConnectError, ConnectRefusedError, ConnectResetError
 
 _BACKLOG = 1024
 # Connections that are accepted before other tasks get a turn.
@@ -64,6 +64,8 @@
     except (OSError, trio.TooSlowError) as exc:
         if _is_refused(exc):
             raise ConnectRefusedError(f"{address} refuses connections") from exc
+        if isinstance(exc, ConnectionResetError):
+            raise ConnectResetError(f"{address} resets connections") from exc
         raise ConnectError(f"no connection to {address}: {exc}") from exc
 
 
--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -7,6 +7,7 @@
 import h11
 
 from ..errors import CrossedAnswerError, TruncatedAnswerError
+from ..internal.crash_probe import probe_twice
 from ..internal.framing import ReceivedBody, response_framing
 from ..internal.http import (
     Connection,
@@ -144,7 +145,23 @@
             If it does not accept the connection at once. Only
             :class:`ConnectRefusedError` is evidence that its process has ended.
         """
-        stream = await self.net.connect(address, _PROBE_TIMEOUT_S)
+        self._keep(name, await self.net.connect(address, _PROBE_TIMEOUT_S), now)
+
+    async def probe_twice(self, name, address, now):
+        """Connect to an endpoint that may be dying, see :mod:`.crash_probe`.
+
+        A connection that stays open is kept for the next request.
+
+        Raises
+        ------
+        ConnectError
+            As :meth:`probe` does.
+        """
+        stream = await probe_twice(lambda: self.net.connect(address, _PROBE_TIMEOUT_S))
+        if stream is not None:
+            self._keep(name, stream, now)
+
+    def _keep(self, name, stream, now):
         enable_dead_peer_detection(stream)
         self.opened += 1
         self._put_idle(name, client_connection(stream), _DEFAULT_IDLE_S, now)
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -23,6 +23,7 @@
     Refusal,
     RequestSuspected,
 )
+from ..internal.crash_evidence import Evidence
 from ..internal.request import is_permitted
 from ..internal.shedding import would_shed
 from .cross_region import run_in_other_region
@@ -315,6 +316,7 @@
             await host.pool.probe(endpoint.name, endpoint.address, now)
         except ConnectRefusedError:
             host.placement.record_unreachable(choice.entry, True, host.now())
+            host.record_crash_evidence(endpoint.name, Evidence.REFUSED, host.now())
             return "the other endpoint refuses connections"
         except ConnectError:
             # The limit is short, and its end no evidence against the endpoint.
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -12,6 +12,7 @@
 
 from ..internal.account import Account
 from ..internal.buffer_budget import BufferBudget
+from ..internal.crash_evidence import Evidence
 from ..internal.crash_suspects import CrashSuspects
 from ..internal.descriptors import IDLE_BEFORE_CLOSE_S, Descriptors
 from ..internal.idle_waits import IdleWaits
@@ -49,9 +50,6 @@
 # A crash suspect, a request that was running when an endpoint crashed, is included in
 # heartbeats this long after its count last rose.
 _SUSPECT_REPORT_PERIOD_S = 3.0
-# Further attempts of equal requests at the same endpoint within this time count as
-# interrupted by the same crash.
-_SAME_CRASH_S = 2.0
 _DRAIN_POLL_INTERVAL_S = 0.02
 
 
@@ -182,7 +180,6 @@
     _leaving: trio.Event = attrs.field(factory=trio.Event)
     region_backoff_until: dict = attrs.field(factory=dict)
     _retry_schedules: dict = attrs.field(factory=dict)
-    _crashes: dict = attrs.field(factory=dict)
     _recent_suspects: dict = attrs.field(factory=dict)
     _accepting: list = attrs.field(factory=list)
 
@@ -325,24 +322,32 @@
                     endpoint=endpoint.name,
                     revision=listed.revision,
                 )
+        self.record_crash_evidence(endpoint.name, Evidence.REPLACED, self.now())
 
-    def record_crash(self, req, progress, endpoint_name, now):
-        """Count an endpoint's crash against the request that was running there.
+    def record_crash_evidence(self, endpoint_name, evidence, now):
+        """Count an endpoint's crash against the requests that were running there.
 
-        Equal requests at the endpoint within _SAME_CRASH_S count once.
+        Parameters
+        ----------
+        endpoint_name : str
+            The endpoint.
+        evidence : Evidence
+            What shows that it has ended.
+        now : float
+            Current time, in seconds.
         """
-        digest = progress.digest
-        if now - self._crashes.get((digest, endpoint_name), -1e9) < _SAME_CRASH_S:
-            return
-        self._crashes[digest, endpoint_name] = now
-        crash_count = self.suspects.record_crash(digest, now)
-        self._recent_suspects[digest] = (crash_count, now)
-        log_event(
-            "request_suspected",
-            request_id=req.request_id,
-            endpoint=endpoint_name,
-            deaths=crash_count,
-        )
+        for interruption, crash_count in self.suspects.count_crashes(
+            endpoint_name, evidence, now
+        ):
+            self._recent_suspects[interruption.digest] = (crash_count, now)
+            log_event(
+                "request_suspected",
+                request_id=interruption.request_id,
+                endpoint=endpoint_name,
+                deaths=crash_count,
+                evidence=evidence.value,
+                waited_s=round(now - interruption.broke_at, 3),
+            )
 
     def merge_suspect(self, digest, crash_count, now):
         """Apply a crash count that another host reported, if it is higher.
@@ -562,9 +567,7 @@
             self._log_shed_requests(now)
             self._log_descriptors(now)
             self.pool.close_expired(now)
-            for key, counted_at in list(self._crashes.items()):
-                if now - counted_at > _SAME_CRASH_S:
-                    del self._crashes[key]
+            self.suspects.interruptions.expire(now)
 
     def _log_shed_requests(self, now):
         count = self.shedder.count_unlogged()
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -13,6 +13,7 @@
     Overloaded,
     SilentEndpointError,
 )
+from ..internal.crash_evidence import Evidence, Interruption
 from ..internal.http import collect_body
 from .connections import exchange
 from .events import log_event
@@ -84,6 +85,8 @@
         except ConnectError as exc:
             is_refused = isinstance(exc, ConnectRefusedError)
             host.placement.record_unreachable(choice.entry, is_refused, host.now())
+            if is_refused:
+                host.record_crash_evidence(endpoint.name, Evidence.REFUSED, host.now())
             host.pool.close_idle(endpoint.name)
             progress.tried.add(endpoint.name)
             log_event("endpoint_unreachable", endpoint=endpoint.name, reason=str(exc))
@@ -107,6 +110,7 @@
         try:
             response = await _exchange(host, req, progress, choice, conn, may_give_up)
             progress.received = response.received
+            host.suspects.interruptions.record_answer(endpoint.name, sent_at)
             return await _handle_response(
                 host, req, sink, progress, choice, response, load, sent_at
             )
@@ -227,12 +231,23 @@
         host.pool.close_idle(endpoint.name)
         return
     # A live endpoint may lose a response, and a silent one may be alive; only a crash
-    # makes the request a suspect.
+    # makes the request a suspect. It is not sent again before both looks.
+    host.suspects.interruptions.record(
+        Interruption(
+            digest=progress.digest,
+            request_id=req.request_id,
+            team=req.team,
+            route=req.route,
+            endpoint=endpoint,
+            sent_at=progress.sent_at,
+            broke_at=now,
+        )
+    )
     try:
-        await host.pool.probe(endpoint.name, endpoint.address, now)
+        await host.pool.probe_twice(endpoint.name, endpoint.address, now)
     except ConnectRefusedError:
         host.pool.close_idle(endpoint.name)
-        host.record_crash(req, progress, endpoint.name, now)
+        host.record_crash_evidence(endpoint.name, Evidence.REFUSED, host.now())
     except ConnectError:
         host.pool.close_idle(endpoint.name)
 
--- a/src/cactusmill/serving/source_sync.py
+++ b/src/cactusmill/serving/source_sync.py
@@ -12,6 +12,7 @@
 import trio
 
 from ..errors import ConnectError, LinkClosedError, PlatformError
+from ..internal.crash_evidence import Evidence
 from ..internal.steps import Steps
 from .catalog import (
     ConfigurationChange,
@@ -302,8 +303,22 @@
     if not host.catalog.apply(change, host.now()):
         return
     _log_change(change)
-    if isinstance(change, EndpointChange) and change.endpoint is not None:
-        host.placement.update_endpoint(change.endpoint)
+    if isinstance(change, EndpointChange):
+        _record_crash_evidence(host, change, host.now())
+        if change.endpoint is not None:
+            host.placement.update_endpoint(change.endpoint)
+
+
+def _record_crash_evidence(host, change, now):
+    """Count crashes that a change of an endpoint's entry shows.
+
+    Entries of live endpoints may expire while the source is unavailable.
+    """
+    if change.endpoint is not None:
+        for name in host.suspects.interruptions.find_replaced(change.endpoint):
+            host.record_crash_evidence(name, Evidence.REPLACED, now)
+    elif not host.removal_grace_s(now):
+        host.record_crash_evidence(change.name, Evidence.REMOVED, now)
 
 
 def _log_change(change):
