A crash right after sending on reused connections counts too

Callers saw: a request that crashes endpoints at once went from one kept connection to the next, one endpoint after another, and was never blocked.

Cause: a reused connection that fails within 0.03 s of sending is taken for one that the endpoint closed while it was idle, and was left out of the evidence altogether.

Now it waits for evidence as other interruptions do, but can only make the request a suspect, as on the own interface; suspects run on new connections, where a crash counts fully. The endpoint is probed from the second interruption of the request on, so that ordinary idle closes cost nothing.

The double in test_endpoint_notices takes the new parameter of ConnectionPool.acquire; what it checks is unchanged.

--- a/src/cactusmill/internal/crash_evidence.py
+++ b/src/cactusmill/internal/crash_evidence.py
@@ -97,6 +97,10 @@
         """Return the names of the endpoints of the interruptions that wait."""
         return list(self._by_endpoint)
 
+    def is_waiting(self, digest):
+        """Return whether an interruption of a request waits for evidence."""
+        return any(digest in by_digest for by_digest in self._by_endpoint.values())
+
     def record(self, interruption):
         """Add an interruption, unless its endpoint's crash has been counted.
 
--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -114,16 +114,18 @@
         share = max(1, int(max_connections * _CONNECTION_FRACTION / hosts))
         return self._in_use.get(name, 0) < share
 
-    async def acquire(self, name, address, now):
+    async def acquire(self, name, address, now, new_connection=False):
         """Return a connection and whether it is a reused one.
 
+        With `new_connection` it is never a reused one.
+
         Raises
         ------
         ConnectError
             If none could be opened; the endpoint has received nothing.
         """
         idle = self._idle.get(name, ())
-        while idle:
+        while idle and not new_connection:
             entry = idle.pop()
             if now < entry.expires_at and is_idle_and_open(entry.conn.stream):
                 limit_silence(entry.conn.stream, IN_USE_SILENCE_MS)
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -79,8 +79,11 @@
     load = InFlightLoad(view, choice.uncached_tokens)
     try:
         try:
+            # A new connection proves that the endpoint was alive when a suspect was
+            # sent to it, so that a crash after it counts.
+            is_suspect = host.suspects.crash_count(progress.digest, sent_at) > 0
             conn, was_used = await host.pool.acquire(
-                endpoint.name, endpoint.address, sent_at
+                endpoint.name, endpoint.address, sent_at, new_connection=is_suspect
             )
         except ConnectError as exc:
             is_refused = isinstance(exc, ConnectRefusedError)
@@ -226,13 +229,17 @@
         failure_rate=round(view.failure_rate(now), 2),
         **progress.body_fields(),
     )
-    if is_stale or isinstance(exc, SilentEndpointError):
+    is_silent = isinstance(exc, SilentEndpointError)
+    if is_stale or is_silent:
         # Other idle connections may be closed or unresponsive as well.
         host.pool.close_idle(endpoint.name)
+    if is_silent:
         return
     # A live endpoint may lose a response, and a silent one may be alive; only a crash
     # makes the request a suspect. It is not sent again before both looks.
-    host.suspects.interruptions.record(
+    interruptions = host.suspects.interruptions
+    was_waiting = interruptions.is_waiting(progress.digest)
+    interruptions.record(
         Interruption(
             digest=progress.digest,
             request_id=req.request_id,
@@ -241,8 +248,13 @@
             endpoint=endpoint,
             sent_at=progress.sent_at,
             broke_at=now,
+            # It may have ended before the request was sent.
+            may_block=not is_stale,
         )
     )
+    if is_stale and not was_waiting:
+        # It has most likely closed an idle connection. Two in a row are unlikely.
+        return
     try:
         await host.pool.probe_twice(endpoint.name, endpoint.address, now)
     except ConnectRefusedError:
--- a/tests/serving/test_endpoint_notices.py
+++ b/tests/serving/test_endpoint_notices.py
@@ -110,7 +110,7 @@
     async def scenario(deployment):
         host = deployment.hosts["e1"]
 
-        async def acquire_late(pool, name, address, now):
+        async def acquire_late(pool, name, address, now, new_connection=False):
             result = await acquire(pool, name, address, now)
             # Another response of the endpoint says so meanwhile.
             metadata = DIALECT.read_response_head(200, [(b"server-leaving", b"1")])
--- a/tests/serving/test_whole_path.py
+++ b/tests/serving/test_whole_path.py
@@ -793,3 +793,28 @@
         return NoEndpoint(detail="a refusal of the test")
 
     on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+def test_crash_right_after_sending_on_reused_connections_blocks_the_request():
+    # Each connection breaks too soon to tell it from one that was closed while idle.
+    async def scenario(deployment):
+        async def crash_endpoint(endpoint, conn, request):
+            await read_body(conn, 10**6)
+            endpoint.runs.append(header(request.headers, b"request-id"))
+            deployment.scopes[endpoint.name].cancel()
+            return False
+
+        host = deployment.hosts["e1"]
+        crashed = {name: e.runs for name, e in deployment.endpoints.items()}
+        for endpoint in deployment.endpoints.values():
+            endpoint.handler = crash_endpoint
+            await host.pool.probe(endpoint.name, endpoint.address, host.now())
+        for number in range(6):
+            reply = await deployment.send_request(
+                "e1", "/chat/1", request_id=f"r-{number}", model="m"
+            )
+        assert b"RequestSuspected" in reply.body
+        assert sum(map(len, crashed.values())) <= 3
+
+    engines = [(f"engine-{n}", "east-a", "engines") for n in range(6)]
+    on_deployment(scenario, endpoints=engines)
