The second look at a probe ends when its connection does

Own interface, in the simulation: an endpoint that accepted connections for a moment after its crash was not seen to be gone (four engines crashed, two are allowed), since the look at the probe's connection saw only sockets. Reading from the connection sees its end on any stream. The new tests in tests/test_failures.py failed before; their twin switches the second look and later evidence off.

--- a/src/cactusmill/internal/crash_probe.py
+++ b/src/cactusmill/internal/crash_probe.py
@@ -1,9 +1,10 @@
 """Looks whether the process of an endpoint has ended after an interruption."""
 
+import contextlib
+
 import trio
 
-from ..errors import ConnectRefusedError, ConnectResetError
-from .http import is_idle_and_open
+from ..errors import ConnectResetError
 
 # A dying process closes its connections and its listener in any order. Until the
 # listener is closed, connections to it are accepted, and reset when it is.
@@ -33,20 +34,29 @@
     """
     try:
         stream = await connect()
-    except ConnectRefusedError:
-        raise
     except ConnectResetError:
         await trio.sleep(SECOND_LOOK_S)
     else:
+        is_open = False
         try:
-            await trio.sleep(SECOND_LOOK_S)
-        except trio.Cancelled:
-            await trio.aclose_forcefully(stream)
-            raise
-        if is_idle_and_open(stream):
+            is_open = await _stays_open(stream)
+        finally:
+            if not is_open:
+                await trio.aclose_forcefully(stream)
+        if is_open:
             return stream
-        await trio.aclose_forcefully(stream)
     try:
         return await connect()
     except ConnectResetError:
         return None
+
+
+async def _stays_open(stream):
+    """Return after SECOND_LOOK_S whether a connection is open and nothing arrived."""
+    is_open = True
+    with trio.move_on_after(SECOND_LOOK_S):
+        with contextlib.suppress(trio.BrokenResourceError):
+            await stream.receive_some(1)
+        is_open = False
+        await trio.sleep_forever()
+    return is_open
--- a/tests/internal/test_crash_evidence.py
+++ b/tests/internal/test_crash_evidence.py
@@ -243,7 +243,7 @@
         closed.append(stream)
 
     monkeypatch.setattr(crash_probe.trio, "aclose_forcefully", close)
-    stream = types.SimpleNamespace()
+    stream = types.SimpleNamespace(receive_some=lambda _: trio.sleep_forever())
 
     async def connect():
         return stream
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -3,7 +3,14 @@
 import pytest
 import trio
 
-from cactusmill.internal import at_most_once, attempts, endpoints, record_sync
+from cactusmill.internal import (
+    at_most_once,
+    attempts,
+    crash_evidence,
+    crash_probe,
+    endpoints,
+    record_sync,
+)
 from cactusmill.internal.crash_suspects import CrashSuspects
 from cactusmill.internal.http import client_connection, perform_request
 from standins.engine import CRASH_MARKER
@@ -118,9 +125,12 @@
     sim.host_list.put("endpoint", name, {**body, "state": "leaving"})
 
 
-def run_crashing_requests(seed, hosts, gap_s=0.5, send_others=True):
+def run_crashing_requests(seed, hosts, gap_s=0.5, send_others=True, listens_s=0.0):
     """Send a request that crashes engines repeatedly, among harmless ones.
 
+    A crashed engine goes on to accept connections for `listens_s`, in seconds, and
+    then closes them.
+
     Returns the names of the crashed engines, and the statuses of the harmless requests
     and of the crashing one.
     """
@@ -133,8 +143,18 @@
 
         def kill(name):
             crashed.append(name)
+            for stream in list(sim.machines[name].streams):
+                stream.reset()
+            if listens_s:
+                sim.nursery.start_soon(kill_later, name)
+            else:
+                real_kill(name)
+                sim.nursery.start_soon(restart_soon, sim, name)
+
+        async def kill_later(name):
+            await trio.sleep(listens_s)
             real_kill(name)
-            sim.nursery.start_soon(restart_soon, sim, name)
+            await restart_soon(sim, name)
 
         for name, engine in sim.engines.items():
             engine.crash = lambda name=name: kill(name)
@@ -173,6 +193,28 @@
     assert harmless.count(200) >= len(harmless) - 2
 
 
+@pytest.mark.parametrize("listens_s", [0.001, 0.02, 0.045])
+def test_crashing_request_is_blocked_if_engines_listen_on(listens_s):
+    crashed, _, crashing = run_crashing_requests(1, ALL_HOSTS, listens_s=listens_s)
+    print(f"listens {listens_s} s: crashed {crashed} crashing {crashing}")
+    assert len(crashed) <= 2
+    assert crashing[-1] == 422
+
+
+def test_crashing_request_is_blocked_once_engines_refuse_connections():
+    # None of the probes finds an engine gone.
+    listens_s = 6 * crash_probe.SECOND_LOOK_S
+    _, _, crashing = run_crashing_requests(1, ALL_HOSTS, listens_s=listens_s)
+    assert crashing[-1] == 422
+
+
+def test_check_detects_a_single_probe_without_further_evidence(monkeypatch):
+    monkeypatch.setattr(crash_probe, "SECOND_LOOK_S", 0.0)
+    monkeypatch.setattr(crash_evidence, "EVIDENCE_WINDOW_S", 0.001)
+    crashed, _, _ = run_crashing_requests(1, ALL_HOSTS, listens_s=0.02)
+    assert len(crashed) > 2
+
+
 def test_check_detects_a_fleet_that_blocks_no_request(monkeypatch):
     monkeypatch.setattr(CrashSuspects, "is_blocked", lambda self, digest, now: False)
     crashed, _, _ = run_crashing_requests(1, ALL_HOSTS)
