--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -7,6 +7,7 @@
 import h11
 
 from ..errors import CrossedAnswerError, TruncatedAnswerError
+from ..internal.crash_probe import probe_twice
 from ..internal.framing import ReceivedBody, response_framing
 from ..internal.http import (
     Connection,
@@ -113,16 +114,18 @@
         share = max(1, int(max_connections * _CONNECTION_FRACTION / hosts))
         return self._in_use.get(name, 0) < share
 
-    async def acquire(self, name, address, now):
+    async def acquire(self, name, address, now, new_connection=False):
         """Return a connection and whether it is a reused one.
 
+        With `new_connection` it is never a reused one.
+
         Raises
         ------
         ConnectError
             If none could be opened; the endpoint has received nothing.
         """
         idle = self._idle.get(name, ())
-        while idle:
+        while idle and not new_connection:
             entry = idle.pop()
             if now < entry.expires_at and is_idle_and_open(entry.conn.stream):
                 limit_silence(entry.conn.stream, IN_USE_SILENCE_MS)
@@ -144,7 +147,23 @@
             If it does not accept the connection at once. Only
             :class:`ConnectRefusedError` is evidence that its process has ended.
         """
-        stream = await self.net.connect(address, _PROBE_TIMEOUT_S)
+        self._keep(name, await self.net.connect(address, _PROBE_TIMEOUT_S), now)
+
+    async def probe_twice(self, name, address, now):
+        """Connect to an endpoint that may be dying, see :mod:`.crash_probe`.
+
+        A connection that stays open is kept for the next request.
+
+        Raises
+        ------
+        ConnectError
+            As :meth:`probe` does.
+        """
+        stream = await probe_twice(lambda: self.net.connect(address, _PROBE_TIMEOUT_S))
+        if stream is not None:
+            self._keep(name, stream, now)
+
+    def _keep(self, name, stream, now):
         enable_dead_peer_detection(stream)
         self.opened += 1
         self._put_idle(name, client_connection(stream), _DEFAULT_IDLE_S, now)
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -13,6 +13,7 @@
     Overloaded,
     SilentEndpointError,
 )
+from ..internal.crash_evidence import Evidence, Interruption
 from ..internal.http import collect_body
 from .connections import exchange
 from .events import log_event
@@ -78,12 +79,17 @@
     load = InFlightLoad(view, choice.uncached_tokens)
     try:
         try:
+            # A new connection proves that the endpoint was alive when a suspect was
+            # sent to it, so that a crash after it counts.
+            is_suspect = host.suspects.crash_count(progress.digest, sent_at) > 0
             conn, was_used = await host.pool.acquire(
-                endpoint.name, endpoint.address, sent_at
+                endpoint.name, endpoint.address, sent_at, new_connection=is_suspect
             )
         except ConnectError as exc:
             is_refused = isinstance(exc, ConnectRefusedError)
             host.placement.record_unreachable(choice.entry, is_refused, host.now())
+            if is_refused:
+                host.record_crash_evidence(endpoint.name, Evidence.REFUSED, host.now())
             host.pool.close_idle(endpoint.name)
             progress.tried.add(endpoint.name)
             log_event("endpoint_unreachable", endpoint=endpoint.name, reason=str(exc))
@@ -107,6 +113,7 @@
         try:
             response = await _exchange(host, req, progress, choice, conn, may_give_up)
             progress.received = response.received
+            host.suspects.interruptions.record_answer(endpoint.name, sent_at)
             return await _handle_response(
                 host, req, sink, progress, choice, response, load, sent_at
             )
@@ -222,17 +229,37 @@
         failure_rate=round(view.failure_rate(now), 2),
         **progress.body_fields(),
     )
-    if is_stale or isinstance(exc, SilentEndpointError):
+    is_silent = isinstance(exc, SilentEndpointError)
+    if is_stale or is_silent:
         # Other idle connections may be closed or unresponsive as well.
         host.pool.close_idle(endpoint.name)
+    if is_silent:
         return
     # A live endpoint may lose a response, and a silent one may be alive; only a crash
-    # makes the request a suspect.
+    # makes the request a suspect. It is not sent again before both looks.
+    interruptions = host.suspects.interruptions
+    was_waiting = interruptions.is_waiting(progress.digest)
+    interruptions.record(
+        Interruption(
+            digest=progress.digest,
+            request_id=req.request_id,
+            team=req.team,
+            route=req.route,
+            endpoint=endpoint,
+            sent_at=progress.sent_at,
+            broke_at=now,
+            # It may have ended before the request was sent.
+            may_block=not is_stale,
+        )
+    )
+    if is_stale and not was_waiting:
+        # It has most likely closed an idle connection. Two in a row are unlikely.
+        return
     try:
-        await host.pool.probe(endpoint.name, endpoint.address, now)
+        await host.pool.probe_twice(endpoint.name, endpoint.address, now)
     except ConnectRefusedError:
         host.pool.close_idle(endpoint.name)
-        host.record_crash(req, progress, endpoint.name, now)
+        host.record_crash_evidence(endpoint.name, Evidence.REFUSED, host.now())
     except ConnectError:
         host.pool.close_idle(endpoint.name)
 
