Relay the pieces of a body that arrived together with one write

Callers saw a finished stream cut at its deadline on a host whose event loop was late: each event that lay in h11, or in a frame of a link, was written alone, and each write takes a turn. 60 events that had arrived took 61 turns.

Connection.next_data and the reader of forwarded bodies now return all pieces that have arrived, up to 64 KiB and 64 pieces. What follows them, the end or a failure, is kept for the next call, so that whatever was whole before a break is still relayed. Nothing is awaited for the sake of joining, so an event that arrives alone leaves alone. The own interface has both by the same functions; its forwarded bodies are written in parts of 1 MiB at most, and what has arrived with the head leaves with it.

Events count as relayed once their write has ended, by a call of its own: a stream is resumed after EventScanner.last_id, and must not be resumed after an event that its caller has not got. Tests of the scanner say so more strictly than before. A test of forwarding compared the list of pieces, which is no promise; it now compares the bytes with exactly those of the frames that arrived in order.

The property test fails if events count before they were written.

--- a/src/cactusmill/internal/answer_frames.py
+++ b/src/cactusmill/internal/answer_frames.py
@@ -12,7 +12,7 @@
 from .wire.ttypes import AnswerData, AnswerEnd, Frame
 
 # Far below the limit of a frame.
-_MAX_DATA_BYTES = 1024 * 1024
+MAX_DATA_BYTES = 1024 * 1024
 
 
 def whole_answer(call, head, body):
@@ -28,8 +28,8 @@
         The complete body.
     """
     data = [
-        Frame(answer_data=AnswerData(call, body[at : at + _MAX_DATA_BYTES], at))
-        for at in range(0, len(body), _MAX_DATA_BYTES)
+        Frame(answer_data=AnswerData(call, body[at : at + MAX_DATA_BYTES], at))
+        for at in range(0, len(body), MAX_DATA_BYTES)
     ]
     end = Frame(answer_end=AnswerEnd(call, True, len(body)))
     return [Frame(answer_head=head), *data, end]
--- a/src/cactusmill/internal/event_stream.py
+++ b/src/cactusmill/internal/event_stream.py
@@ -89,11 +89,13 @@
     Attributes
     ----------
     last_id : str
-        Identifier of the last complete event; empty before the first.
+        Identifier of the last event that was relayed; empty before the first. A
+        stream is resumed after it.
     """
 
     def __init__(self):
         self.last_id = ""
+        self._complete_id = None
         self._received = bytearray()
 
     @property
@@ -104,6 +106,8 @@
     def feed(self, data):
         """Add data and return the bytes up to the end of the last complete event.
 
+        They count as relayed once :meth:`mark_relayed` is called.
+
         Parameters
         ----------
         data : bytes
@@ -130,9 +134,15 @@
         del self._received[:end]
         last_id = _find_last_id(complete_events)
         if last_id is not None:
-            self.last_id = last_id
+            self._complete_id = last_id
         return complete_events
 
+    def mark_relayed(self):
+        """Count the events that were returned as relayed."""
+        if self._complete_id is not None:
+            self.last_id, self._complete_id = self._complete_id, None
+
     def discard_partial_event(self):
-        """Discard the bytes of a truncated event."""
+        """Discard the bytes of a truncated event, and what was not relayed."""
         self._received.clear()
+        self._complete_id = None
--- a/src/cactusmill/internal/forward_client.py
+++ b/src/cactusmill/internal/forward_client.py
@@ -15,7 +15,7 @@
     NoEndpoint,
     Overloaded,
 )
-from .answer_frames import read_body_frame
+from .answer_frames import MAX_DATA_BYTES, read_body_frame
 from .framing import Framing, new_received_body
 from .peers import next_frame
 from .wire.ttypes import Cancel, Forward, Header
@@ -67,9 +67,7 @@
             received = new_received_body(Framing.LINK, req.cost_tokens)
             chunks, is_complete = _read_arrived(frames, received)
             if not is_complete:
-                await sink.head(head.status, headers)
-                for data in chunks:
-                    await sink.data(data)
+                await sink.head(head.status, headers, b"".join(chunks))
                 await _relay_body(frames, received, sink)
                 is_complete = True
                 await sink.end()
@@ -103,6 +101,8 @@
 async def _relay_body(frames, received, sink):
     """Relay the rest of a response, with one write for all frames that have arrived.
 
+    A write has up to `MAX_DATA_BYTES` bytes and one frame more.
+
     Raises
     ------
     AnswerCutError
@@ -110,13 +110,17 @@
     """
     is_complete, failure = False, None
     while not is_complete:
-        chunks = []
+        chunks, size = [], 0
         try:
             frame = await next_frame(frames)
             while (data := read_body_frame(frame, received)) is not None:
                 chunks.append(data)
+                size += len(data)
+                if size >= MAX_DATA_BYTES:
+                    break
                 frame = frames.receive_nowait()
-            is_complete = True
+            else:
+                is_complete = True
         except trio.WouldBlock:
             pass
         except (LinkClosedError, trio.EndOfChannel, ExchangeError) as exc:
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -26,6 +26,9 @@
 from .framing import ReceivedBody, are_pieces_too_small, response_framing
 
 RECEIVE_BYTES = 64 * 1024
+# Bytes of a body after which no further piece of it is joined to those that arrived
+# together.
+MAX_JOINED_BYTES = 64 * 1024
 LINGER_S = 1.0
 _LINGER_BYTES = 1024 * 1024
 # Interim responses (1xx) before a final one.
@@ -87,6 +90,9 @@
     has_looked: bool = False
     _resets_on_close: bool = False
     _events_in_turn: int = 0
+    # What came behind the pieces of a body that were returned last: an event of
+    # ``h11``, or the error that is to be raised.
+    _held: object = None
 
     def reset_cycle(self, max_head_bytes):
         """Start a server's next message cycle after a body was sent without ``h11``.
@@ -117,6 +123,8 @@
         h11.RemoteProtocolError
             If the other end violates the protocol.
         """
+        if self._held is not None:
+            return self._take_held()
         if self._events_in_turn >= _EVENTS_PER_TURN:
             self._events_in_turn = 0
             # Bytes that have arrived are handled though a deadline passes meanwhile.
@@ -131,6 +139,12 @@
                 await self.send(h11.InformationalResponse(status_code=100, headers=[]))
             await self.receive()
 
+    def _take_held(self):
+        held, self._held = self._held, None
+        if isinstance(held, Exception):
+            raise held
+        return held
+
     async def receive(self):
         """Pass the next received bytes, or the end of the stream, to ``h11``.
 
@@ -167,6 +181,10 @@
     async def next_data(self, received=None):
         """Return the next received bytes of the body, or None at its end.
 
+        Pieces that have arrived together are returned as one, up to
+        `MAX_JOINED_BYTES` bytes and one piece more. A failure behind them is raised
+        by the next call.
+
         Parameters
         ----------
         received : ReceivedBody or None
@@ -184,10 +202,30 @@
             return None
         if not isinstance(event, h11.Data):
             raise TruncatedAnswerError(f"{type(event).__name__} inside a body")
-        data = bytes(event.data)
         if received is not None:
-            received.add(data)
-        return data
+            received.add(event.data)
+        return self._join_arrived(bytes(event.data), received)
+
+    def _join_arrived(self, data, received):
+        """Return a piece of a body with those behind it that have arrived."""
+        pieces, size = [data], len(data)
+        while size < MAX_JOINED_BYTES and self._events_in_turn < _EVENTS_PER_TURN:
+            try:
+                event = self.h11.next_event()
+                if event is h11.NEED_DATA:
+                    break
+                self._events_in_turn += 1
+                if not isinstance(event, h11.Data):
+                    self._held = event
+                    break
+                if received is not None:
+                    received.add(event.data)
+            except (h11.RemoteProtocolError, ExchangeError) as exc:
+                self._held = exc
+                break
+            pieces.append(bytes(event.data))
+            size += len(event.data)
+        return pieces[0] if len(pieces) == 1 else b"".join(pieces)
 
     async def send(self, *events):
         """Send events with one write.
--- a/src/cactusmill/internal/link.py
+++ b/src/cactusmill/internal/link.py
@@ -201,6 +201,22 @@
                     await self._fill(end, count_held)
             except BufferLimitError as exc:
                 raise LinkFullError(str(exc)) from exc
+        return self._take_frame(end)
+
+    def receive_arrived(self):
+        """Return the next frame if it has been received whole, or else None.
+
+        Raises
+        ------
+        LinkClosedError
+            If it is no frame.
+        """
+        if len(self._received) < _LENGTH.size:
+            return None
+        end = _LENGTH.size + _LENGTH.unpack_from(self._received)[0]
+        return None if len(self._received) < end else self._take_frame(end)
+
+    def _take_frame(self, end):
         data = bytes(self._received[_LENGTH.size : end])
         del self._received[:end]
         return decode(data)
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -32,7 +32,7 @@
 from ..internal.account import cut_reason
 from ..internal.answer_frames import answer_sink, read_body_frame
 from ..internal.framing import Framing, ReceivedBody
-from ..internal.http import is_idle_and_open
+from ..internal.http import MAX_JOINED_BYTES, is_idle_and_open
 from ..internal.link import FRAME_TIMEOUT_S, Link
 from ..internal.patience import give_up_always, receive_patiently
 from ..internal.request import Request
@@ -68,6 +68,8 @@
 # nor one that it has not answered.
 _LEAVING = "Leaving"
 _FAREWELL_S = 0.5
+# Frames of a response that are handled before other tasks get a turn.
+_MAX_JOINED_FRAMES = 64
 
 
 def _headers_to_wire(headers):
@@ -220,9 +222,10 @@
         return _refusal(head)
 
     received = ReceivedBody(Framing.LINK)
+    body = _ForwardedBody(link, received)
 
     async def next_data():
-        return await _next_data(link, received, stall_timeout_s, may_give_up)
+        return await body.next_data(stall_timeout_s, may_give_up)
 
     async def release(now):
         await host.links.release(member.id.ip, link, now)
@@ -256,15 +259,53 @@
     return head
 
 
-async def _next_data(link, received, stall_timeout_s, may_give_up=give_up_always):
-    """Return the next chunk of a forwarded response's body, or None at its end."""
-    try:
-        frame = await receive_patiently(
-            link.receive, link.stream, stall_timeout_s, may_give_up
-        )
-    except LinkClosedError as exc:
-        raise TruncatedAnswerError(str(exc)) from exc
-    return read_body_frame(frame, received)
+@attrs.define(eq=False)
+class _ForwardedBody:
+    """Reads the body of a forwarded response."""
+
+    link: Link
+    received: ReceivedBody
+    # What came behind the chunk that was returned last.
+    _is_over: bool = False
+    _failure: Exception | None = None
+
+    async def next_data(self, stall_timeout_s, may_give_up):
+        """Return the data of the next frames, or None at the end.
+
+        Frames that have arrived together are joined. A failure behind them is raised
+        by the next call.
+        """
+        if self._failure is not None:
+            raise self._failure
+        if self._is_over:
+            return None
+        try:
+            frame = await receive_patiently(
+                self.link.receive, self.link.stream, stall_timeout_s, may_give_up
+            )
+        except LinkClosedError as exc:
+            raise TruncatedAnswerError(str(exc)) from exc
+        data = read_body_frame(frame, self.received)
+        return None if data is None else self._join_arrived(data)
+
+    def _join_arrived(self, data):
+        chunks, size = [data], len(data)
+        try:
+            while size < MAX_JOINED_BYTES and len(chunks) < _MAX_JOINED_FRAMES:
+                frame = self.link.receive_arrived()
+                if frame is None:
+                    break
+                data = read_body_frame(frame, self.received)
+                if data is None:
+                    self._is_over = True
+                    break
+                chunks.append(data)
+                size += len(data)
+        except LinkClosedError as exc:
+            self._failure = TruncatedAnswerError(str(exc))
+        except ExchangeError as exc:
+            self._failure = exc
+        return chunks[0] if len(chunks) == 1 else b"".join(chunks)
 
 
 def _refusal(head):
--- a/src/cactusmill/serving/response_relay.py
+++ b/src/cactusmill/serving/response_relay.py
@@ -98,6 +98,8 @@
             await sink.data(complete_events)
         elif complete_events:
             await _send_head(host, sink, progress, response, complete_events)
+        if complete_events:
+            scanner.mark_relayed()
     check_last_event(tail, response.received.framing)
     await response.release(host.now())
     load.is_complete = True
--- a/tests/internal/test_event_stream.py
+++ b/tests/internal/test_event_stream.py
@@ -30,10 +30,15 @@
     edges = sorted({0, len(data), *(o for o in offsets if o < len(data))})
     scanner, passed_on = EventScanner(), b""
     for start, stop in zip(edges, edges[1:], strict=False):
+        counted = scanner.last_id
         passed_on += scanner.feed(data[start:stop])
+        # They count as relayed only once they have been.
+        assert scanner.last_id == counted
+        scanner.mark_relayed()
         # An event is passed on with the data that completes it.
         whole = [n for n in range(count + 1) if len(b"".join(events[:n])) <= stop]
         assert passed_on == b"".join(events[: whole[-1]])
+        assert scanner.last_id == (str(whole[-1] - 1) if whole[-1] else "")
     assert scanner.partial_event_bytes == len(tail)
     assert scanner.last_id == (str(count - 1) if count else "")
 
@@ -42,4 +47,6 @@
 def test_only_fields_named_id_are_identifiers(line_end):
     scanner = EventScanner()
     scanner.feed(line_end.join([b"id: 4", b"data: id: 5", b"xid: 6", b"", b""]))
+    assert scanner.last_id == ""
+    scanner.mark_relayed()
     assert scanner.last_id == "4"
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -76,7 +76,7 @@
 
 
 def relay(delivered):
-    """Return the chunks that a host receives, and whether the body seemed complete."""
+    """Return the bytes that a host receives, and whether the body seemed complete."""
 
     async def main():
         caller_end, caller_far = trio.testing.memory_stream_pair()
@@ -102,7 +102,7 @@
                 except ExchangeError:
                     pass
                 nursery.cancel_scope.cancel()
-        return received, is_complete
+        return b"".join(received), is_complete
 
     return trio.run(main)
 
@@ -113,7 +113,7 @@
 
 
 def test_frames_in_order_are_a_complete_response():
-    assert relay([1, 2, 3, 4, 5, 6, 7]) == (CHUNKS, True)
+    assert relay([1, 2, 3, 4, 5, 6, 7]) == (b"".join(CHUNKS), True)
 
 
 @given(delivered=st.lists(st.integers(1, len(CHUNKS) + 1), max_size=10))
@@ -121,8 +121,11 @@
 @settings(deadline=None)
 def test_forwarded_response_with_a_lost_or_repeated_frame_is_broken_off(delivered):
     received, is_complete = relay(delivered)
-    assert received == CHUNKS[: len(received)]
-    assert not is_complete or received == CHUNKS
+    in_order = 0
+    while delivered[in_order : in_order + 1] == [in_order + 1]:
+        in_order += 1
+    assert received == b"".join(CHUNKS[:in_order])
+    assert is_complete == (in_order > len(CHUNKS))
 
 
 def test_idle_link_that_the_other_host_has_closed_is_not_used_again():
--- a/tests/serving/test_response_relay.py
+++ b/tests/serving/test_response_relay.py
@@ -1,14 +1,29 @@
 """Tests of the relay of responses when deadlines pass at any moment."""
 
+import contextlib
 import types
 
+import attrs
 import h11
 import pytest
 import trio
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
-from cactusmill.internal.http import client_connection, header, read_body
+from cactusmill.errors import CallerGoneError, ExchangeError
+from cactusmill.internal.answer_frames import answer_sink
+from cactusmill.internal.framing import Framing, ReceivedBody
+from cactusmill.internal.http import (
+    MAX_JOINED_BYTES,
+    RECEIVE_BYTES,
+    client_connection,
+    header,
+    read_body,
+)
+from cactusmill.internal.link import Link
+from cactusmill.internal.patience import give_up_always
 from cactusmill.internal.request import Sink
-from cactusmill.serving import events, response_relay, sending
+from cactusmill.serving import events, forwarding, response_relay, sending
 from cactusmill.serving.connections import ConnectionPool, exchange
 from cactusmill.serving.progress import Progress
 from standins.late_loop import late_loop
@@ -178,3 +193,212 @@
         assert loop.turns <= count / 3
 
     trio.run(main)
+
+
+@attrs.define
+class ScriptedStream(trio.abc.Stream):
+    """A transport that brings one of its pieces with each receipt."""
+
+    pieces: list
+    check: object
+
+    async def send_all(self, data):
+        await trio.lowlevel.checkpoint()
+
+    async def wait_send_all_might_not_block(self):
+        pass
+
+    async def receive_some(self, max_bytes=None):
+        self.check()
+        await trio.lowlevel.checkpoint()
+        return self.pieces.pop(0) if self.pieces else b""
+
+    async def aclose(self):
+        pass
+
+
+METADATA = types.SimpleNamespace(request_id=None, will_close=False, idle_s=None)
+HOST = types.SimpleNamespace(
+    now=lambda: 0.0,
+    dialect=types.SimpleNamespace(filter_response_headers=lambda headers: []),
+)
+CHUNKED_HEAD = (
+    b"HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n"
+    b"transfer-encoding: chunked\r\n\r\n"
+)
+
+
+def chunk(data):
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+async def relay_pieces(pieces, sink, progress, check=lambda: None):
+    """Relay the response that a transport brings in some pieces."""
+    stream = ScriptedStream(list(pieces), check)
+    response = await exchange(
+        ConnectionPool(net=None),
+        "engine-1",
+        client_connection(stream),
+        h11.Request(method="GET", target="/", headers=[("host", "-")]),
+        b"",
+        "r-1",
+        lambda status, headers: METADATA,
+        (5.0, 1.6),
+    )
+    await relay_response(response, sink, progress)
+
+
+async def relay_response(response, sink, progress):
+    load = types.SimpleNamespace(mark_prompt_read=lambda: None, is_complete=False)
+    await response_relay.relay_stream(
+        HOST, None, sink, progress, None, response, load, 0.0
+    )
+
+
+def split(data, offsets):
+    edges = sorted({0, len(data), *(o for o in offsets if o < len(data))})
+    return [data[a:b] for a, b in zip(edges, edges[1:], strict=False)]
+
+
+def sink_of(write):
+    return Sink(
+        head=lambda status, headers, first=b"": write(first),
+        data=write,
+        end=lambda: write(b""),
+    )
+
+
+@settings(max_examples=300, derandomize=True, deadline=None)
+@given(
+    count=st.integers(1, 8),
+    chunk_offsets=st.lists(st.integers(0, 200), max_size=8),
+    piece_offsets=st.lists(st.integers(0, 400), max_size=8),
+    breaks=st.lists(st.integers(0, 400), max_size=3),
+    faulty_write=st.integers(0, 8),
+    fault=st.sampled_from([None, "fails", "is cancelled"]),
+)
+def test_caller_and_scanner_agree_on_what_was_relayed(
+    count, chunk_offsets, piece_offsets, breaks, faulty_write, fault
+):
+    """However a stream is split, broken off and resumed, and its writes end."""
+    progress, scope, got, writes = Progress(9, "d"), trio.CancelScope(), [], 0
+    whole = [event(n + 1) for n in range(count)]
+
+    def check():
+        assert b"".join(got) == b"".join(whole[: int(progress.scanner.last_id or 0)])
+
+    async def write(data):
+        nonlocal writes
+        check()
+        await trio.lowlevel.checkpoint()
+        check()
+        writes += 1
+        if fault is not None and writes > faulty_write:
+            if fault == "fails":
+                raise CallerGoneError("the caller disconnected")
+            scope.cancel()
+            await trio.lowlevel.checkpoint()
+        got.append(data)
+
+    async def main():
+        with scope:
+            return await relay_attempts()
+
+    async def relay_attempts():
+        # Each attempt sends the events behind the last that counts as relayed.
+        for break_at in [*breaks, None]:
+            first = int(progress.scanner.last_id or 0)
+            body = b"".join(whole[first:])
+            body = b"".join(chunk(c) for c in split(body, chunk_offsets) if c)
+            encoded = CHUNKED_HEAD + body + b"0\r\n\r\n"
+            pieces = split(encoded[:break_at], piece_offsets)
+            try:
+                await relay_pieces(pieces, sink_of(write), progress, check)
+            except ExchangeError:
+                assert break_at is not None and break_at < len(encoded)
+                progress.scanner.discard_partial_event()
+                check()
+                continue
+            return True
+
+    is_complete = False
+    with contextlib.suppress(CallerGoneError):
+        is_complete = trio.run(main)
+    check()
+    if fault is None:
+        assert is_complete and b"".join(got) == b"".join(whole)
+
+
+def test_events_that_arrive_alone_are_relayed_alone():
+    """Each is written before the next is received."""
+    whole, writes = [event(n) for n in range(1, 9)], []
+
+    async def write(data):
+        writes.append(data)
+
+    received = 0
+
+    def check():
+        # The first receipt brings the head alone.
+        nonlocal received
+        assert len(writes) == max(0, received - 1)
+        received += 1
+
+    pieces = [CHUNKED_HEAD, *(chunk(e) for e in whole)]
+    pieces[-1] += b"0\r\n\r\n"
+    trio.run(relay_pieces, pieces, sink_of(write), Progress(1, "d"), check)
+    assert writes == [*whole, b""]
+
+
+@pytest.mark.parametrize("token", [b"x" * 300, b"x" * 3000, b"x" * 100_000])
+def test_writes_of_a_stream_that_has_arrived_are_bounded(token):
+    one = b"id: 1\ndata: " + token + b"\n\n"
+    count, writes = 4_000_000 // (len(one) + 200), []
+
+    async def write(data):
+        writes.append(data)
+
+    encoded = CHUNKED_HEAD + chunk(one) * count + b"0\r\n\r\n"
+    pieces = split(encoded, range(0, len(encoded), RECEIVE_BYTES))
+    trio.run(relay_pieces, pieces, sink_of(write), Progress(1, "d"))
+    assert b"".join(writes) == one * count
+    most = MAX_JOINED_BYTES + RECEIVE_BYTES + len(one)
+    assert max(len(data) for data in writes) <= most
+
+
+def test_forwarded_stream_that_has_arrived_whole_is_relayed_within_a_few_turns():
+    """The same between hosts: a frame for each event took a turn each."""
+    count = 60
+    pieces = [event(n) for n in range(1, count + 1)]
+    relayed = []
+
+    async def relay(data):
+        await trio.lowlevel.checkpoint()
+        relayed.append(data)
+
+    async def main():
+        ours, theirs = await tcp_pair()
+        other, link = Link(theirs), Link(ours)
+        sink = answer_sink(other.send, 0, None, deliver=other.deliver)
+        for piece in pieces:
+            await sink.data(piece)
+        await sink.end()
+        received = ReceivedBody(Framing.LINK)
+        body = forwarding._ForwardedBody(link, received)
+
+        async def release(now):
+            pass
+
+        response = types.SimpleNamespace(
+            status=200,
+            headers=[],
+            received=received,
+            next_data=lambda: body.next_data(1.6, give_up_always),
+            release=release,
+        )
+        with late_loop(0.02) as loop:
+            await relay_response(response, sink_of(relay), Progress(1, "d"))
+        assert b"".join(relayed) == b"".join(pieces)
+        assert loop.turns <= count / 3
+
+    trio.run(main)
