Test of SIGTERM under load prints what its checks saw

The test failed once, and its output was not kept. On failure it now tells, for each worker, the host it used, when it asked the directory, the failure with its causes, and when the host was stopped and ended. Its checks are as they were.

--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -137,32 +137,53 @@
         # Each request uses the hosts that the directory lists at that time.
         while not stop.is_set():
             text = f"load {number} {len(results)}"
+            asked_at = time.monotonic()
             _, body = send(fleet, "osrednja-1", "/v1/hosts")
             names = [h["name"] for h in json.loads(body)["hosts"]]
             target = host if host in names else "stajerska-1"
+            latest[number] = {
+                "target": target,
+                "asked at": asked_at,
+                "answered at": time.monotonic(),
+            }
             response = client(fleet, target).chat.completions.create(
                 model=MODEL, max_tokens=LONG_RESPONSE_TOKENS, messages=messages(text)
             )
             content = response.choices[0].message.content
-            results.append(content == expected_text(text, LONG_RESPONSE_TOKENS))
+            is_whole = content == expected_text(text, LONG_RESPONSE_TOKENS)
+            results.append(is_whole)
+            if not is_whole:
+                explain(number, f"received {content!r} for {text!r}")
 
-    failures = []
+    failures, latest = [], {}
+
+    def explain(number, problem):
+        # Printed by pytest if the test fails.
+        print(f"worker {number} at {time.monotonic():.3f}: {problem}")
+        print(f"  its latest request: {latest.get(number)}")
 
     def run_worker(number):
         try:
             work(number)
         except Exception as exc:
             failures.append(exc)
+            causes = [exc]
+            while causes[-1].__cause__ or causes[-1].__context__:
+                causes.append(causes[-1].__cause__ or causes[-1].__context__)
+            explain(number, " <- ".join(repr(cause) for cause in causes))
 
     workers = [threading.Thread(target=run_worker, args=(n,)) for n in range(3)]
     for worker in workers:
         worker.start()
     time.sleep(2)
+    print(f"SIGTERM at {time.monotonic():.3f}")
     fleet.signal(host, signal.SIGTERM)
     code = fleet.processes.pop(host).wait(30)
+    print(f"exit with {code} at {time.monotonic():.3f}")
     stop.set()
     for worker in workers:
         worker.join()
+    print(f"whole responses: {results.count(True)} of {len(results)}")
     assert (code, failures) == (0, [])
     assert all(results) and len(results) >= 3
 
