--- a/src/cactusmill/internal/forward_client.py
+++ b/src/cactusmill/internal/forward_client.py
@@ -67,7 +67,9 @@
             received = new_received_body(Framing.LINK, req.cost_tokens)
             chunks, is_complete = _read_arrived(frames, received)
             if not is_complete:
-                await sink.head(head.status, headers, b"".join(chunks))
+                await sink.head(head.status, headers)
+                if chunks:
+                    await sink.data(b"".join(chunks))
                 await _relay_body(frames, received, sink)
                 is_complete = True
                 await sink.end()
