Own interface: a process that shuts down is not listed again

A host hears of another on two links: heartbeats on the one that the other dialled, acknowledgements on its own. An acknowledgement that was made before the other host began to leave may wait there behind a response, and is read after the heartbeat that says so. The leaving host was then listed in directory answers again until its next heartbeat: 0.5 s, and up to seconds where many links share the traffic budget, of the drain_s for which it still accepts callers. A caller that obeys such an answer meets a refused connection.

Leaving now holds for an incarnation, whatever is read later of it; a restarted process has another one. Whether test_sigterm_under_load_interrupts_no_response once failed by this is not known.

--- a/src/cactusmill/internal/link_server.py
+++ b/src/cactusmill/internal/link_server.py
@@ -94,7 +94,7 @@
 async def _send_heartbeat_ack(host, link, message):
     peer = host.peers.get(link.peer.host)
     if peer is not None:
-        apply_heartbeat(host, peer, message)
+        apply_heartbeat(host, peer, message, link.peer.incarnation)
     await link.send(heartbeat_ack=heartbeat(host, message.sequence, HeartbeatAck))
 
 
--- a/src/cactusmill/internal/peers.py
+++ b/src/cactusmill/internal/peers.py
@@ -95,7 +95,9 @@
     last_heartbeat_at : float
         Time of the last one, in seconds.
     leaving : bool
-        True if it last reported that it is shutting down.
+        True if the process that last reported is shutting down.
+    left_incarnation : str
+        Incarnation of the last process that reported that it is shutting down.
     records_version, hosts_version : int
         Versions of its records and of its host list, as it last reported.
     scope : trio.CancelScope
@@ -119,6 +121,7 @@
     heartbeat_received: bool = False
     last_heartbeat_at: float = 0.0
     leaving: bool = False
+    left_incarnation: str = ""
     records_version: int = 0
     hosts_version: int = 0
     waits: dict = attrs.field(factory=dict)
@@ -364,7 +367,7 @@
 
 def _handle_frame(host, peer, frame):
     if frame.heartbeat_ack is not None:
-        apply_heartbeat(host, peer, frame.heartbeat_ack)
+        apply_heartbeat(host, peer, frame.heartbeat_ack, peer.incarnation)
         return
     for field in ("changes_reply", "answer_head", "answer_data", "answer_end"):
         message = getattr(frame, field)
@@ -375,10 +378,16 @@
         peer.deliver(frame.loan_grant.call, frame)
 
 
-def apply_heartbeat(host, peer, message):
-    """Apply a peer's heartbeat or acknowledgement; pull newer versions from it."""
+def apply_heartbeat(host, peer, message, incarnation):
+    """Apply a peer's heartbeat or acknowledgement; pull newer versions from it.
+
+    `incarnation` is that of the other end of the link on which it came. A process that
+    shuts down does not return: an older message on the other link may be read later.
+    """
     peer.heartbeat_received, peer.last_heartbeat_at = True, host.now()
-    peer.leaving = message.leaving
+    if message.leaving:
+        peer.left_incarnation = incarnation
+    peer.leaving = incarnation == peer.left_incarnation
     peer.records_version = message.records_version
     peer.hosts_version = message.hosts_version
     peer.waits = {w.serves: w.wait_ms / 1000 for w in message.waits or ()}
