Last events of a stream leave with its end, also after the deadline

On a late host a stream whose rest had arrived before its deadline was cut: the bytes were read from the socket in the last look, but the write of the last events is cancelled at the deadline, and only the end was delivered past it. Callers got a stream that broke off although the host held all of it.

Where the end has arrived with the last events (h11 or the link holds it), both leave by one call, Sink.end(last), with one write; a complete answer is not cut by the deadline. If the end has not arrived, events are relayed as before. A stream that ends inside an event still is a failure.

test_stream_that_has_arrived_whole_is_delivered_though_its_deadline_passed fails without it (switched off at has_ended, and by its neighbour).

--- a/src/cactusmill/internal/answer_frames.py
+++ b/src/cactusmill/internal/answer_frames.py
@@ -64,12 +64,15 @@
         position, size = size, size + len(chunk)
         await send(answer_data=AnswerData(call, chunk, position))
 
-    async def end():
-        message = AnswerEnd(call, True, size)
+    async def end(last=b""):
         if deliver is None:
-            await send(answer_end=message)
-        else:
-            await deliver([Frame(answer_end=message)])
+            if last:
+                await data(last)
+            await send(answer_end=AnswerEnd(call, True, size))
+            return
+        frames = [Frame(answer_data=AnswerData(call, last, size))] if last else []
+        message = AnswerEnd(call, True, size + len(last))
+        await deliver([*frames, Frame(answer_end=message)])
 
     async def whole(status, headers, body):
         await deliver(whole_answer(call, encode_head(status, headers), body))
--- a/src/cactusmill/internal/caller_request.py
+++ b/src/cactusmill/internal/caller_request.py
@@ -112,9 +112,9 @@
     async def data(chunk):
         await _send(conn, h11.Data(data=chunk))
 
-    async def end():
+    async def end(last=b""):
         with _caller_gone():
-            await conn.deliver(h11.EndOfMessage())
+            await conn.deliver(h11.Data(data=last), h11.EndOfMessage())
 
     async def whole(status, headers, body):
         caller.has_response_started = True
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -206,6 +206,10 @@
             received.add(event.data)
         return self._join_arrived(bytes(event.data), received)
 
+    def has_ended(self):
+        """Return whether the end of a body came behind what was returned last."""
+        return isinstance(self._held, h11.EndOfMessage)
+
     def _join_arrived(self, data, received):
         """Return a piece of a body with those behind it that have arrived."""
         pieces, size = [data], len(data)
--- a/src/cactusmill/internal/request.py
+++ b/src/cactusmill/internal/request.py
@@ -91,7 +91,8 @@
     data : callable
         ``await data(chunk)``, for each chunk of the body.
     end : callable
-        ``await end()``, once the body is complete.
+        ``await end(last=b"")``, once the body is complete, with its last data if they
+        were not sent before: they leave with one write, as in `whole`.
     whole : callable or None
         ``await whole(status, headers, body)`` instead of these three, for a response
         that is complete: sends it with one write where it fits, for as long as the
--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -295,6 +295,7 @@
         received=received,
         metadata=metadata,
         next_data=next_data,
+        has_ended=conn.has_ended,
         release=release,
         abort=lambda: pool.close(name, conn),
     )
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -542,8 +542,8 @@
     async def data(chunk):
         await send(conn.send, h11.Data(data=chunk))
 
-    async def end():
-        await send(conn.deliver, h11.EndOfMessage())
+    async def end(last=b""):
+        await send(conn.deliver, h11.Data(data=last), h11.EndOfMessage())
 
     async def whole(status, headers, body):
         events = begin(status, headers), h11.Data(data=body), h11.EndOfMessage()
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -236,6 +236,7 @@
         received=received,
         metadata=None,
         next_data=next_data,
+        has_ended=lambda: body.is_over,
         release=release,
         abort=lambda: close_link(link),
     )
@@ -261,12 +262,22 @@
 
 @attrs.define(eq=False)
 class _ForwardedBody:
-    """Reads the body of a forwarded response."""
+    """Reads the body of a forwarded response.
+
+    Attributes
+    ----------
+    link : Link
+        Link on which it comes.
+    received : ReceivedBody
+        Counts it.
+    is_over : bool
+        True once its end has arrived, maybe behind the chunk that was returned last.
+    """
 
     link: Link
     received: ReceivedBody
-    # What came behind the chunk that was returned last.
-    _is_over: bool = False
+    is_over: bool = False
+    # A failure behind that chunk.
     _failure: Exception | None = None
 
     async def next_data(self, stall_timeout_s, may_give_up):
@@ -277,7 +288,7 @@
         """
         if self._failure is not None:
             raise self._failure
-        if self._is_over:
+        if self.is_over:
             return None
         try:
             frame = await receive_patiently(
@@ -297,7 +308,7 @@
                     break
                 data = read_body_frame(frame, self.received)
                 if data is None:
-                    self._is_over = True
+                    self.is_over = True
                     break
                 chunks.append(data)
                 size += len(data)
--- a/src/cactusmill/serving/response_relay.py
+++ b/src/cactusmill/serving/response_relay.py
@@ -8,6 +8,7 @@
 from ..internal.event_stream import (
     check_last_event,
     count_events,
+    ends_event,
     is_event_stream,
     last_bytes,
 )
@@ -67,6 +68,9 @@
 async def relay_stream(host, req, sink, progress, choice, response, load, sent_at):
     """Relay the complete events of a stream as they arrive.
 
+    The last ones leave with the end if it has arrived with them, also after the
+    deadline.
+
     `choice` is None for a stream of another host, which records times and load
     itself.
 
@@ -76,7 +80,7 @@
         If the stream breaks off.
     """
     scanner = progress.scanner
-    is_first, event_at, tail = True, host.now(), b""
+    is_first, event_at, tail, last = True, host.now(), b"", b""
     while (data := await response.next_data()) is not None:
         tail = last_bytes(tail, data)
         complete_events = scanner.feed(data)
@@ -94,6 +98,9 @@
                 host.placement.record_response_start(
                     choice, host.service(req.service), host.now() - sent_at, host.now()
                 )
+        if progress.has_response_started and response.has_ended() and ends_event(tail):
+            last = complete_events
+            continue
         if complete_events and progress.has_response_started:
             await sink.data(complete_events)
         elif complete_events:
@@ -105,7 +112,8 @@
     load.is_complete = True
     if not progress.has_response_started:
         await _send_head(host, sink, progress, response, b"")
-    await sink.end()
+    await sink.end(last)
+    scanner.mark_relayed()
 
 
 async def _send_head(host, sink, progress, response, first):
--- a/src/cactusmill/serving/responses.py
+++ b/src/cactusmill/serving/responses.py
@@ -20,6 +20,9 @@
     next_data : callable
         ``await next_data()`` returns the next chunk of the body, or None at its
         end; raises :class:`ExchangeError` if the body is truncated.
+    has_ended : callable
+        ``has_ended()`` returns whether the end of the body has arrived behind the
+        chunk that was returned last.
     release : callable
         ``await release(now)`` returns the connection to its pool, once the body is
         complete.
@@ -32,5 +35,6 @@
     received: object
     metadata: object
     next_data: object
+    has_ended: object
     release: object
     abort: object
--- a/tests/serving/test_response_relay.py
+++ b/tests/serving/test_response_relay.py
@@ -1,6 +1,7 @@
 """Tests of the relay of responses when deadlines pass at any moment."""
 
 import contextlib
+import time
 import types
 
 import attrs
@@ -10,12 +11,14 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cactusmill.errors import CallerGoneError, ExchangeError
+from cactusmill.errors import AnswerCutError, CallerGoneError, ExchangeError
+from cactusmill.internal.account import Account
 from cactusmill.internal.answer_frames import answer_sink
 from cactusmill.internal.framing import Framing, ReceivedBody
 from cactusmill.internal.http import (
     MAX_JOINED_BYTES,
     RECEIVE_BYTES,
+    Connection,
     client_connection,
     header,
     read_body,
@@ -23,13 +26,14 @@
 from cactusmill.internal.link import Link
 from cactusmill.internal.patience import give_up_always
 from cactusmill.internal.request import Sink
-from cactusmill.serving import events, forwarding, response_relay, sending
+from cactusmill.serving import dispatch, events, forwarding, response_relay, sending
 from cactusmill.serving.connections import ConnectionPool, exchange
 from cactusmill.serving.progress import Progress
 from standins.late_loop import late_loop
 from standins.loopback import configuration, event, not_executed, running_deployment
 
 from .test_connections import tcp_pair
+from .test_placement import req
 
 BUDGET_MS = 250
 # A stream's budget covers its predicted length.
@@ -182,7 +186,7 @@
         sink = Sink(
             head=lambda status, headers, first: relay(first),
             data=relay,
-            end=lambda: relay(b""),
+            end=relay,
         )
         load = types.SimpleNamespace(mark_prompt_read=lambda: None, is_complete=False)
         with late_loop(0.02) as loop:
@@ -264,7 +268,7 @@
     return Sink(
         head=lambda status, headers, first=b"": write(first),
         data=write,
-        end=lambda: write(b""),
+        end=write,
     )
 
 
@@ -347,7 +351,8 @@
     pieces = [CHUNKED_HEAD, *(chunk(e) for e in whole)]
     pieces[-1] += b"0\r\n\r\n"
     trio.run(relay_pieces, pieces, sink_of(write), Progress(1, "d"), check)
-    assert writes == [*whole, b""]
+    # The end came with the last one, and left with it.
+    assert writes == whole
 
 
 @pytest.mark.parametrize("token", [b"x" * 300, b"x" * 3000, b"x" * 100_000])
@@ -394,6 +399,7 @@
             headers=[],
             received=received,
             next_data=lambda: body.next_data(1.6, give_up_always),
+            has_ended=lambda: body.is_over,
             release=release,
         )
         with late_loop(0.02) as loop:
@@ -402,3 +408,60 @@
         assert loop.turns <= count / 3
 
     trio.run(main)
+
+
+def relay_rest_past_the_deadline(monkeypatch):
+    """Return what a caller gets if its stream arrives before the deadline, read late.
+
+    The rest of the stream lies in the socket as the deadline passes in a long turn.
+    """
+    whole, got = [event(n) for n in range(1, 4)], []
+
+    async def write(data):
+        await trio.lowlevel.checkpoint()
+        got.append(data)
+
+    async def main():
+        ours, theirs = await tcp_pair()
+        host = types.SimpleNamespace(now=trio.current_time, account=Account())
+        request = attrs.evolve(req(), deadline=host.now() + 0.3)
+
+        async def attempt(host, request, sink, progress, is_forwarded):
+            response = await exchange(
+                ConnectionPool(net=None),
+                "engine-1",
+                client_connection(ours),
+                h11.Request(method="GET", target="/", headers=[("host", "-")]),
+                b"",
+                "r-1",
+                lambda status, headers: METADATA,
+                (5.0, 1.6),
+            )
+            await relay_response(response, sink, progress)
+
+        async def arrive():
+            await theirs.send_all(CHUNKED_HEAD + chunk(whole[0]))
+            await trio.sleep(0.1)
+            await theirs.send_all(b"".join(map(chunk, whole[1:])) + b"0\r\n\r\n")
+            time.sleep(0.4)
+
+        monkeypatch.setattr(dispatch, "_run_attempts", attempt)
+        sink = attrs.evolve(sink_of(write), whole=write)
+        async with trio.open_nursery() as nursery:
+            nursery.start_soon(arrive)
+            with contextlib.suppress(AnswerCutError):
+                await dispatch.run_request(host, request, sink, Progress(1, "d"))
+
+    trio.run(main)
+    return b"".join(got) == b"".join(whole)
+
+
+def test_stream_that_has_arrived_whole_is_delivered_though_its_deadline_passed(
+    monkeypatch,
+):
+    assert relay_rest_past_the_deadline(monkeypatch)
+
+
+def test_last_events_in_a_write_of_their_own_are_cut_at_the_deadline(monkeypatch):
+    monkeypatch.setattr(Connection, "has_ended", lambda conn: False)
+    assert not relay_rest_past_the_deadline(monkeypatch)
