--- a/src/cactusmill/internal/answer_frames.py
+++ b/src/cactusmill/internal/answer_frames.py
@@ -12,7 +12,7 @@
 from .wire.ttypes import AnswerData, AnswerEnd, Frame
 
 # Far below the limit of a frame.
-_MAX_DATA_BYTES = 1024 * 1024
+MAX_DATA_BYTES = 1024 * 1024
 
 
 def whole_answer(call, head, body):
@@ -28,8 +28,8 @@
         The complete body.
     """
     data = [
-        Frame(answer_data=AnswerData(call, body[at : at + _MAX_DATA_BYTES], at))
-        for at in range(0, len(body), _MAX_DATA_BYTES)
+        Frame(answer_data=AnswerData(call, body[at : at + MAX_DATA_BYTES], at))
+        for at in range(0, len(body), MAX_DATA_BYTES)
     ]
     end = Frame(answer_end=AnswerEnd(call, True, len(body)))
     return [Frame(answer_head=head), *data, end]
@@ -64,12 +64,15 @@
         position, size = size, size + len(chunk)
         await send(answer_data=AnswerData(call, chunk, position))
 
-    async def end():
-        message = AnswerEnd(call, True, size)
+    async def end(last=b""):
         if deliver is None:
-            await send(answer_end=message)
-        else:
-            await deliver([Frame(answer_end=message)])
+            if last:
+                await data(last)
+            await send(answer_end=AnswerEnd(call, True, size))
+            return
+        frames = [Frame(answer_data=AnswerData(call, last, size))] if last else []
+        message = AnswerEnd(call, True, size + len(last))
+        await deliver([*frames, Frame(answer_end=message)])
 
     async def whole(status, headers, body):
         await deliver(whole_answer(call, encode_head(status, headers), body))
