A live endpoint's later crash is no evidence for an earlier interruption

Cause: another incarnation counted for the whole window, since the answer could be that of an incarnation that was back at once. Such an incarnation publishes its entry at its start, so that 1 s is enough once the endpoint has answered. The new test failed with the whole window (its twin).

--- a/src/cactusmill/internal/crash_evidence.py
+++ b/src/cactusmill/internal/crash_evidence.py
@@ -9,7 +9,8 @@
 is at its address.
 
 An endpoint that has answered a request sent after the interruption was alive then:
-only another incarnation is evidence against it from then on.
+only another incarnation is evidence against it from then on, and only for
+`RESTART_WINDOW_S`.
 
 Times are in seconds of the process's monotonic clock.
 """
@@ -21,6 +22,10 @@
 # Time after an interruption in which evidence of a crash is attributed to it. An entry
 # is removed after the endpoint has been silent for three of its heartbeats.
 EVIDENCE_WINDOW_S = 5.0
+# The same for another incarnation of an endpoint that has answered since then.
+# One that was back before that answer publishes its entry at its start; a later one is
+# due to another crash.
+RESTART_WINDOW_S = 1.0
 _MAX_WAITING = 10_000
 
 
@@ -151,8 +156,7 @@
         found = [
             waiting.interruption
             for waiting in self._by_endpoint.get(endpoint_name, {}).values()
-            if now - waiting.interruption.broke_at <= EVIDENCE_WINDOW_S
-            and (evidence is Evidence.REPLACED or not waiting.has_answered)
+            if now - waiting.interruption.broke_at <= _window_s(waiting, evidence)
         ]
         for interruption in found:
             self._discard(endpoint_name, interruption.digest)
@@ -202,6 +206,13 @@
             del self._by_endpoint[name]
 
 
+def _window_s(waiting, evidence):
+    """Return for how long evidence counts after an interruption, in seconds."""
+    if not waiting.has_answered:
+        return EVIDENCE_WINDOW_S
+    return RESTART_WINDOW_S if evidence is Evidence.REPLACED else -1.0
+
+
 def _is_replaced(endpoint, published):
     """Return whether an entry is that of a later process at an endpoint's address."""
     if endpoint.name != published.name:
--- a/tests/internal/test_crash_evidence.py
+++ b/tests/internal/test_crash_evidence.py
@@ -13,6 +13,7 @@
 from cactusmill.internal import crash_evidence, crash_probe
 from cactusmill.internal.crash_evidence import (
     EVIDENCE_WINDOW_S,
+    RESTART_WINDOW_S,
     Evidence,
     Interruption,
     Interruptions,
@@ -134,6 +135,25 @@
     assert play_live(events, ending) == [0, 0, 0]
 
 
+def count_of_later_crash():
+    """Return the crashes counted if an endpoint loses a response and crashes later."""
+    suspects = CrashSuspects()
+    suspects.interruptions.record(interruption())
+    suspects.interruptions.record_answer("e", 10.1)
+    suspects.count_crashes("e", Evidence.REFUSED, 13.0)
+    suspects.count_crashes("e", Evidence.REPLACED, 13.5)
+    return suspects.crash_count("d", 13.5)
+
+
+def test_later_crash_of_an_endpoint_that_answered_makes_no_suspect():
+    assert count_of_later_crash() == 0
+
+
+def test_check_detects_restarts_that_count_late(monkeypatch):
+    monkeypatch.setattr(crash_evidence, "RESTART_WINDOW_S", EVIDENCE_WINDOW_S)
+    assert count_of_later_crash() == 1
+
+
 def test_check_detects_ignored_answers(monkeypatch):
     monkeypatch.setattr(Interruptions, "record_answer", lambda *args: None)
     assert any(play_live([("loses", 0.1)], Evidence.REFUSED))
@@ -146,13 +166,13 @@
     for name in ("a", "b"):
         now += rng.uniform(0.01, 3.0)
         suspects.interruptions.record(interruption(at=now, name=name))
-        kinds = list(Evidence)
+        kinds, limit_s = list(Evidence), EVIDENCE_WINDOW_S
         if rng.random() < 0.3:
             # It is back at once, and answers before its new entry is published.
             suspects.interruptions.record_answer(name, now + 0.05)
-            kinds = [Evidence.REPLACED]
+            kinds, limit_s = [Evidence.REPLACED], RESTART_WINDOW_S
         for _ in range(rng.randint(1, 3)):
-            now += rng.uniform(0.0, EVIDENCE_WINDOW_S / 4)
+            now += rng.uniform(0.0, limit_s / 4)
             suspects.count_crashes(name, rng.choice(kinds), now)
     return suspects.crash_count("d", now)
 
