--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -47,12 +47,13 @@
         for port in _PORT.findall(path.read_text())
     }
     for offset in range(1000, 50_000, 600):
-        if all(_is_port_free(port + offset) for port in ports):
+        if all(is_port_free(port + offset) for port in ports):
             return offset
     raise RuntimeError("no range of free ports found")
 
 
-def _is_port_free(port):
+def is_port_free(port):
+    """Return whether nothing uses a port of 127.0.0.1."""
     with socket.socket() as probe:
         probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
         try:
--- a/tests/internal/test_attempts.py
+++ b/tests/internal/test_attempts.py
@@ -11,6 +11,7 @@
 from cactusmill.internal import attempts
 from cactusmill.internal.attempts import RequestProgress, _relay_decoded
 from cactusmill.internal.chat import UsageMeter
+from cactusmill.internal.crash_suspects import CrashSuspects
 from cactusmill.internal.endpoints import (
     EndpointState,
     Exchange,
@@ -37,6 +38,8 @@
 class PoolStub:
     """Stands for the host and its pool of connections."""
 
+    suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+
     @property
     def pool(self):
         return self
--- a/tests/internal/test_late_hosts.py
+++ b/tests/internal/test_late_hosts.py
@@ -12,6 +12,7 @@
 from cactusmill.internal.loop_monitor import LoopMonitor
 from cactusmill.internal.net import TCP, split_address
 from cactusmill.internal.shedding import MAX_LAG_S
+from standins.loopback import next_port
 from standins.simulation import run_simulation
 
 from ..serving.test_late_hosts import (
@@ -28,7 +29,7 @@
 
 def overload(monkeypatch, load, sheds=True):
     """Call a slowed host with `load` times what it can run."""
-    outcome, address = Outcome(), "127.0.0.1:21871"
+    outcome, address = Outcome(), f"127.0.0.1:{next_port()}"
 
     async def run_slowly(host, req, sink):
         time.sleep(SLOWED_S)
