--- a/soak/checks/leaving.py
+++ b/soak/checks/leaving.py
@@ -26,6 +26,8 @@
                 continue
             if not since < run.received_at < back_at:
                 continue
+            if excuses.held_up(run, att.began_at, run.received_at):
+                continue
             if excuses.in_touch(att.host, run.received_at) and not excuses.on_region(
                 run.region, run.received_at, run.received_at
             ):
--- a/soak/excuses.py
+++ b/soak/excuses.py
@@ -134,6 +134,19 @@
             places = set().union(*(self._places.get(e, {e}) for e in endpoints))
         return self._find(("endpoint", "link"), places, since, until, is_endpoint=True)
 
+    def held_up(self, run, since, until):
+        """Return whether an endpoint stood still or was out of reach for a time.
+
+        It then reads requests and closes late (RULES.md, Held up), however short that
+        was.
+        """
+        return any(
+            self._places[run.endpoint] & set(strike.targets)
+            and strike.began_at <= until
+            and (strike.ended_at is None or strike.ended_at >= since)
+            for strike in self.of_kind("endpoint_pause", *LINK_EFFECTS)
+        )
+
     def on_store(self, host, since, until):
         """Return what disturbs a host's use of the store, or an empty string."""
         return self._find(("store",), {"store", host}, since, until)
--- a/tests/soak/test_checks_hosts.py
+++ b/tests/soak/test_checks_hosts.py
@@ -32,6 +32,17 @@
     assert gone.check(history(paused, *left(4, **late))) == []
 
 
+def test_an_endpoint_that_stood_still_reads_requests_and_closes_late():
+    late = {"received_at": 101.6, "ended_at": 101.7}
+    paused = strike("endpoint_pause", "endpoint-1", began_at=100.0, ended_at=101.5)
+    assert gone.check(history(paused, *left(4, **late))) == []
+    assert len(gone.check(history(*left(4, **late)))) == 1
+    assert gone.check(history(paused, *left(4, ended_at=101.6))) == []
+    assert len(gone.check(history(*left(4, ended_at=101.6)))) == 1
+    other = strike("endpoint_pause", "endpoint-2", began_at=100.0, ended_at=101.5)
+    assert len(gone.check(history(other, *left(4, **late)))) == 1
+
+
 @pytest.mark.parametrize(
     ("at", "code", "count"), [(104.0, 0, 0), (104.0, 1, 1), (108.3, 0, 1), (108, -9, 1)]
 )
--- a/tests/soak/test_checks_promises.py
+++ b/tests/soak/test_checks_promises.py
@@ -131,3 +131,11 @@
 def test_hosts_out_of_touch_are_excused_from_leaving_endpoints():
     paused = strike("host_pause", "host-1", began_at=89.0, ended_at=91.0)
     assert leaving.check(history(LEFT, paused, attempt(), run(received_at=94.1))) == []
+
+
+def test_an_endpoint_that_stood_still_may_read_a_request_after_it_left():
+    paused = strike("endpoint_pause", "endpoint-1", began_at=93.0, ended_at=94.2)
+    sent = attempt(began_at=93.5)
+    late = run(received_at=94.2)
+    assert leaving.check(history(LEFT, paused, sent, late)) == []
+    assert len(leaving.check(history(LEFT, sent, late))) == 1
