--- a/soak/checks/__init__.py
+++ b/soak/checks/__init__.py
@@ -18,23 +18,8 @@
     streams,
 )
 
-CHECKS = (
-    lost,
-    answers,
-    streams,
-    at_most_once,
-    not_run,
-    keys,
-    regions,
-    rate,
-    retries,
-    leaving,
-    configuration,
-    gone,
-    shutdown,
-    accounts,
-    bounds,
-)
+CHECKS = (lost, answers, streams, at_most_once, not_run, keys, regions, rate, retries)
+CHECKS += (leaving, configuration, gone, shutdown, accounts, bounds)
 
 
 def check_all(history):
--- a/soak/checks/answers.py
+++ b/soak/checks/answers.py
@@ -1,7 +1,7 @@
 """MIXED: answers are whole, signed, their request's own and their endpoint's."""
 
 from ..excuses import LOSS_SLACK_S, Excuses
-from ..findings import MixedAnswer
+from ..findings import MixedAnswer, find
 from ..history import Ending, Kind
 
 _STREAMS = (Kind.STREAM, Kind.RESUMABLE)
@@ -10,19 +10,11 @@
 def check(history):
     """Return the answers that are not what an endpoint sent to the request."""
     excuses = Excuses(history)
-    findings = []
-    for att in history.attempts:
-        what = _find_fault(att, excuses.runs[att.request_id], excuses)
-        if what:
-            findings.append(
-                MixedAnswer(
-                    at=att.ended_at,
-                    what=what,
-                    request_ids=(att.request_id,),
-                    hosts=(att.host,),
-                )
-            )
-    return findings
+    return [
+        find(MixedAnswer, att, what)
+        for att in history.attempts
+        if (what := _find_fault(att, excuses.runs[att.request_id], excuses))
+    ]
 
 
 def _find_fault(att, runs, excuses):
--- a/soak/checks/at_most_once.py
+++ b/soak/checks/at_most_once.py
@@ -1,7 +1,7 @@
 """TWICE: what may not be repeated runs at most once for each attempt."""
 
 from ..excuses import Excuses
-from ..findings import SecondRun
+from ..findings import SecondRun, find
 from ..history import Kind
 
 
@@ -13,12 +13,6 @@
         ran = [r for r in runs[att.request_id] if r.ending != "refused"]
         if att.kind in (Kind.UNSAFE, Kind.STREAM) and len(ran) > 1:
             where = ", ".join(f"{r.endpoint} at {r.received_at:.3f} s" for r in ran)
-            findings.append(
-                SecondRun(
-                    at=ran[1].received_at,
-                    what=f"{att.kind.value} request ran at {where}",
-                    request_ids=(att.request_id,),
-                    hosts=(att.host,),
-                )
-            )
+            what = f"{att.kind.value} request ran at {where}"
+            findings.append(find(SecondRun, att, what, ran[1].received_at))
     return findings
--- a/soak/checks/bounds.py
+++ b/soak/checks/bounds.py
@@ -15,16 +15,12 @@
         for what in _find_faults(sample):
             if (sample.incarnation, what) not in seen:
                 seen.add((sample.incarnation, what))
-                findings.append(
-                    BoundExceeded(at=sample.at, what=what, hosts=(sample.host,))
-                )
+                hosts = (sample.host,)
+                findings.append(BoundExceeded(at=sample.at, what=what, hosts=hosts))
     for end in history.exits:
         if not end.is_expected:
             what = f"{end.name} ended by itself with exit code {end.code}"
-            why = "the soak did not end it"
-            findings.append(
-                BoundExceeded(at=end.at, what=what, why=why, hosts=(end.name,))
-            )
+            findings.append(BoundExceeded(at=end.at, what=what, hosts=(end.name,)))
     return findings
 
 
--- a/soak/checks/configuration.py
+++ b/soak/checks/configuration.py
@@ -1,7 +1,7 @@
 """CONFIG: the newest configuration is in force in time, and is never left again."""
 
 from ..excuses import Excuses, allows, in_force, list_configurations
-from ..findings import OldConfiguration
+from ..findings import OldConfiguration, find
 from ..history import Ending
 
 _DENIALS = (401, 403, 404)
@@ -12,19 +12,12 @@
     """Return what was handled by an older configuration."""
     excuses = Excuses(history)
     versions = list_configurations(history)
-    findings = []
-    for att in history.attempts:
-        what = _find_fault(att, excuses.runs[att.request_id], versions)
-        if what and excuses.in_touch(att.host, att.sent_at):
-            findings.append(
-                OldConfiguration(
-                    at=att.ended_at,
-                    what=what,
-                    why=f"{att.host} was in touch",
-                    request_ids=(att.request_id,),
-                    hosts=(att.host,),
-                )
-            )
+    findings = [
+        find(OldConfiguration, att, what, why=f"{att.host} was in touch")
+        for att in history.attempts
+        if (what := _find_fault(att, excuses.runs[att.request_id], versions))
+        and excuses.in_touch(att.host, att.sent_at)
+    ]
     return findings + _check_versions(history.samples)
 
 
@@ -48,12 +41,8 @@
         version = sample.metrics.get(_VERSION, 0)
         process = sample.host, sample.incarnation
         if version < newest.get(process, 0):
-            findings.append(
-                OldConfiguration(
-                    at=sample.at,
-                    what=f"version {version:.0f} after {newest[process]:.0f}",
-                    hosts=(sample.host,),
-                )
-            )
+            what = f"version {version:.0f} after {newest[process]:.0f}"
+            hosts = (sample.host,)
+            findings.append(OldConfiguration(at=sample.at, what=what, hosts=hosts))
         newest[process] = max(version, newest.get(process, 0))
     return findings
--- a/soak/checks/keys.py
+++ b/soak/checks/keys.py
@@ -1,7 +1,7 @@
 """API keys: a withdrawn one is not served, and none reaches an endpoint."""
 
 from ..excuses import CONFIG_APPLY_S, Excuses, in_force, list_configurations
-from ..findings import LeakedKey, WithdrawnKey
+from ..findings import LeakedKey, WithdrawnKey, find
 
 
 def check(history):
@@ -26,14 +26,8 @@
         if not may_hold or any(att.key in team["api_keys"] for team in teams):
             continue
         if excuses.in_touch(att.host, att.sent_at):
-            findings.append(
-                WithdrawnKey(
-                    at=ran[0].received_at,
-                    what=f"{ran[0].endpoint} ran a request of {att.team} whose key"
-                    f" was withdrawn over {CONFIG_APPLY_S} s before it was sent",
-                    why=f"{att.host} was in touch",
-                    request_ids=(att.request_id,),
-                    hosts=(att.host,),
-                )
-            )
+            what = f"{ran[0].endpoint} ran a request of {att.team} whose key was"
+            what += f" withdrawn over {CONFIG_APPLY_S} s before it was sent"
+            why = f"{att.host} was in touch"
+            findings.append(find(WithdrawnKey, att, what, ran[0].received_at, why=why))
     return findings
--- a/soak/checks/leaving.py
+++ b/soak/checks/leaving.py
@@ -3,7 +3,7 @@
 import math
 
 from ..excuses import Excuses
-from ..findings import LeftEndpointUsed
+from ..findings import LeftEndpointUsed, find
 
 # By kind of strike: the time until which requests may still come.
 _BOUNDS_S = {"endpoint_leave": 4.0, "zone_evacuate": 5.0}
@@ -31,15 +31,10 @@
             if excuses.in_touch(att.host, run.received_at) and not excuses.on_region(
                 run.region, run.received_at, run.received_at
             ):
+                what = f"{run.endpoint} got it {run.received_at - left_at:.3f} s after"
+                what += f" {strike.kind} of {', '.join(strike.targets)}"
+                why = f"{att.host} and the hosts of {run.region} were in touch"
                 findings.append(
-                    LeftEndpointUsed(
-                        at=run.received_at,
-                        what=f"{run.endpoint} got a request"
-                        f" {run.received_at - left_at:.3f} s after {strike.kind} of"
-                        f" {', '.join(strike.targets)} was acknowledged",
-                        why=f"{att.host} and the hosts of {run.region} were in touch",
-                        request_ids=(run.request_id,),
-                        hosts=(att.host,),
-                    )
+                    find(LeftEndpointUsed, att, what, run.received_at, why=why)
                 )
     return findings
--- a/soak/checks/lost.py
+++ b/soak/checks/lost.py
@@ -9,7 +9,7 @@
     STABLE_S,
     Excuses,
 )
-from ..findings import LateEnd, LostRequest
+from ..findings import LateEnd, LostRequest, find
 from ..history import Ending, Kind
 
 _FAILURES = (500, 502, 504)
@@ -30,11 +30,10 @@
         if _find_excuse(att, runs, excuses, grace_s, is_late):
             continue
         findings.append(
-            (LateEnd if is_late else LostRequest)(
-                at=att.ended_at,
-                request_ids=(att.request_id,),
-                hosts=(att.host,),
-                what=_describe(att, runs),
+            find(
+                LateEnd if is_late else LostRequest,
+                att,
+                _describe(att, runs),
                 why=f"no strike on {att.host} since {STABLE_S} s before it, on the"
                 " endpoints that ran it or between; its time was not over",
             )
--- a/soak/checks/not_run.py
+++ b/soak/checks/not_run.py
@@ -1,7 +1,7 @@
 """REFUSED: a request that a host refused as not run has not run, and never will."""
 
 from ..excuses import Excuses
-from ..findings import RefusedRun
+from ..findings import RefusedRun, find
 from ..history import Ending
 
 PROMISES = (408, 421, 429, 503)
@@ -15,13 +15,7 @@
         is_refused = att.ending is Ending.COMPLETE and att.status in PROMISES
         ran = [r for r in runs[att.request_id] if r.ending != "refused"]
         if is_refused and not att.is_signed and ran:
-            findings.append(
-                RefusedRun(
-                    at=att.ended_at,
-                    what=f"{att.kind.value} request was refused with {att.status}, and"
-                    f" {ran[0].endpoint} ran it at {ran[0].received_at:.3f} s",
-                    request_ids=(att.request_id,),
-                    hosts=(att.host,),
-                )
-            )
+            what = f"{att.kind.value} request was refused with {att.status}, and"
+            what += f" {ran[0].endpoint} ran it at {ran[0].received_at:.3f} s"
+            findings.append(find(RefusedRun, att, what))
     return findings
--- a/soak/checks/regions.py
+++ b/soak/checks/regions.py
@@ -1,7 +1,7 @@
 """HOME: requests of a route with permitted regions run in no other region."""
 
 from ..excuses import Excuses, in_force, list_configurations
-from ..findings import WrongRegion
+from ..findings import WrongRegion, find
 
 
 def check(history):
@@ -18,12 +18,6 @@
                 if route["name"] == att.route and route.get("allowed_regions")
             ]
             if regions and not any(run.region in allowed for allowed in regions):
-                findings.append(
-                    WrongRegion(
-                        at=run.received_at,
-                        what=f"{run.endpoint} in {run.region}; {regions[-1]} permitted",
-                        request_ids=(att.request_id,),
-                        hosts=(att.host,),
-                    )
-                )
+                what = f"{run.endpoint} in {run.region}; {regions[-1]} permitted"
+                findings.append(find(WrongRegion, att, what, run.received_at))
     return findings
--- a/soak/checks/streams.py
+++ b/soak/checks/streams.py
@@ -1,6 +1,6 @@
 """ORDER: no event of a stream is missing, comes twice, or ends it early."""
 
-from ..findings import BrokenOrder
+from ..findings import BrokenOrder, find
 from ..history import Ending, Kind
 
 
@@ -16,14 +16,7 @@
         first = before.events[-1] + 1 if before and before.events else 1
         what = _find_fault(att, first, length)
         if what:
-            findings.append(
-                BrokenOrder(
-                    at=att.ended_at,
-                    what=what,
-                    request_ids=(att.request_id,),
-                    hosts=(att.host,),
-                )
-            )
+            findings.append(find(BrokenOrder, att, what))
     return findings
 
 
--- a/soak/findings.py
+++ b/soak/findings.py
@@ -31,66 +31,35 @@
     id: str = ""
 
 
-def _define(name, rule, doc):
-    """Return a type of findings."""
-    return type(name, (Finding,), {"rule": rule, "__doc__": doc, "__slots__": ()})
+def _define(name, rule):
+    """Return a type of findings that break a rule."""
+    return type(name, (Finding,), {"rule": rule, "__doc__": rule, "__slots__": ()})
 
 
-LostRequest = _define(
-    "LostRequest", "RULES.md, LOST", "A request that was read has no proper end."
-)
-LateEnd = _define(
-    "LateEnd",
-    "RULES.md, CONFIG: timeout_ms",
-    "A request had no end 0.5 s after its time was over.",
-)
-MixedAnswer = _define(
-    "MixedAnswer", "RULES.md, MIXED", "An answer is not whole, own or the endpoint's."
-)
-BrokenOrder = _define(
-    "BrokenOrder", "RULES.md, ORDER", "A stream lacks an event, or has one twice."
-)
-SecondRun = _define(
-    "SecondRun", "RULES.md, TWICE", "A request that may run once ran again."
-)
-RefusedRun = _define(
-    "RefusedRun", "RULES.md, REFUSED", "A request refused as not run has run."
-)
-WithdrawnKey = _define(
-    "WithdrawnKey", "RULES.md, CONFIG", "A withdrawn key was served after its time."
-)
-LeakedKey = _define(
-    "LeakedKey", "RULES.md, UNASKED: API keys", "An endpoint received an API key."
-)
-WrongRegion = _define(
-    "WrongRegion", "RULES.md, HOME", "A request ran in a region that is not permitted."
-)
-RateExceeded = _define(
-    "RateExceeded", "RULES.md, QUOTA", "More of a team's tokens ran than permitted."
-)
-TooManyRetries = _define(
-    "TooManyRetries", "RULES.md, BUDGET", "Too many runs of requests, or retries."
-)
-LeftEndpointUsed = _define(
-    "LeftEndpointUsed", "RULES.md, DRAIN, EVAC", "A request reached what had left."
-)
-OldConfiguration = _define(
-    "OldConfiguration", "RULES.md, CONFIG", "An older configuration was followed."
-)
-WorkedForNobody = _define(
-    "WorkedForNobody", "RULES.md, GONE", "Work went on after the caller had left."
-)
-BadExit = _define(
-    "BadExit", "docs/OPERATIONS.md: SIGTERM", "A host did not exit as it should."
-)
-UnbalancedAccount = _define(
-    "UnbalancedAccount",
-    "docs/OPERATIONS.md, The account of requests",
-    "A host's account does not add up, or not with what callers saw.",
-)
-BoundExceeded = _define(
-    "BoundExceeded", "RULES.md, Faults", "A process outgrew its bounds or ended."
-)
+LostRequest = _define("LostRequest", "RULES.md, LOST")
+LateEnd = _define("LateEnd", "RULES.md, CONFIG: timeout_ms")
+MixedAnswer = _define("MixedAnswer", "RULES.md, MIXED")
+BrokenOrder = _define("BrokenOrder", "RULES.md, ORDER")
+SecondRun = _define("SecondRun", "RULES.md, TWICE")
+RefusedRun = _define("RefusedRun", "RULES.md, REFUSED")
+WithdrawnKey = _define("WithdrawnKey", "RULES.md, CONFIG: keys")
+LeakedKey = _define("LeakedKey", "RULES.md, UNASKED: API keys")
+WrongRegion = _define("WrongRegion", "RULES.md, HOME")
+RateExceeded = _define("RateExceeded", "RULES.md, QUOTA")
+TooManyRetries = _define("TooManyRetries", "RULES.md, BUDGET")
+LeftEndpointUsed = _define("LeftEndpointUsed", "RULES.md, DRAIN and EVAC")
+OldConfiguration = _define("OldConfiguration", "RULES.md, CONFIG")
+WorkedForNobody = _define("WorkedForNobody", "RULES.md, GONE")
+BadExit = _define("BadExit", "docs/OPERATIONS.md: SIGTERM")
+UnbalancedAccount = _define("UnbalancedAccount", "docs/OPERATIONS.md: account")
+BoundExceeded = _define("BoundExceeded", "RULES.md, Faults")
+
+
+def find(kind, att, what, at=None, **fields):
+    """Return a finding about an attempt."""
+    at = att.ended_at if at is None else at
+    ids, hosts = (att.request_id,), (att.host,)
+    return kind(at=at, what=what, request_ids=ids, hosts=hosts, **fields)
 
 
 def number_findings(findings):
