--- a/soak/checks/lost.py
+++ b/soak/checks/lost.py
@@ -1,5 +1,8 @@
 """LOST: each request that was read whole ends in an answer, a refusal or a cut."""
 
+import collections
+import re
+
 from ..excuses import (
     CLOCK_SLACK_S,
     LAST_REQUEST_S,
@@ -15,36 +18,48 @@
 _FAILURES = (500, 502, 504)
 
 
+CROSSED = "crossed a close, not passed on (RULES.md, LOST)"
+
+
 def check(history):
     """Return the requests that were lost, and those that had no end in time."""
+    return [
+        find(
+            LateEnd if _is_late(att) else LostRequest,
+            att,
+            _describe(att, runs),
+            why=f"no strike on {att.host} since {STABLE_S} s before it, on the"
+            " endpoints that ran it or between; its time was not over",
+        )
+        for att, runs, excuse in _find_unfinished(history)
+        if not excuse
+    ]
+
+
+def count_excused(history):
+    """Return the number of requests that may end unfinished, by their excuse."""
+    return collections.Counter(
+        re.sub(" of .*? \\(", " (", excuse)
+        for _att, _runs, excuse in _find_unfinished(history)
+        if excuse
+    )
+
+
+def _find_unfinished(history):
+    """Yield the attempts without a proper end, their runs and their excuse."""
     excuses = Excuses(history)
     grace_s = history.settings.get("grace_s", 8.0)
-    findings = []
     for att in history.attempts:
-        if att.sent_at is None or not _is_unfinished(att):
-            continue
-        runs = excuses.runs[att.request_id]
-        if crosses_close(att, runs):
-            continue
-        is_late = att.ending in (Ending.LEFT, Ending.OPEN)
-        if _find_excuse(att, runs, excuses, grace_s, is_late):
-            continue
-        findings.append(
-            find(
-                LateEnd if is_late else LostRequest,
-                att,
-                _describe(att, runs),
-                why=f"no strike on {att.host} since {STABLE_S} s before it, on the"
-                " endpoints that ran it or between; its time was not over",
-            )
-        )
-    return findings
+        if att.sent_at is not None and _is_unfinished(att):
+            runs = excuses.runs[att.request_id]
+            if crosses_close(att, runs):
+                yield att, runs, CROSSED
+            else:
+                yield att, runs, _find_excuse(att, runs, excuses, grace_s)
 
 
-def count_crossings(history):
-    """Return the number of requests that crossed a close and were not passed on."""
-    runs = Excuses(history).runs
-    return sum(crosses_close(att, runs[att.request_id]) for att in history.attempts)
+def _is_late(att):
+    return att.ending in (Ending.LEFT, Ending.OPEN)
 
 
 def crosses_close(att, runs):
@@ -65,7 +80,7 @@
         return True
     if att.ending is Ending.COMPLETE:
         return att.status in _FAILURES and not att.is_signed
-    if att.ending in (Ending.LEFT, Ending.OPEN) and att.first_at is None:
+    if _is_late(att) and att.first_at is None:
         return att.ended_at > att.sent_at + _limit_s(att) + LATE_SLACK_S
     return False
 
@@ -74,9 +89,10 @@
     return min(att.timeout_s, att.budget_s)
 
 
-def _find_excuse(att, runs, excuses, grace_s, is_late):
+def _find_excuse(att, runs, excuses, grace_s):
     """Return why a request may end so, or an empty string."""
     since = att.began_at - STABLE_S
+    is_late = _is_late(att)
     if not is_late and att.ended_at >= att.began_at + _limit_s(att) - CLOCK_SLACK_S:
         return "its time was over (RULES.md, LOST)"
     if att.kind in (Kind.STREAM, Kind.RESUMABLE):
@@ -125,7 +141,7 @@
             and last_sixth <= att.ended_at <= term_at + grace_s + 1
             and any(r.ended_at is None or r.ended_at >= last_sixth for r in runs)
         ):
-            return "at work in the last sixth of the grace time (RULES.md, LOST)"
+            return "at work when the grace time ended (RULES.md, LOST)"
     return ""
 
 
--- a/soak/report.py
+++ b/soak/report.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from .checks.lost import count_crossings
+from .checks.lost import count_excused
 from .history import Ending
 from .settings import SoakSettingsError
 
@@ -36,7 +36,9 @@
     lines.append(f"requests: {len(history.attempts)}, runs: {len(history.runs)}")
     for (kind, ending, status, why), count in sorted(ends.items(), key=str):
         lines.append(f"  {count:6}  {kind:10} {ending:14} {status} {why}")
-    lines.append(f"crossed a close, not passed on: {count_crossings(history)}")
+    excused = count_excused(history)
+    lines.append(f"without a proper end, but excused: {excused.total()}")
+    lines += [f"  {count:6}  {excuse}" for excuse, count in sorted(excused.items())]
     lines.append(f"findings: {len(findings)}")
     lines += [f"  {count:6}  {kind}" for kind, count in sorted(kinds.items())]
     for finding in findings[:_MAX_SHOWN]:
--- a/tests/soak/test_checks_lost.py
+++ b/tests/soak/test_checks_lost.py
@@ -168,9 +168,17 @@
         "d", ending="no answer", status=0, first_at=None, position=2, ended_at=100.1
     )
     whole = history(crossing, late, first, passed_on, run("d"))
-    assert lost.count_crossings(whole) == 1
+    assert lost.count_excused(whole) == {lost.CROSSED: 1}
     assert {f.request_ids[0] for f in lost.check(whole)} == {"b", "c", "d"}
 
 
 def test_a_request_that_was_not_sent_whole_is_not_lost():
     assert found(attempt(sent_at=None, ending="not sent", status=0)) == []
+
+
+def test_excused_requests_are_counted_by_their_excuse():
+    records = [attempt(**CUT), run(**CUT_RUN), attempt("b", **CUT), run("b", **CUT_RUN)]
+    killed = strike("host_kill", "host-1", began_at=102.0, ended_at=104.0)
+    counted = lost.count_excused(history(*records, killed))
+    assert counted == {"host_kill (RULES.md, In touch (1))": 2}
+    assert not lost.count_excused(history(*records))
