Fault soak: a source is the folder that holds the package

Settings asked for the root of a checkout, and the fleet takes the folder `src`. The test of the folder failed before.

--- a/soak/settings.py
+++ b/soak/settings.py
@@ -59,8 +59,8 @@
     path : str
         ``"platform"`` or ``"own"``: the interface under test.
     source, old_source : str
-        Checkouts whose code hosts run, and an older one that some begin with;
-        empty for the present folder, and for none.
+        Folders `src` of the code that hosts run, and of an older one that some
+        begin with; empty for this repository's, and for none.
     folder : str
         Folder for the history and the logs.
     """
@@ -155,9 +155,9 @@
     if name == "path" and value not in PATHS:
         raise SoakSettingsError(name, f"{value!r} is none of {', '.join(PATHS)}")
     if name in ("source", "old_source") and value:
-        if not (pathlib.Path(value) / "src" / "cactusmill").is_dir():
+        if not (pathlib.Path(value) / "cactusmill").is_dir():
             raise SoakSettingsError(
-                name, f"{value!r} has no src/cactusmill; name a checkout's root"
+                name, f"{value!r} has no cactusmill; name a checkout's `src`"
             )
 
 
--- a/tests/soak/test_settings.py
+++ b/tests/soak/test_settings.py
@@ -26,7 +26,7 @@
         ("hosts: true", "hosts", "True is no int"),
         ("proxies: 1", "proxies", "1 is no bool"),
         ("path: other", "path", "none of platform, own"),
-        ("source: /nowhere", "source", "name a checkout's root"),
+        ("source: /nowhere", "source", "name a checkout's `src`"),
         ("hots: 6", "hots", "is no setting; known are seed"),
         ("- 1", "soak.yaml", "write lines of `name: value`"),
         ("a: [", "soak.yaml", "is not YAML"),
@@ -41,6 +41,13 @@
     assert message in str(caught.value)
 
 
+def test_a_source_is_the_folder_that_holds_the_package(tmp_path):
+    (tmp_path / "src" / "cactusmill").mkdir(parents=True)
+    assert load_settings(source=str(tmp_path / "src")).source
+    with pytest.raises(SoakSettingsError, match="has no cactusmill"):
+        load_settings(source=str(tmp_path))
+
+
 def test_a_missing_file_is_an_error(tmp_path):
     with pytest.raises(SoakSettingsError, match="cannot be read"):
         load_settings(tmp_path / "none.yaml")
