--- a/soak/settings.py
+++ b/soak/settings.py
@@ -8,10 +8,9 @@
 
 from cactusmill.errors import SettingsError
 
-from .excuses import EFFECTS, LINK_EFFECTS
+from .excuses import EFFECTS
 
 PATHS = ("platform", "own")
-_FAULTS = (*EFFECTS, *LINK_EFFECTS)
 # Lowest and highest value of each number.
 _RANGES = {
     "seed": (0, 2**63),
@@ -60,8 +59,8 @@
     path : str
         ``"platform"`` or ``"own"``: the interface under test.
     source, old_source : str
-        Checkouts whose code hosts run, and an older one that some begin with;
-        empty for the present folder, and for none.
+        Folders `src` of the code that hosts run, and of an older one that some
+        begin with; empty for this repository's, and for none.
     folder : str
         Folder for the history and the logs.
     """
@@ -138,9 +137,9 @@
         if not isinstance(value, list | tuple):
             raise SoakSettingsError(name, f"{value!r} is no list; write [a, b]")
         for entry in value:
-            if entry not in _FAULTS:
+            if entry not in EFFECTS:
                 raise SoakSettingsError(
-                    name, f"{entry!r} is no fault; known are {', '.join(_FAULTS)}"
+                    name, f"{entry!r} is no fault; known are {', '.join(EFFECTS)}"
                 )
         return
     is_number = isinstance(value, int | float) and not isinstance(value, bool)
@@ -156,9 +155,9 @@
     if name == "path" and value not in PATHS:
         raise SoakSettingsError(name, f"{value!r} is none of {', '.join(PATHS)}")
     if name in ("source", "old_source") and value:
-        if not (pathlib.Path(value) / "src" / "cactusmill").is_dir():
+        if not (pathlib.Path(value) / "cactusmill").is_dir():
             raise SoakSettingsError(
-                name, f"{value!r} has no src/cactusmill; name a checkout's root"
+                name, f"{value!r} has no cactusmill; name a checkout's `src`"
             )
 
 
