Fault soak: callers end with the run, and usage that endpoints of tests can serve

A caller slept its pause to the end, up to the idle limit, after the run was over. Its streams asked for so many tokens that hosts refused most of them before small endpoints.

--- a/soak/callers/caller.py
+++ b/soak/callers/caller.py
@@ -153,7 +153,8 @@
                     await self._carry_out(orders)
                 if Habit.KEEPS not in self.habits:
                     await self._disconnect()
-                await trio.sleep(self._draw_pause() if is_wanted() else 0)
+                left_s = max(0.0, self.world.until - time.monotonic())
+                await trio.sleep(min(left_s, self._draw_pause()))
         finally:
             await self._disconnect()
 
@@ -194,7 +195,7 @@
             kind=kind,
             path=f"{route['path_prefix']}{self.name}/{self._requests}",
             deadline=now + route["timeout_ms"] / 1000 * rng.choice((0.7, 1, 1, 1.5)),
-            usage=(rng.randrange(20, 3000), rng.randrange(5, 200))
+            usage=(rng.randrange(20, 400), rng.randrange(5, 60))
             if is_stream
             else (0, 0),
             body=rng.randbytes(min(size, limit)),
