Fault soak: a proxy listens while its target does

A host that is gone refuses connections, and now so does the proxy before it, within 30 ms. The test of it fails without.

--- a/soak/proxies.py
+++ b/soak/proxies.py
@@ -8,13 +8,15 @@
 - ``{"reset": NAME, "share": 0.5}`` resets that share of the open connections.
 - ``{"heal": NAME}``
 
-A connection to a target that cannot be reached is reset. Datagrams of a silence are
-lost, whereas bytes are kept and follow when it has ended.
+A proxy listens while its target does, so that callers of a host that is gone are
+refused; within `_FOLLOW_S` of its end their connections are accepted and reset.
+Datagrams of a silence are lost, whereas bytes are kept and follow when it has ended.
 """
 
 import collections
 import contextlib
 import errno
+import itertools
 import json
 import random
 import socket
@@ -32,6 +34,8 @@
 _MAX_DATAGRAM_BYTES = 64 * 1024
 _MAX_SOURCES = 1024
 _MAX_DELAYED = 10_000
+_FOLLOW_S = 0.03
+_LISTENING = "0A"
 _RESET = struct.pack("ii", 1, 0)
 _SILENCES = ("none", "in", "out", "both", "stall")
 # Ends of what one side sends, among its pieces.
@@ -83,6 +87,21 @@
         return self.silence in (direction, "both", "stall")
 
 
+def _listening_addresses():
+    """Return the TCP addresses on which this machine listens, as the system does."""
+    with open("/proc/net/tcp", encoding="ascii") as lines:
+        next(lines)
+        fields = (line.split(None, 4) for line in lines)
+        # They precede all connections.
+        listening = itertools.takewhile(lambda f: f[3] == _LISTENING, fields)
+        return {address for _, address, *_ in listening}
+
+
+def _system_address(address):
+    ip, port = split_address(address)
+    return f"{socket.inet_aton(ip)[::-1].hex().upper()}:{port:04X}"
+
+
 def _set_reset(stream):
     """Let the next close of a connection be a reset."""
     with contextlib.suppress(OSError):
@@ -175,6 +194,8 @@
     name, listen, target : str
     is_udp : bool
     rule : Rule
+    has_target : bool
+        Whether the target listens.
     changed : trio.Event
         Set, and replaced, when the rule changes.
     scopes : dict of trio.CancelScope to callable
@@ -188,11 +209,14 @@
     nursery: object
     rng: random.Random
     rule: Rule = attrs.field(factory=Rule)
+    has_target: bool = True
     changed: trio.Event = attrs.field(factory=trio.Event)
     scopes: dict = attrs.field(factory=dict)
     _listening: trio.CancelScope | None = None
     _sources: dict = attrs.field(factory=dict)
     _delayed: int = 0
+    _closed: trio.Event = attrs.field(factory=trio.Event)
+    _lock: trio.Lock = attrs.field(factory=trio.Lock)
 
     async def wait_to_pass(self, direction, arrived_at):
         """Wait until what has arrived may be passed on."""
@@ -208,15 +232,32 @@
 
     async def apply(self, rule):
         """Follow another rule from now on."""
-        if rule.refuse and self._listening is not None and not self.is_udp:
-            self._listening.cancel()
-            self._listening = None
-        elif not rule.refuse and self._listening is None:
-            await self.start()
-        self.rule = rule
+        before, self.rule = self.rule, rule
+        try:
+            await self.listen_or_not()
+        except CommandError:
+            self.rule = before
+            raise
         self.changed.set()
         self.changed = trio.Event()
 
+    async def listen_or_not(self):
+        """Listen if the rule and the target let it, or stop that.
+
+        Raises
+        ------
+        CommandError
+            If the address is in use.
+        """
+        async with self._lock:
+            is_open = self.is_udp or (self.has_target and not self.rule.refuse)
+            if is_open and self._listening is None:
+                await self.start()
+            elif not is_open and self._listening is not None:
+                self._listening.cancel()
+                self._listening = None
+                await self._closed.wait()
+
     async def start(self):
         """Listen.
 
@@ -225,7 +266,7 @@
         CommandError
             If the address is in use or not this machine's.
         """
-        scope = trio.CancelScope()
+        scope, self._closed = trio.CancelScope(), trio.Event()
         try:
             await self.nursery.start(self._serve, scope)
         except OSError as exc:
@@ -243,6 +284,7 @@
             await TCP.serve(
                 self.listen, self._pass_connection, self.nursery, task_status
             )
+        self._closed.set()
 
     async def _pass_connection(self, near):
         scope = trio.CancelScope()
@@ -395,12 +437,29 @@
     async def _open(self, name, listen, target, udp=False):
         for address in (listen, target):
             try:
-                split_address(address)
-            except (ValueError, AttributeError):
+                _system_address(address)
+            except (OSError, ValueError, AttributeError):
                 raise CommandError(f"{address!r} is not IP:PORT") from None
         proxy = Proxy(name, listen, target, udp, self.nursery, self.rng)
         await proxy.start()
         self.proxies[name] = proxy
+        if len(self.proxies) == 1:
+            self.nursery.start_soon(self._follow_targets)
+
+    async def _follow_targets(self):
+        """Let the proxies listen while their targets do."""
+        while True:
+            await trio.sleep(_FOLLOW_S)
+            listening = _listening_addresses()
+            for proxy in list(self.proxies.values()):
+                has_target = _system_address(proxy.target) in listening
+                if not proxy.is_udp and has_target != proxy.has_target:
+                    proxy.has_target = has_target
+                    try:
+                        await proxy.listen_or_not()
+                    except CommandError:
+                        # Tried again: another program has the address for now.
+                        proxy.has_target = False
 
 
 async def serve_commands(lines, respond):
--- a/tests/soak/test_proxies.py
+++ b/tests/soak/test_proxies.py
@@ -238,8 +238,9 @@
 def test_connections_are_refused_until_that_is_healed(through_proxy):
     async def test(proxies, port):
         kept = await connect(port)
-        await command(proxies, set="p", refuse=True)
-        await trio.sleep(0.05)
+        for _ in range(5):
+            assert await command(proxies, heal="p") == {"ok": "p"}
+            assert await command(proxies, set="p", refuse=True) == {"ok": "p"}
         with pytest.raises(OSError, match="all attempts to connect"):
             await connect(port)
         await kept.send_all(b"1")
@@ -269,7 +270,7 @@
     through_proxy(test, echo)
 
 
-def test_a_target_that_cannot_be_reached_resets_the_connection(through_proxy):
+def test_a_target_that_does_not_listen_yet_resets_the_connection(through_proxy):
     async def test(_proxies, port):
         stream = await connect(port)
         with pytest.raises(trio.BrokenResourceError):
@@ -278,6 +279,25 @@
     through_proxy(test)
 
 
+def test_a_proxy_refuses_connections_while_its_target_does(through_proxy):
+    async def test(_proxies, port):
+        for _ in range(2):
+            await trio.sleep(0.1)
+            with pytest.raises(OSError, match="all attempts to connect"):
+                await connect(port)
+            async with trio.open_nursery() as nursery:
+                address = f"127.0.0.1:{port + 1}"
+                await nursery.start(TCP.serve, address, echo)
+                await trio.sleep(0.1)
+                stream = await connect(port)
+                await stream.send_all(b"1")
+                assert await stream.receive_some() == b"1"
+                await stream.aclose()
+                nursery.cancel_scope.cancel()
+
+    through_proxy(test)
+
+
 @contextlib.asynccontextmanager
 async def datagram_echo(port):
     """Send each datagram back to where it came from, with its source's port."""
@@ -349,8 +369,14 @@
         ('{"set": "p", "refuse": 1}', "refuse: 1"),
         ('{"reset": "p"}', "reset lacks share"),
         ('{"reset": "p", "share": 2}', "share: 2"),
-        ('{"open": "p", "listen": "127.0.0.1:1", "target": "x:1"}', "'p' is open"),
-        ('{"open": "r", "listen": "here", "target": "x:1"}', "'here' is not IP:PORT"),
+        (
+            '{"open": "p", "listen": "127.0.0.1:1", "target": "127.0.0.1:2"}',
+            "'p' is open",
+        ),
+        (
+            '{"open": "r", "listen": "here", "target": "127.0.0.1:2"}',
+            "'here' is not IP:PORT",
+        ),
     ],
 )
 def test_a_command_with_an_error_changes_nothing(through_proxy, line, error):
