--- a/soak/callers/exchange.py
+++ b/soak/callers/exchange.py
@@ -315,7 +315,8 @@
         try:
             event = exchange.h11.next_event()
         except h11.RemoteProtocolError as exc:
-            exchange.end_by_other(f"not HTTP: {exc}")
+            _, is_closed = exchange.h11.trailing_data
+            exchange.end_by_other("" if is_closed else f"not HTTP: {exc}")
             return
         if isinstance(event, h11.Response):
             exchange.response = event
--- a/tests/soak/test_callers.py
+++ b/tests/soak/test_callers.py
@@ -294,6 +294,7 @@
 
     server, attempts = run_caller(stream_events, "chat")
     assert attempts[0].ending is Ending.CUT and attempts[0].events == (1, 2)
+    assert attempts[0].reason == ""
     assert attempts[1].ending is Ending.COMPLETE and attempts[1].events == (3, 4, 5)
     assert attempts[1].resumes == attempts[0].request_id
     assert attempts[0].resumes == ""
