--- a/soak/faults.py
+++ b/soak/faults.py
@@ -25,8 +25,6 @@
 _EXIT_POLL_S = 0.02
 # Beginnings of the kinds that may strike what another fault holds.
 _SHARED = ("store_", "zone_", "link_", "region_")
-# How many times slower a cold endpoint works.
-_COLD_FACTOR = 2.0
 # Endpoints write their entries again within this time after the store's return.
 _REWRITE_S = 2.0
 
@@ -61,16 +59,9 @@
 
     def publish(self, published, **details):
         """Publish a configuration."""
-        before = set(_keys(self.published))
         at = self.fleet.put("op/config", published)
         self.published = published
         self.changed()
-        for kind, keys in (
-            ("key_give", set(_keys(published)) - before),
-            ("key_withdraw", before - set(_keys(published))),
-        ):
-            for key in sorted(keys):
-                self.record(Strike(kind=kind, targets=[key], began_at=at))
         self.record(
             Strike(
                 kind="configuration",
@@ -118,10 +109,6 @@
         return f"{first}.{int(number or 1) + 1}"
 
 
-def _keys(published):
-    return [key for team in published["tenants"] for key in team["api_keys"]]
-
-
 async def strike_all(stage, schedule, started_at):
     """Carry out the faults of a schedule, each at its time.
 
@@ -321,20 +308,6 @@
     details["taken_back_at"] = stage.fleet.remove(key)
 
 
-async def _cool_down(stage, targets, for_s, details):
-    """Publish that an endpoint is cold again; it works slower meanwhile."""
-    name = stage.name(targets[0])
-    fleet = stage.fleet
-    details["acknowledged_at"] = fleet.publish_endpoint(
-        name, cold_left_ms=int(for_s * 1000)
-    )
-    fleet.command(name, do="slower", factor=_COLD_FACTOR)
-    await trio.sleep(for_s)
-    if name in fleet.processes:
-        fleet.command(name, do="slower", factor=1.0)
-        fleet.publish_endpoint(name, cold_left_ms=0)
-
-
 async def _fail_links(stage, targets, for_s, details):
     """Let the proxies before hosts or endpoints fail."""
     names = [link for target in targets for link in stage.fleet.links(target)]
@@ -369,8 +342,6 @@
 
 
 ACTIONS = {
-    "host_restart": _kill_host,
-    "endpoint_cold": _cool_down,
     "link_delay": _fail_links,
     "link_reset": _fail_links,
     "link_one_way": _fail_links,
--- a/soak/run.py
+++ b/soak/run.py
@@ -16,7 +16,7 @@
 from .faults import Stage, first_names, strike_all
 from .fleet import BOUNDS, Fleet, WorldError
 from .history import Sample, encode_record, read_history
-from .schedule import encode
+from .schedule import encode_schedule
 
 _READY_TIMEOUT_S = 60.0
 _SETTLE_S = 1.5
@@ -54,7 +54,7 @@
     """
     folder = pathlib.Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
-    (folder / "schedule.json").write_text(encode(schedule))
+    (folder / "schedule.json").write_text(encode_schedule(schedule))
     before = signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         with (folder / "world.jsonl").open("w") as file:
--- a/soak/schedule.py
+++ b/soak/schedule.py
@@ -151,16 +151,6 @@
     return lambda _cfg, rng: {"silence": rng.choice(choices)}
 
 
-def _change_series(kind, change):
-    return _series(
-        kind,
-        (2.0, 6.0),
-        (0.0, 0.0),
-        _store,
-        lambda _cfg, rng: {"change": change, "draw": rng.random()},
-    )
-
-
 # How each kind is drawn: ``KINDS[name](cfg, rng)`` returns its faults.
 KINDS = {
     "endpoint_pause": _series(
@@ -173,14 +163,11 @@
         _store,
         lambda _cfg, rng: configurations.draw_change(rng),
     ),
-    "key_give": _change_series("key_give", "add_key"),
-    "key_withdraw": _change_series("key_withdraw", "withdraw_key"),
     "host_term": _series("host_term", (2.0, 6.0), (0.2, 2.0), _one_host, _grace),
     "rolling_restart": _series(
         "rolling_restart", (20.0, 40.0), (0.2, 1.0), _all_hosts, _grace
     ),
     "host_kill": _series("host_kill", (4.0, 10.0), (0.2, 3.0), _one_host),
-    "host_restart": _series("host_restart", (6.0, 12.0), (0.0, 0.2), _one_host),
     "host_pause": _series("host_pause", (4.0, 10.0), _PAUSE_S, _one_host),
     "host_reload": _series("host_reload", (2.0, 6.0), (0.0, 0.0), _one_host),
     "endpoint_kill": _series(
@@ -200,12 +187,6 @@
         _one_endpoint,
         lambda _cfg, rng: {"says_so": rng.random() < 0.7},
     ),
-    "endpoint_cold": _series(
-        "endpoint_cold",
-        (5.0, 12.0),
-        (2.0, 5.0),
-        _one_endpoint,
-    ),
     "endpoint_break_off": _plant("endpoint_break_off", {"count": 2}),
     "endpoint_spoil": _plant("endpoint_spoil", {"count": 2}),
     "endpoint_lose": _plant("endpoint_lose", {"count": 2}),
@@ -267,12 +248,12 @@
     return tuple(sorted(faults, key=lambda f: (f.at_s, f.kind)))
 
 
-def encode(schedule):
+def encode_schedule(schedule):
     """Return a schedule as JSON."""
     return json.dumps([attrs.asdict(fault) for fault in schedule], indent=1)
 
 
-def decode(text):
+def decode_schedule(text):
     """Return the schedule in a JSON document.
 
     Raises
