--- a/soak/run.py
+++ b/soak/run.py
@@ -52,6 +52,8 @@
     WorldError
         If a process does not start. Nothing is left running.
     """
+    if cfg.path != "platform":
+        raise WorldError(f"path: {cfg.path!r} cannot be played yet; use 'platform'")
     folder = pathlib.Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
     (folder / "schedule.json").write_text(encode_schedule(schedule))
@@ -83,6 +85,9 @@
 
 
 async def _play(cfg, schedule, fleet, record, callers):
+    if cfg.old_source:
+        # A host that is started again runs the new code.
+        fleet.sources.update(dict.fromkeys(places.hosts(cfg), cfg.old_source))
     fleet.start_store()
     if cfg.proxies:
         fleet.start_proxies()
