--- a/soak/faults.py
+++ b/soak/faults.py
@@ -367,8 +367,3 @@
     "store_copy": _restore_copy,
     "zone_evacuate": _evacuate,
 }
-
-
-def first_names(cfg):
-    """Return the present names of endpoints at the start of a run."""
-    return {name: name for name in places.endpoints(cfg)}
--- a/soak/places.py
+++ b/soak/places.py
@@ -1,6 +1,5 @@
 """Names and places of the hosts and endpoints of a run."""
 
-SERVICES = ("engines", "desk")
 _ENDPOINT_PATTERN = ("engines", "desk", "engines")
 
 
--- a/soak/run.py
+++ b/soak/run.py
@@ -13,7 +13,7 @@
 import trio
 
 from . import configurations, places
-from .faults import Stage, first_names, strike_all
+from .faults import Stage, strike_all
 from .fleet import BOUNDS, Fleet, WorldError
 from .history import Sample, encode_record, read_history
 from .schedule import encode_schedule
@@ -26,6 +26,8 @@
 _CALLERS_END_S = 20.0
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 _METRIC = re.compile(r"([A-Za-z_:][\w:]*(?:\{[^}]*\})?) ([0-9.eE+-]+)$", re.M)
+# Written by the runner, the callers and the endpoints.
+_RECORDS = ("world.jsonl", "callers.jsonl", "runs.jsonl")
 CALLERS = ("-m", "soak.callers")
 
 
@@ -39,7 +41,7 @@
     schedule : sequence of Fault
         What strikes, and when.
     folder : pathlib.Path
-        New or empty folder for logs, settings and the history.
+        Folder for logs, settings and the history; it has none of an earlier run.
     callers : sequence of str
         Arguments of Python that start the callers.
 
@@ -56,6 +58,8 @@
         raise WorldError(f"path: {cfg.path!r} cannot be played yet; use 'platform'")
     folder = pathlib.Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
+    if any((folder / name).exists() for name in _RECORDS):
+        raise WorldError(f"{folder} holds the records of a run; name another folder")
     (folder / "schedule.json").write_text(encode_schedule(schedule))
     before = signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
@@ -106,7 +110,7 @@
         }
         _write_atomically(world_file, json.dumps(world))
 
-    stage = Stage(cfg, fleet, first, record, write_world, present=first_names(cfg))
+    stage = Stage(cfg, fleet, first, record, write_world)
     stage.publish(first)
     async with trio.open_nursery() as nursery:
         for name in places.endpoints(cfg):
@@ -201,7 +205,7 @@
 def _collect(cfg, folder):
     """Join the records of all processes into one history, and write it."""
     records = []
-    for name in ("world.jsonl", "callers.jsonl", "runs.jsonl"):
+    for name in _RECORDS:
         path = folder / name
         if path.exists():
             with path.open() as lines:
--- a/tests/soak/test_fleet.py
+++ b/tests/soak/test_fleet.py
@@ -67,6 +67,12 @@
     assert running_from(tmp_path) == []
 
 
+def test_folder_of_an_earlier_run_is_rejected(tmp_path):
+    (tmp_path / "runs.jsonl").touch()
+    with pytest.raises(WorldError, match="holds the records of a run"):
+        play(Settings(), (), tmp_path)
+
+
 def test_host_that_does_not_start_is_named_with_its_log(tmp_path):
     source = tmp_path / "src"
     daemon = source / "cactusmill" / "platform"
