--- a/soak/run.py
+++ b/soak/run.py
@@ -13,10 +13,10 @@
 import trio
 
 from . import configurations, places
-from .faults import Stage, first_names, strike_all
+from .faults import Stage, strike_all
 from .fleet import BOUNDS, Fleet, WorldError
 from .history import Sample, encode_record, read_history
-from .schedule import encode
+from .schedule import encode_schedule
 
 _READY_TIMEOUT_S = 60.0
 _SETTLE_S = 1.5
@@ -26,6 +26,8 @@
 _CALLERS_END_S = 20.0
 _PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 _METRIC = re.compile(r"([A-Za-z_:][\w:]*(?:\{[^}]*\})?) ([0-9.eE+-]+)$", re.M)
+# Written by the runner, the callers and the endpoints.
+_RECORDS = ("world.jsonl", "callers.jsonl", "runs.jsonl")
 CALLERS = ("-m", "soak.callers")
 
 
@@ -39,7 +41,7 @@
     schedule : sequence of Fault
         What strikes, and when.
     folder : pathlib.Path
-        New or empty folder for logs, settings and the history.
+        Folder for logs, settings and the history; it has none of an earlier run.
     callers : sequence of str
         Arguments of Python that start the callers.
 
@@ -52,9 +54,13 @@
     WorldError
         If a process does not start. Nothing is left running.
     """
+    if cfg.path != "platform":
+        raise WorldError(f"path: {cfg.path!r} cannot be played yet; use 'platform'")
     folder = pathlib.Path(folder)
     folder.mkdir(parents=True, exist_ok=True)
-    (folder / "schedule.json").write_text(encode(schedule))
+    if any((folder / name).exists() for name in _RECORDS):
+        raise WorldError(f"{folder} holds the records of a run; name another folder")
+    (folder / "schedule.json").write_text(encode_schedule(schedule))
     before = signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         with (folder / "world.jsonl").open("w") as file:
@@ -83,6 +89,9 @@
 
 
 async def _play(cfg, schedule, fleet, record, callers):
+    if cfg.old_source:
+        # A host that is started again runs the new code.
+        fleet.sources.update(dict.fromkeys(places.hosts(cfg), cfg.old_source))
     fleet.start_store()
     if cfg.proxies:
         fleet.start_proxies()
@@ -101,7 +110,7 @@
         }
         _write_atomically(world_file, json.dumps(world))
 
-    stage = Stage(cfg, fleet, first, record, write_world, present=first_names(cfg))
+    stage = Stage(cfg, fleet, first, record, write_world)
     stage.publish(first)
     async with trio.open_nursery() as nursery:
         for name in places.endpoints(cfg):
@@ -196,7 +205,7 @@
 def _collect(cfg, folder):
     """Join the records of all processes into one history, and write it."""
     records = []
-    for name in ("world.jsonl", "callers.jsonl", "runs.jsonl"):
+    for name in _RECORDS:
         path = folder / name
         if path.exists():
             with path.open() as lines:
