--- a/tests/internal/test_silences.py
+++ b/tests/internal/test_silences.py
@@ -10,6 +10,7 @@
 from cactusmill.errors import EndpointFailed
 from cactusmill.internal import attempts, http
 from cactusmill.internal.attempts import RequestProgress
+from cactusmill.internal.crash_suspects import CrashSuspects
 from cactusmill.internal.endpoints import (
     EndpointPool,
     EndpointState,
@@ -32,6 +33,7 @@
     """A host whose requests have no other endpoint."""
 
     pool: object = attrs.field(factory=lambda: EndpointPool(net=None))
+    suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
 
     def now(self):
         return trio.current_time()
