Rates: failing test of large requests that come to all hosts at once

Found by the fault soak: a team's tokens over all hosts exceeded rate, burst and the allowed excess by up to 2.4 times. A host admits a request that is larger than its share of the burst once its bucket holds three quarters of that share, and goes into debt; nothing bounds the debts of all hosts together. 60,000 of 7,000 tokens with 20 hosts.

--- a/tests/serving/test_quota.py
+++ b/tests/serving/test_quota.py
@@ -346,3 +346,25 @@
     assert bucket.share <= quota.INITIAL_SHARE
     quotas.update_shares(membership, 100.1 + quota.INITIAL_SHARE_S)
     assert bucket.share == 1.0
+
+
+@pytest.mark.parametrize("hosts", [6, 20])
+def test_large_requests_that_come_to_all_hosts_at_once_keep_to_the_excess(hosts):
+    # Each host admits one that is larger than its share of the burst.
+    team = Team(name="red", rate_tokens_per_s=400.0, burst_tokens=800.0)
+    excess = RateExcess(fraction=OVERAGE, tokens=2_000.0)
+    fleet = Fleet(hosts, excess)
+    for _ in range(int(20 / STEP_S)):
+        fleet.now += STEP_S
+        fleet.send_heartbeats()
+    admitted = 0.0
+    for step in range(int(WINDOW_S / STEP_S)):
+        fleet.now += STEP_S
+        fleet.send_heartbeats()
+        for number in range(hosts):
+            cost = 3_000.0 if step % 10 == 0 else 30.0
+            membership = fleet.memberships[number]
+            if fleet.quotas[number].acquire(team, cost, membership, fleet.now) == 0:
+                admitted += cost
+    limit = team.rate_tokens_per_s * WINDOW_S + team.burst_tokens
+    assert admitted <= limit + excess.tokens_for(team)
