--- a/tests/soak/settings.py
+++ b/tests/soak/settings.py
@@ -1,22 +1,17 @@
 """Settings of small runs for tests."""
 
-import attrs
+from soak.settings import SoakSettings
 
+_SMALL = {
+    "seconds": 20.0,
+    "hosts": 3,
+    "endpoints": 6,
+    "callers": 4,
+    "events": 10,
+    "faults": ("endpoint_pause", "configuration"),
+}
 
-@attrs.frozen(kw_only=True)
-class Settings:
-    seed: int = 1
-    seconds: float = 20.0
-    hosts: int = 3
-    zones: int = 3
-    endpoints: int = 6
-    callers: int = 4
-    grace_s: float = 8.0
-    faults: tuple = ("endpoint_pause", "configuration")
-    events: int = 10
-    event_gap_s: float = 0.05
-    deadline_s: float = 15.0
-    proxies: bool = False
-    path: str = "platform"
-    source: str = ""
-    old_source: str = ""
+
+def small_settings(**changes):
+    """Return the settings of a small run, with changes."""
+    return SoakSettings(**{**_SMALL, **changes})
--- a/tests/soak/test_fleet.py
+++ b/tests/soak/test_fleet.py
@@ -14,7 +14,7 @@
 from soak.fleet import Fleet, WorldError, check_port_free, reserve_network
 from soak.run import play
 
-from .settings import Settings
+from .settings import small_settings
 
 REPOSITORY = pathlib.Path(__file__).parent.parent.parent
 pytestmark = pytest.mark.processes
@@ -60,7 +60,7 @@
     number, lock = reserve_network()
     lock.close()
     monkeypatch.setattr(fleet_module, "_NETWORKS", [number])
-    cfg = Settings()
+    cfg = small_settings()
     with socket.create_server((f"127.{number}.100.2", 8300)):
         with pytest.raises(WorldError, match="100.2:8300 is in use"):
             play(cfg, (), tmp_path)
@@ -70,7 +70,7 @@
 def test_folder_of_an_earlier_run_is_rejected(tmp_path):
     (tmp_path / "runs.jsonl").touch()
     with pytest.raises(WorldError, match="holds the records of a run"):
-        play(Settings(), (), tmp_path)
+        play(small_settings(), (), tmp_path)
 
 
 def test_host_that_does_not_start_is_named_with_its_log(tmp_path):
@@ -81,7 +81,7 @@
     (source / "cactusmill" / "__init__.py").touch()
     (daemon / "daemon.py").write_text("raise SystemExit('no processor found')")
     folder = tmp_path / "run"
-    cfg = attrs.evolve(Settings(), source=str(source))
+    cfg = attrs.evolve(small_settings(), source=str(source))
     with pytest.raises(WorldError, match="host-1 is not ready.*\n.*no processor found"):
         play(cfg, (), folder)
     assert running_from(folder) == []
@@ -91,7 +91,7 @@
 def test_callers_that_fail_are_an_error(tmp_path):
     script = tmp_path / "callers.py"
     script.write_text("raise SystemExit('no callers today')")
-    cfg = Settings(hosts=2, endpoints=2, seconds=1.0)
+    cfg = small_settings(hosts=2, endpoints=2, seconds=1.0)
     with pytest.raises(WorldError, match="(?s)callers did not end well.*no callers"):
         play(cfg, (), tmp_path / "run", callers=[str(script)])
     assert running_from(tmp_path / "run") == []
@@ -101,8 +101,9 @@
     caller = pathlib.Path(__file__).parent / "trivial_caller.py"
     program = (
         "from soak.run import play\n"
-        "from tests.soak.settings import Settings\n"
-        f"play(Settings(), (), {str(tmp_path / 'run')!r}, callers=[{str(caller)!r}])\n"
+        "from tests.soak.settings import small_settings\n"
+        f"folder, callers = {str(tmp_path / 'run')!r}, [{str(caller)!r}]\n"
+        "play(small_settings(), (), folder, callers=callers)\n"
     )
     runner = subprocess.Popen(
         [sys.executable, "-c", program], cwd=REPOSITORY, stderr=subprocess.DEVNULL
@@ -122,7 +123,7 @@
 
 def test_only_processes_of_the_fleet_are_ended(tmp_path):
     other = subprocess.Popen([sys.executable, "-c", "import time; time.sleep(60)"])
-    fleet = Fleet(Settings(), tmp_path, lambda _exit: None)
+    fleet = Fleet(small_settings(), tmp_path, lambda _exit: None)
     fleet.start("sleeper", ["-c", "import time; time.sleep(60)"])
     try:
         fleet.kill_all()
--- a/tests/soak/test_run.py
+++ b/tests/soak/test_run.py
@@ -8,14 +8,14 @@
 from soak.run import play
 from soak.schedule import draw_schedule
 
-from .settings import Settings
+from .settings import small_settings
 
 CALLER = pathlib.Path(__file__).parent / "trivial_caller.py"
 pytestmark = pytest.mark.processes
 
 
 def test_silences_and_configurations_cut_no_response(tmp_path):
-    cfg = Settings(seconds=8.0)
+    cfg = small_settings(seconds=8.0)
     schedule = draw_schedule(cfg, cfg.seed)
     history = play(cfg, schedule, tmp_path, callers=[str(CALLER)])
     assert {s.kind for s in history.strikes} >= {"endpoint_pause", "configuration"}
--- a/tests/soak/test_schedule.py
+++ b/tests/soak/test_schedule.py
@@ -5,9 +5,9 @@
 
 from soak import faults, places, schedule
 
-from .settings import Settings
+from .settings import small_settings
 
-ALL = Settings(seconds=60.0, proxies=True, faults=tuple(schedule.KINDS))
+ALL = small_settings(seconds=60.0, proxies=True, faults=tuple(schedule.KINDS))
 
 
 def test_equal_seeds_give_equal_schedules():
