--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -252,7 +252,7 @@
 async def _serve_held_request(host, caller, event, count_held):
     """Serve one request and log how it ended."""
     head, entry = caller.head, caller.entry
-    route = progress = req = None
+    route = progress = req = run_time = None
     refusal, failure = None, None
     try:
         with entry.open_scope() as exit_scope:
@@ -266,6 +266,7 @@
             _check_draining(host, req)
             _charge_tokens(host, req)
             progress = new_progress(req, route.attempts)
+            run_time = host.durations.begin(route.name, caller.began_at)
             refusal = await _run_until_disconnect(
                 host, caller, req, progress, count_held
             )
@@ -288,7 +289,7 @@
             failure = await _refuse(host, caller, event, refusal)
         elif failure is None:
             entry.answer()
-            host.durations.record(route.name, host.now() - caller.began_at)
+            run_time.is_whole = caller.status < 300
         if failure is not None:
             entry.cut(_cut_reason(caller, failure))
             raise failure
@@ -298,6 +299,8 @@
             entry.cut(cut_reason(exc))
         raise
     finally:
+        if run_time is not None:
+            host.durations.end(run_time, host.now())
         _log_request(host, caller, route, req, progress, refusal, failure)
 
 
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -125,7 +125,7 @@
             limit_silence(link.stream, IDLE_SILENCE_MS)
             idle.append((link, now))
         else:
-            await link.close()
+            close_link(link)
 
     def drop(self, ip):
         """Close the idle links to a host."""
@@ -498,16 +498,18 @@
 
 async def _run_forward(host, link, message, req, progress, run, entry):
     """Run a forwarded request; return whether the link can be reused."""
-    has_begun = False
+    has_begun = is_success = False
 
     def encode_head(status, headers):
-        nonlocal has_begun
+        nonlocal has_begun, is_success
         has_begun = True
+        is_success = status < 300
         return _encode_head(message, status, headers)
 
     sink = answer_sink(link.send, 0, encode_head, link.stream, link.deliver)
     began_at = host.now()
     refusal, failure, is_complete = None, None, False
+    run_time = host.durations.begin(req.route.name, began_at)
     try:
         with entry.open_scope() as exit_scope:
             async with trio.open_nursery() as nursery:
@@ -547,13 +549,15 @@
             await _refuse(link, message, refusal, entry)
         else:
             entry.answer()
-            host.durations.record(req.route.name, host.now() - began_at)
+            # The rest of a resumed stream tells nothing of a whole one.
+            run_time.is_whole = is_success and not message.identifier
     except BaseException as exc:
         failure = exc
         if not entry.kind:
             entry.cut(cut_reason(exc))
         raise
     finally:
+        host.durations.end(run_time, host.now())
         _log_forwarded(host, req, progress, refusal, failure, began_at, entry)
     return is_complete
 
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -244,6 +244,17 @@
         until_exit_s = self.cfg.grace_s - _EXIT_MARGIN_S
         return min(DRAIN_S, _MAX_DRAIN_PART * until_exit_s)
 
+    @property
+    def listens_until(self):
+        """Until when connections are accepted in a shutdown, in seconds.
+
+        Callers use the directory's earlier responses until then, and are refused.
+        """
+        last = self.exits_at - IDLE_BEFORE_CLOSE_S - _EXIT_REFUSAL_S
+        return max(
+            self.leaving_since + self.drain_s, min(self.leaving_since + DRAIN_S, last)
+        )
+
     @property
     def exits_at(self):
         """When what still runs is cut by the shutdown; infinity without one."""
@@ -266,7 +277,7 @@
         bool
         """
         return self.durations.may_end_within(
-            route.name, self.exits_at - now, deadline - now
+            route.name, self.exits_at - now, deadline - now, now
         )
 
     def closes_connections(self, now):
@@ -635,7 +646,7 @@
     async def _drain(self):
         """Wait for the shutdown and for running requests, up to the exit margin."""
         await self._leaving.wait()
-        while not self.refuses_requests(self.now()):
+        while self.now() < self.listens_until:
             await trio.sleep(_DRAIN_POLL_INTERVAL_S)
         await self._stop_accepting()
         while self.now() < self.exits_at and (
--- a/tests/serving/test_drain.py
+++ b/tests/serving/test_drain.py
@@ -237,3 +237,30 @@
     for route in published["routes"]:
         route["timeout_ms"] = 12_000
     on_deployment(scenario, endpoints=ENDPOINTS, published=published)
+
+
+@pytest.mark.parametrize("grace_s", [1.5, 3.0])
+def test_leaving_host_refuses_new_connections_in_words_for_as_long_as_it_can(grace_s):
+    # It closed its listener while callers still used what the directory had said.
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        leave_with_grace(host, grace_s)
+        while host.now() < min(host.exits_at - 0.8, host.leaving_since + 2.4):
+            reply = await deployment.send_request("e1", "/look/1")
+            assert reply.status in (200, 503) and reply.is_complete
+            await trio.sleep(0.1)
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+def test_idle_connection_gets_a_response_to_what_crosses_the_end_of_the_acceptance():
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        caller = await open_idle_connection(host)
+        await trio.sleep(0.6)
+        leave_with_grace(host, 8.0)
+        await trio.sleep(DRAIN_S + 0.15)
+        caller.sendall(encode_request("/look/2"))
+        assert await receive_responses(caller, CLOSED_S)
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
--- a/tests/serving/test_response_relay.py
+++ b/tests/serving/test_response_relay.py
@@ -1,5 +1,6 @@
 """Tests of the relay of responses when deadlines pass at any moment."""
 
+import collections
 import contextlib
 import time
 import types
@@ -465,3 +466,24 @@
 def test_last_events_in_a_write_of_their_own_are_cut_at_the_deadline(monkeypatch):
     monkeypatch.setattr(Connection, "has_ended", lambda conn: False)
     assert not relay_rest_past_the_deadline(monkeypatch)
+
+
+@pytest.mark.parametrize("idle", [0, forwarding._MAX_IDLE_PER_HOST])
+def test_last_events_leave_though_the_link_finds_no_room_among_the_idle_ones(
+    monkeypatch, idle
+):
+    inner = relay_response
+
+    async def relay_with_pool(response, sink, progress):
+        near, _ = await tcp_pair()
+        pool = forwarding.LinkPool(None, 1)
+        pool._idle["ip"] = collections.deque([(None, 0.0)] * idle)
+        link = Link(near)
+
+        async def release(now):
+            await pool.release("ip", link, now)
+
+        await inner(attrs.evolve(response, release=release), sink, progress)
+
+    monkeypatch.setitem(globals(), "relay_response", relay_with_pool)
+    assert relay_rest_past_the_deadline(monkeypatch)
--- a/tests/serving/test_silent_endpoints.py
+++ b/tests/serving/test_silent_endpoints.py
@@ -502,3 +502,29 @@
     finally:
         process.kill()
         process.wait()
+
+
+async def reject_as_not_run(endpoint, conn, request):
+    await read_body(conn, 10**7)
+    await conn.stream.send_all(
+        b"HTTP/1.1 503 Unavailable\r\nnot-executed: 1\r\n"
+        b"response-signature: s\r\ncontent-length: 0\r\n\r\n"
+    )
+    return False
+
+
+async def close_without_response(endpoint, conn, request):
+    await conn.stream.aclose()
+    return False
+
+
+@pytest.mark.parametrize(
+    ("handler", "max_attempts"),
+    [(reject_as_not_run, 2), (reject_as_not_run, 4), (close_without_response, 2)],
+)
+def test_takeover_that_fails_does_not_cut_the_silent_stream(handler, max_attempts):
+    # It was given up before the endpoint that was to take over had sent its head.
+    def change(deployment, other):
+        other.handler = handler
+
+    stream_of_two_engines(change, max_attempts)
