What has arrived behind a request is answered before a close is announced

A leaving host's response to the first announced the close; the others had been read with it, 0.6 s before, and got neither an answer nor a refusal. No endpoint had a run of them.

The close is now announced by the response behind which nothing has arrived. Both cases of the test failed before. The own interface does the same still: open.

--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -538,7 +538,7 @@
 
     def begin(status, headers):
         caller.first_at, caller.status = host.now(), status
-        caller.closes = host.closes_connections(caller.first_at)
+        caller.closes = _announces_close(host, conn)
         if caller.closes:
             headers = [*headers, (b"connection", b"close")]
         return h11.Response(status_code=status, headers=headers)
@@ -562,6 +562,14 @@
     return Sink(head, data, end, whole, is_abandoned=is_abandoned)
 
 
+def _announces_close(host, conn):
+    """Return whether a response announces that the host closes the connection.
+
+    A request that has arrived behind this one is answered first.
+    """
+    return host.closes_connections(host.now()) and not conn.h11.trailing_data[0]
+
+
 def _closes_after_refusal(host, conn, event):
     """Return whether a connection closes behind the refusal of its request.
 
@@ -571,9 +579,7 @@
     if conn.h11.their_state is h11.SEND_BODY:
         discard_received_body(conn)
     return (
-        host.closes_connections(host.now())
-        or _wants_close(event)
-        or not _is_body_read(conn)
+        _announces_close(host, conn) or _wants_close(event) or not _is_body_read(conn)
     )
 
 
--- a/tests/serving/test_drain.py
+++ b/tests/serving/test_drain.py
@@ -264,3 +264,20 @@
         assert await receive_responses(caller, CLOSED_S)
 
     on_deployment(scenario, endpoints=ENDPOINTS)
+
+
+@pytest.mark.parametrize("left_s", [0.0, DRAIN_S])
+def test_requests_that_have_arrived_behind_one_another_are_all_answered(left_s):
+    # The response to the first announced the close, and the others got nothing.
+    async def scenario(deployment):
+        host = deployment.hosts["e1"]
+        deployment.endpoints["desk-1"].work_s = 0.5
+        caller = connect(host.cfg.callers)
+        caller.sendall(b"".join(encode_request(f"/look/{n}") for n in range(3)))
+        await trio.sleep(0.2)
+        host.is_leaving, host.leaving_since = True, host.now() - left_s
+        responses = await receive_responses(caller, 3.0)
+        assert responses.count(b"HTTP/1.1 ") == 3
+        assert responses.count(b"connection: close") == 1
+
+    on_deployment(scenario, endpoints=ENDPOINTS)
