Log which prompt parts an interrupted request had, and whether its response had begun

Incident BUDGET: the lines of a crash named attempts only, which never come again, so nothing told whether the requests of several crashes shared a part, nor which of them an endpoint had just begun to answer.

--- a/src/cactusmill/internal/crash_evidence.py
+++ b/src/cactusmill/internal/crash_evidence.py
@@ -68,6 +68,11 @@
     may_block : bool
         False if the endpoint may have ended before the request was sent, so that the
         crash makes the request a suspect but never blocks it.
+    parts : list of str
+        Digests of the prompt parts that it may share with other requests.
+    began_s : float or None
+        How long its response had been arriving, in seconds; None before its first
+        data.
     """
 
     digest: str
@@ -78,6 +83,8 @@
     sent_at: float
     broke_at: float
     may_block: bool = True
+    parts: list = attrs.field(factory=list)
+    began_s: float | None = None
 
 
 @attrs.define(eq=False)
--- a/src/cactusmill/internal/crash_suspects.py
+++ b/src/cactusmill/internal/crash_suspects.py
@@ -11,6 +11,7 @@
 import hmac
 
 import attrs
+import xxhash
 
 from .crash_evidence import Interruptions
 
@@ -40,6 +41,23 @@
     return hmac.digest(secret.encode(), message, "sha256")[:16].hex()
 
 
+def part_digests(req):
+    """Return digests of the prompt parts that a request may share with others.
+
+    The last part belongs to the request or to its session.
+
+    Parameters
+    ----------
+    req : Request
+        The request.
+
+    Returns
+    -------
+    list of str
+    """
+    return [xxhash.xxh3_64_hexdigest(name) for name, _ in req.prompt_segments[:-1]]
+
+
 @attrs.define
 class _SuspectEntry:
     crash_count: int
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -396,6 +396,10 @@
                 deaths=crash_count,
                 evidence=evidence.value,
                 waited_s=round(now - interruption.broke_at, 3),
+                parts=interruption.parts,
+                began_s=None
+                if interruption.began_s is None
+                else round(interruption.began_s, 3),
             )
 
     def merge_suspect(self, digest, crash_count, now):
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -48,6 +48,8 @@
         Predicted uncached prompt tokens of the latest attempt.
     sent_at : float or None
         When the latest attempt was sent, in seconds.
+    began_at : float or None
+        When the first data of the latest response arrived, in seconds.
     entry_revision : int
         Revision of the endpoint's entry that decided the latest attempt.
     warmup_hosts : int
@@ -81,6 +83,7 @@
     total_s: float | None = None
     uncached_tokens: int = 0
     sent_at: float | None = None
+    began_at: float | None = None
     entry_revision: int = 0
     warmup_hosts: int = 0
     max_event_gap_s: float | None = None
--- a/src/cactusmill/serving/response_relay.py
+++ b/src/cactusmill/serving/response_relay.py
@@ -93,6 +93,7 @@
             event_at = now
         if is_first:
             is_first, event_at = False, host.now()
+            progress.began_at = event_at
             load.mark_prompt_read()
             if choice is not None:
                 host.placement.record_response_start(
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -14,6 +14,7 @@
     SilentEndpointError,
 )
 from ..internal.crash_evidence import Evidence, Interruption
+from ..internal.crash_suspects import part_digests
 from ..internal.http import collect_body
 from .connections import exchange
 from .events import log_event
@@ -74,6 +75,7 @@
     progress.total_s, progress.uncached_tokens = choice.total_s, choice.uncached_tokens
     progress.sent_at, progress.entry_revision = sent_at, choice.entry.revision
     progress.received, progress.partial_event_bytes = None, 0
+    progress.began_at = None
     progress.warmup_hosts = choice.sharing_hosts if choice.warmup_rate_per_s else 0
     choice.record_sent(sent_at)
     load = InFlightLoad(view, choice.uncached_tokens)
@@ -220,6 +222,8 @@
     progress.scanner.discard_partial_event()
     view.record_result(True, now)
     progress.tried.add(endpoint.name)
+    parts = part_digests(req)
+    began_s = None if progress.began_at is None else now - progress.began_at
     log_event(
         "endpoint_broke_off",
         request_id=req.request_id,
@@ -227,6 +231,8 @@
         reason=repr(exc),
         is_stale=is_stale,
         failure_rate=round(view.failure_rate(now), 2),
+        parts=parts,
+        began_s=None if began_s is None else round(began_s, 3),
         **progress.body_fields(),
     )
     is_silent = isinstance(exc, SilentEndpointError)
@@ -250,6 +256,8 @@
             broke_at=now,
             # It may have ended before the request was sent.
             may_block=not is_stale,
+            parts=parts,
+            began_s=began_s,
         )
     )
     if is_stale and not was_waiting:
