--- a/src/cactusmill/internal/crash_suspects.py
+++ b/src/cactusmill/internal/crash_suspects.py
@@ -55,7 +55,8 @@
     -------
     list of str
     """
-    return [xxhash.xxh3_64_hexdigest(name) for name, _ in req.prompt_segments[:-1]]
+    names = [name.encode() for name, _ in req.prompt_segments[:-1]]
+    return [xxhash.xxh3_64_hexdigest(name) for name in names]
 
 
 @attrs.define
