--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -139,11 +139,49 @@
   1: required list<EndpointLoad> loads
 }
 
-// A crash suspect: the keyed digest of a request that was running when its endpoint
-// crashed, and the number of such crashes.
-struct Suspect {
-  1: required string digest
-  2: required i32 deaths
+// A request that a crash interrupted: keyed digests of it and of the parts of its
+// prompt, and how well it explains the crash, in hundredths.
+struct CrashCandidate {
+  1: required i64 request
+  2: required list<i64> parts
+  3: required i32 weight
+}
+
+// What the sender knows of the crash of one incarnation of an endpoint. `proven` are
+// the parts that were served not long before.
+struct CrashReport {
+  1: required i64 incarnation
+  2: required i32 age_ms
+  3: required list<CrashCandidate> candidates
+  4: required list<i64> proven
+}
+
+// A request or part of a prompt that was served whole, and the age of that response's
+// beginning.
+struct Clearance {
+  1: required i64 thing
+  2: required i32 age_ms
+}
+
+// A decision to hold a request or part back, or to release it.
+struct ConvictionEntry {
+  1: required i64 thing
+  2: required i32 epoch
+  3: required bool held
+  4: required i32 age_ms
+  5: required i32 crash_age_ms
+  6: required i32 trials
+  7: required i32 crashes
+  8: required list<i64> companions
+}
+
+// News about what crashes endpoints. `known` is a hash of all decisions that the sender
+// knows.
+struct ContainmentNews {
+  1: required i64 known
+  2: optional list<CrashReport> crashes
+  3: optional list<Clearance> clearances
+  4: optional list<ConvictionEntry> convictions
 }
 
 // Last known state of a host, as reported by itself or another host.
@@ -204,7 +242,6 @@
   6: required list<MemberNote> members
   7: optional list<TeamDemand> demands
   8: optional list<EndpointWork> work
-  10: optional list<Suspect> suspects
   // Totals of the sender's own region for hosts of other regions, else of all other
   // regions.
   11: optional list<RegionSummary> regions
@@ -216,6 +253,8 @@
   14: optional list<ZoneReopening> reopened
   // Lag of the sender's event loop. Absent if it is short.
   15: optional i32 lag_ms
+  // Absent if the sender holds nothing back and has no news.
+  16: optional ContainmentNews containment
 }
 
 union Frame {
@@ -232,7 +271,7 @@
   11: Cancel cancel
   12: LoanAsk loan_ask
   13: LoanGrant loan_grant
-  14: Suspect suspect
+  14: ContainmentNews containment
   15: LoadReport load_report
   16: Beat beat
 }
--- a/src/cactusmill/internal/attempts.py
+++ b/src/cactusmill/internal/attempts.py
@@ -21,8 +21,9 @@
     TruncatedAnswerError,
 )
 from .chat import UsageMeter
-from .crash_evidence import Evidence, Interruption
-from .crash_probe import probe_twice
+from .containment.culprits import Culprits
+from .containment.evidence import Evidence, Interruption
+from .containment.probe import probe_twice
 from .endpoints import (
     LEAVING_HEADER,
     STALL_LIMIT_S,
@@ -65,9 +66,8 @@
     ----------
     tried : set of str
         Names of endpoints, hosts and zones that could not serve it.
-    digest : str
-        Digest of the request, by which the host counts the endpoints that crashed
-        while running it.
+    culprits : Culprits
+        What may be at fault in it if an endpoint crashes.
     meter : UsageMeter or None
         Counts the tokens of the response; None on service routes.
     was_sent : bool
@@ -79,7 +79,7 @@
     """
 
     tried: set
-    digest: str
+    culprits: Culprits
     meter: UsageMeter | None
     was_sent: bool = False
     has_paid_retry: bool = False
@@ -117,16 +117,16 @@
     """
     state = host.pool.state(endpoint.name)
     state.in_flight += 1
-    is_suspect = host.suspects.crash_count(progress.digest, host.now()) > 0
+    is_suspect = host.containment.crash_count(progress.culprits) > 0
     if is_suspect:
-        host.suspects.record_start(progress.digest, endpoint.name)
+        host.running_suspects.start(progress.culprits.request, endpoint.name)
     started_at = host.now()
     try:
         return await _attempt(host, req, sink, progress, endpoint, state, may_replace)
     finally:
         state.in_flight -= 1
         if is_suspect:
-            host.suspects.record_stop(progress.digest, endpoint.name)
+            host.running_suspects.stop(progress.culprits.request, endpoint.name)
         queue = host.queue_for(req.service)
         queue.record_service_time(host.now() - started_at)
         queue.wake_next()
@@ -136,7 +136,7 @@
     try:
         # A suspect gets a new connection, which proves that the endpoint was alive
         # when the request was sent, so that a crash after it counts.
-        is_suspect = host.suspects.crash_count(progress.digest, host.now()) > 0
+        is_suspect = host.containment.crash_count(progress.culprits) > 0
         exchange = await host.pool.acquire(
             endpoint, host.now(), new_connection=is_suspect
         )
@@ -167,7 +167,7 @@
         elif refusal is None:
             await _relay(host, req, sink, progress, endpoint, exchange)
         if refusal is None:
-            host.suspects.clear(progress.digest)
+            await host.record_served(progress)
         is_complete = True
     finally:
         if not is_complete:
@@ -197,7 +197,7 @@
         if scope.cancelled_caught:
             raise SilentEndpointError("no answer before the deadline")
         record_notices(host, state, exchange)
-        host.suspects.interruptions.record_answer(endpoint.name, sent_at)
+        host.containment.interruptions.record_answer(endpoint.name, sent_at)
     except ExchangeError as exc:
         return await _record_failure(host, req, progress, endpoint, exchange, exc)
     load = parse_count(header(exchange.headers, LOAD_HEADER))
@@ -343,9 +343,9 @@
     """
     if isinstance(exc, SilentEndpointError):
         return False
-    host.suspects.interruptions.record(
+    host.containment.interruptions.record(
         Interruption(
-            digest=progress.digest,
+            culprits=progress.culprits,
             request_id=req.request_id,
             team=req.team,
             route=req.route,
--- a/src/cactusmill/internal/crash_evidence.py
+++ b/src/cactusmill/internal/containment/evidence.py
@@ -19,6 +19,8 @@
 
 import attrs
 
+from .culprits import Culprits
+
 # Time after an interruption in which evidence of a crash is attributed to it. An entry
 # is removed after the endpoint has been silent for three of its heartbeats.
 EVIDENCE_WINDOW_S = 5.0
@@ -53,8 +55,8 @@
 
     Attributes
     ----------
-    digest : str
-        Identifies the request, see :func:`.crash_suspects.request_digest`.
+    culprits : Culprits
+        What may be at fault in the request.
     request_id : str
         Identifier of the attempt, for the log.
     team : Team or None
@@ -67,15 +69,13 @@
         When the request was sent and when the connection broke, in seconds.
     may_block : bool
         False if the endpoint may have ended before the request was sent, so that the
-        crash makes the request a suspect but never blocks it.
-    parts : list of str
-        Digests of the prompt parts that it may share with other requests.
+        crash makes the request a suspect but is no evidence against it.
     began_s : float or None
         How long its response had been arriving, in seconds; None before its first
         data.
     """
 
-    digest: str
+    culprits: Culprits
     request_id: str
     team: object
     route: object
@@ -83,9 +83,13 @@
     sent_at: float
     broke_at: float
     may_block: bool = True
-    parts: list = attrs.field(factory=list)
     began_s: float | None = None
 
+    @property
+    def digest(self):
+        """Digest of the request."""
+        return self.culprits.request
+
 
 @attrs.define(eq=False)
 class _Waiting:
--- a/src/cactusmill/internal/crash_probe.py
+++ b/src/cactusmill/internal/containment/probe.py
@@ -4,7 +4,7 @@
 
 import trio
 
-from ..errors import ConnectResetError
+from ...errors import ConnectResetError
 
 # A dying process closes its connections and its listener in any order. Until the
 # listener is closed, connections to it are accepted, and reset when it is.
--- a/src/cactusmill/internal/host_process.py
+++ b/src/cactusmill/internal/host_process.py
@@ -19,8 +19,12 @@
 from .buffer_budget import BufferBudget
 from .burn import BurnCounter
 from .configuration import RecordStore
-from .crash_evidence import Evidence
-from .crash_suspects import CrashSuspects
+from .containment.containment import CrashContainment
+from .containment.convictions import has_turn
+from .containment.culprits import to_text
+from .containment.evidence import Evidence
+from .containment.messages import build_report, conviction_news
+from .containment.running import RunningSuspects
 from .descriptors import Descriptors
 from .edge import serve_caller
 from .endpoints import EndpointPool
@@ -45,7 +49,7 @@
 from .request import is_permitted
 from .retries import RetryBudgets
 from .shedding import Shedder
-from .wire.ttypes import Hello, Suspect
+from .wire.ttypes import Hello
 from .zone_routing import zone_wait_s
 
 # Shortest interval of load reports to the hosts of the same zone.
@@ -114,7 +118,8 @@
     host_list: RecordStore = attrs.field(factory=RecordStore)
     peers: dict = attrs.field(factory=dict)
     key_scopes: KeyScopes = attrs.field(factory=KeyScopes)
-    suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    containment: CrashContainment = attrs.field(factory=CrashContainment)
+    running_suspects: RunningSuspects = attrs.field(factory=RunningSuspects)
     retry_budgets: RetryBudgets = attrs.field(factory=RetryBudgets)
     metrics: Metrics = attrs.field(factory=Metrics)
     traffic: Traffic = attrs.field(factory=Traffic)
@@ -284,7 +289,7 @@
             What shows that it has ended.
         """
         now = self.now()
-        for interruption, crash_count in self.suspects.count_crashes(
+        for interruption, crash_count in self.containment.count_crashes(
             endpoint_name, evidence, now
         ):
             log_fields(
@@ -294,17 +299,66 @@
                 deaths=crash_count,
                 evidence=evidence.value,
                 waited_s=round(now - interruption.broke_at, 3),
+                digest=to_text(interruption.digest),
+                parts=[to_text(part) for part in interruption.culprits.parts],
             )
-            await self._broadcast_suspect(interruption, crash_count)
+            await self._report_interruption(interruption, now)
+        await self.log_and_tell_decisions()
 
-    async def _broadcast_suspect(self, interruption, crash_count):
-        """Report a request's crash count to the peers that may run the request."""
-        suspect = Suspect(interruption.digest, crash_count)
+    async def _report_interruption(self, interruption, now):
+        """Report an interruption by a crash to the peers that may run its request."""
+        news = build_report(self.containment, interruption, now)
         team, route = interruption.team, interruption.route
         for peer in list(self.peers.values()):
-            if peer.link and is_permitted(peer.host.region, team, route):
-                with contextlib.suppress(LinkClosedError):
-                    await peer.link.send(suspect=suspect)
+            if is_permitted(peer.host.region, team, route):
+                await self._tell(peer, news)
+
+    async def _tell(self, peer, news):
+        if peer.link:
+            with contextlib.suppress(LinkClosedError):
+                await peer.link.send(containment=news)
+
+    async def record_served(self, progress):
+        """Record that a request was served whole; what was in it is not at fault."""
+        now = self.now()
+        self.containment.record_served(progress.culprits, progress.sent_at, now)
+        await self.log_and_tell_decisions()
+
+    async def log_and_tell_decisions(self):
+        """Log what was decided to be held back or released; tell the own region.
+
+        Hosts of other regions may not run the requests, and decide by themselves.
+        """
+        decisions = self.containment.take_decisions()
+        if not decisions:
+            return
+        for conviction, why in decisions:
+            log_fields(
+                "held_back" if conviction.is_held else "released",
+                digest=to_text(conviction.thing),
+                reason=why,
+                crashes=conviction.crashes,
+                epoch=conviction.epoch,
+                trials=conviction.trials,
+                companions=[to_text(c) for c in conviction.companions],
+            )
+        told = [conviction for conviction, why in decisions if why != "told"]
+        news = conviction_news(self.containment, told, self.now())
+        for peer in list(self.peers.values()):
+            if told and peer.host.region == self.cfg.region:
+                await self._tell(peer, news)
+
+    async def tell_convictions(self, peer):
+        """Tell a peer of the own region, which may have just started, all decisions."""
+        convictions = self.containment.convictions.all()
+        if convictions and peer.host.region == self.cfg.region:
+            news = conviction_news(self.containment, convictions, self.now())
+            await self._tell(peer, news)
+
+    def makes_trial(self, thing, turn):
+        """Return whether this host makes the trials of something in a turn."""
+        names = [p.host.name for p in self.peers.values() if p.is_reachable]
+        return has_turn(self.cfg.host, names, thing, turn)
 
     def record_request(self, caller, route, refusal, name):
         """Count a finished request in the metrics and the burn report.
@@ -373,7 +427,7 @@
 
     def _start_counting_crashes(self, endpoints):
         """Count the crashes that a new list of endpoints shows, in the background."""
-        interruptions = self.suspects.interruptions
+        interruptions = self.containment.interruptions
         if self.nursery is None or not len(interruptions):
             return
         found = {
@@ -484,7 +538,9 @@
                 next_expiry = self.now() + EXPIRY_S
                 self._log_descriptors()
                 self.ledger.expire(self.now())
-                self.suspects.interruptions.expire(self.now())
+                self.containment.interruptions.expire(self.now())
+                self.containment.review(self.now())
+                await self.log_and_tell_decisions()
                 self._update_slot()
                 reconcile_peers(self)
 
--- a/src/cactusmill/internal/link_server.py
+++ b/src/cactusmill/internal/link_server.py
@@ -21,6 +21,7 @@
 from .answer_frames import answer_sink, whole_answer
 from .at_most_once import is_owner, run_at_most_once
 from .configuration import change_to_json
+from .containment.messages import apply_news
 from .identifiers import parse_identifier
 from .limits import LOAN_TTL_S
 from .link import open_link
@@ -78,10 +79,9 @@
         loads = {e.key: e.in_flight for e in frame.load_report.loads}
         host.pool.update_peer_loads(link.peer.host, loads, host.now())
         host.wake_queues()
-    elif frame.suspect is not None:
-        host.suspects.merge_crash_count(
-            frame.suspect.digest, frame.suspect.deaths, host.now()
-        )
+    elif frame.containment is not None:
+        apply_news(host.containment, frame.containment, host.now())
+        await host.log_and_tell_decisions()
     elif frame.forward is not None:
         scope = scopes[frame.forward.call] = trio.CancelScope()
         nursery.start_soon(
--- a/src/cactusmill/internal/peers.py
+++ b/src/cactusmill/internal/peers.py
@@ -248,6 +248,7 @@
         if link.peer.host != peer.host.name:
             raise LinkClosedError(f"{peer.host.peers} is {link.peer.host}")
         peer.link, peer.was_connected, peer.unanswered_since = link, True, None
+        await host.tell_convictions(peer)
         async with trio.open_nursery() as nursery:
             nursery.start_soon(_send_heartbeats, host, peer, link, nursery.cancel_scope)
             if peer.host.zone == host.cfg.zone:
--- a/src/cactusmill/internal/repeatable.py
+++ b/src/cactusmill/internal/repeatable.py
@@ -24,7 +24,8 @@
 from .admission import admit
 from .attempts import RequestProgress, try_endpoint
 from .chat import UsageMeter
-from .crash_suspects import SUSPECT_TTL_S, request_digest
+from .containment.convictions import FIRST_TRIAL_S, Verdict
+from .containment.culprits import culprits_of
 from .forward_client import forward
 from .queues import MAX_WAIT_S, MAX_WAITING_PER_TEAM
 from .zone_routing import (
@@ -72,8 +73,8 @@
     meter = None
     if req.route.kind == "model":
         meter = UsageMeter(req.prompt_tokens, req.is_stream)
-    digest = request_digest(host.cfg.link_secret, req)
-    progress = RequestProgress(set(), digest, meter)
+    culprits = culprits_of(host.cfg.link_secret, req)
+    progress = RequestProgress(set(), culprits, meter)
     used = 0.0
     try:
         result = await _run_attempts(host, req, sink, progress, is_forwarded)
@@ -102,8 +103,8 @@
         now = host.now()
         if now >= req.deadline:
             return Failure(_deadline_exceeded(progress))
-        if host.suspects.is_blocked(progress.digest, now):
-            return Failure(_request_blocked())
+        if _is_held_back(host, progress, now):
+            return Failure(_request_suspected(progress))
         endpoint = choose_zone_endpoint(host, req, progress)
         if endpoint is not None:
             refusal = await try_endpoint(
@@ -167,11 +168,20 @@
     )
 
 
-def _request_blocked():
+def _is_held_back(host, progress, now):
+    """Return whether a request is refused for what is held back; may begin a trial."""
+    verdict, _ = host.containment.judge(progress.culprits, host.makes_trial, now)
+    if verdict is Verdict.TRY:
+        host.containment.convictions.begin_trial(progress.culprits, now)
+    return verdict is Verdict.REFUSE
+
+
+def _request_suspected(progress):
     return RequestSuspected(
-        detail="endpoints died while they ran this request; it is refused for now",
-        outcome=Outcome.UNKNOWN,
-        retry_after_s=SUSPECT_TTL_S,
+        detail="endpoints died while they ran this request, or others with a part "
+        "of its prompt; it is refused for now",
+        outcome=Outcome.UNKNOWN if progress.was_sent else Outcome.NOT_RUN,
+        retry_after_s=FIRST_TRIAL_S,
     )
 
 
--- a/src/cactusmill/internal/wire/ttypes.py
+++ b/src/cactusmill/internal/wire/ttypes.py
@@ -1915,23 +1915,26 @@
         return not (self == other)
 
 
-class Suspect(object):
+class CrashCandidate(object):
     """
     Attributes:
-     - digest
-     - deaths
+     - request
+     - parts
+     - weight
 
     """
 
     __slots__ = (
-        'digest',
-        'deaths',
+        'request',
+        'parts',
+        'weight',
     )
 
 
-    def __init__(self, digest=None, deaths=None,):
-        self.digest = digest
-        self.deaths = deaths
+    def __init__(self, request=None, parts=None, weight=None,):
+        self.request = request
+        self.parts = parts
+        self.weight = weight
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -1943,13 +1946,245 @@
             if ftype == TType.STOP:
                 break
             if fid == 1:
-                if ftype == TType.STRING:
-                    self.digest = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                if ftype == TType.I64:
+                    self.request = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.parts = []
+                    (_etype52, _size49) = iprot.readListBegin()
+                    for _i53 in range(_size49):
+                        _elem54 = iprot.readI64()
+                        self.parts.append(_elem54)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.weight = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashCandidate')
+        if self.request is not None:
+            oprot.writeFieldBegin('request', TType.I64, 1)
+            oprot.writeI64(self.request)
+            oprot.writeFieldEnd()
+        if self.parts is not None:
+            oprot.writeFieldBegin('parts', TType.LIST, 2)
+            oprot.writeListBegin(TType.I64, len(self.parts))
+            for iter55 in self.parts:
+                oprot.writeI64(iter55)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.weight is not None:
+            oprot.writeFieldBegin('weight', TType.I32, 3)
+            oprot.writeI32(self.weight)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.request is None:
+            raise TProtocolException(message='Required field request is unset!')
+        if self.parts is None:
+            raise TProtocolException(message='Required field parts is unset!')
+        if self.weight is None:
+            raise TProtocolException(message='Required field weight is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class CrashReport(object):
+    """
+    Attributes:
+     - incarnation
+     - age_ms
+     - candidates
+     - proven
+
+    """
+
+    __slots__ = (
+        'incarnation',
+        'age_ms',
+        'candidates',
+        'proven',
+    )
+
+
+    def __init__(self, incarnation=None, age_ms=None, candidates=None, proven=None,):
+        self.incarnation = incarnation
+        self.age_ms = age_ms
+        self.candidates = candidates
+        self.proven = proven
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.incarnation = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.candidates = []
+                    (_etype59, _size56) = iprot.readListBegin()
+                    for _i60 in range(_size56):
+                        _elem61 = CrashCandidate()
+                        _elem61.read(iprot)
+                        self.candidates.append(_elem61)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.proven = []
+                    (_etype65, _size62) = iprot.readListBegin()
+                    for _i66 in range(_size62):
+                        _elem67 = iprot.readI64()
+                        self.proven.append(_elem67)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('CrashReport')
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.I64, 1)
+            oprot.writeI64(self.incarnation)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.candidates is not None:
+            oprot.writeFieldBegin('candidates', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.candidates))
+            for iter68 in self.candidates:
+                iter68.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.proven is not None:
+            oprot.writeFieldBegin('proven', TType.LIST, 4)
+            oprot.writeListBegin(TType.I64, len(self.proven))
+            for iter69 in self.proven:
+                oprot.writeI64(iter69)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.incarnation is None:
+            raise TProtocolException(message='Required field incarnation is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.candidates is None:
+            raise TProtocolException(message='Required field candidates is unset!')
+        if self.proven is None:
+            raise TProtocolException(message='Required field proven is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class Clearance(object):
+    """
+    Attributes:
+     - thing
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'thing',
+        'age_ms',
+    )
+
+
+    def __init__(self, thing=None, age_ms=None,):
+        self.thing = thing
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.thing = iprot.readI64()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.I32:
-                    self.deaths = iprot.readI32()
+                    self.age_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
             else:
@@ -1961,23 +2196,332 @@
         if oprot._fast_encode is not None and self.thrift_spec is not None:
             oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
             return
-        oprot.writeStructBegin('Suspect')
-        if self.digest is not None:
-            oprot.writeFieldBegin('digest', TType.STRING, 1)
-            oprot.writeString(self.digest.encode('utf-8') if sys.version_info[0] == 2 else self.digest)
+        oprot.writeStructBegin('Clearance')
+        if self.thing is not None:
+            oprot.writeFieldBegin('thing', TType.I64, 1)
+            oprot.writeI64(self.thing)
             oprot.writeFieldEnd()
-        if self.deaths is not None:
-            oprot.writeFieldBegin('deaths', TType.I32, 2)
-            oprot.writeI32(self.deaths)
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 2)
+            oprot.writeI32(self.age_ms)
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
     def validate(self):
-        if self.digest is None:
-            raise TProtocolException(message='Required field digest is unset!')
-        if self.deaths is None:
-            raise TProtocolException(message='Required field deaths is unset!')
+        if self.thing is None:
+            raise TProtocolException(message='Required field thing is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ConvictionEntry(object):
+    """
+    Attributes:
+     - thing
+     - epoch
+     - held
+     - age_ms
+     - crash_age_ms
+     - trials
+     - crashes
+     - companions
+
+    """
+
+    __slots__ = (
+        'thing',
+        'epoch',
+        'held',
+        'age_ms',
+        'crash_age_ms',
+        'trials',
+        'crashes',
+        'companions',
+    )
+
+
+    def __init__(self, thing=None, epoch=None, held=None, age_ms=None, crash_age_ms=None, trials=None, crashes=None, companions=None,):
+        self.thing = thing
+        self.epoch = epoch
+        self.held = held
+        self.age_ms = age_ms
+        self.crash_age_ms = crash_age_ms
+        self.trials = trials
+        self.crashes = crashes
+        self.companions = companions
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.thing = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.epoch = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.BOOL:
+                    self.held = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.crash_age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.I32:
+                    self.trials = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.I32:
+                    self.crashes = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.companions = []
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = iprot.readI64()
+                        self.companions.append(_elem75)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ConvictionEntry')
+        if self.thing is not None:
+            oprot.writeFieldBegin('thing', TType.I64, 1)
+            oprot.writeI64(self.thing)
+            oprot.writeFieldEnd()
+        if self.epoch is not None:
+            oprot.writeFieldBegin('epoch', TType.I32, 2)
+            oprot.writeI32(self.epoch)
+            oprot.writeFieldEnd()
+        if self.held is not None:
+            oprot.writeFieldBegin('held', TType.BOOL, 3)
+            oprot.writeBool(self.held)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 4)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        if self.crash_age_ms is not None:
+            oprot.writeFieldBegin('crash_age_ms', TType.I32, 5)
+            oprot.writeI32(self.crash_age_ms)
+            oprot.writeFieldEnd()
+        if self.trials is not None:
+            oprot.writeFieldBegin('trials', TType.I32, 6)
+            oprot.writeI32(self.trials)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.I32, 7)
+            oprot.writeI32(self.crashes)
+            oprot.writeFieldEnd()
+        if self.companions is not None:
+            oprot.writeFieldBegin('companions', TType.LIST, 8)
+            oprot.writeListBegin(TType.I64, len(self.companions))
+            for iter76 in self.companions:
+                oprot.writeI64(iter76)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.thing is None:
+            raise TProtocolException(message='Required field thing is unset!')
+        if self.epoch is None:
+            raise TProtocolException(message='Required field epoch is unset!')
+        if self.held is None:
+            raise TProtocolException(message='Required field held is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        if self.crash_age_ms is None:
+            raise TProtocolException(message='Required field crash_age_ms is unset!')
+        if self.trials is None:
+            raise TProtocolException(message='Required field trials is unset!')
+        if self.crashes is None:
+            raise TProtocolException(message='Required field crashes is unset!')
+        if self.companions is None:
+            raise TProtocolException(message='Required field companions is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ContainmentNews(object):
+    """
+    Attributes:
+     - known
+     - crashes
+     - clearances
+     - convictions
+
+    """
+
+    __slots__ = (
+        'known',
+        'crashes',
+        'clearances',
+        'convictions',
+    )
+
+
+    def __init__(self, known=None, crashes=None, clearances=None, convictions=None,):
+        self.known = known
+        self.crashes = crashes
+        self.clearances = clearances
+        self.convictions = convictions
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I64:
+                    self.known = iprot.readI64()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.LIST:
+                    self.crashes = []
+                    (_etype80, _size77) = iprot.readListBegin()
+                    for _i81 in range(_size77):
+                        _elem82 = CrashReport()
+                        _elem82.read(iprot)
+                        self.crashes.append(_elem82)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.LIST:
+                    self.clearances = []
+                    (_etype86, _size83) = iprot.readListBegin()
+                    for _i87 in range(_size83):
+                        _elem88 = Clearance()
+                        _elem88.read(iprot)
+                        self.clearances.append(_elem88)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.LIST:
+                    self.convictions = []
+                    (_etype92, _size89) = iprot.readListBegin()
+                    for _i93 in range(_size89):
+                        _elem94 = ConvictionEntry()
+                        _elem94.read(iprot)
+                        self.convictions.append(_elem94)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ContainmentNews')
+        if self.known is not None:
+            oprot.writeFieldBegin('known', TType.I64, 1)
+            oprot.writeI64(self.known)
+            oprot.writeFieldEnd()
+        if self.crashes is not None:
+            oprot.writeFieldBegin('crashes', TType.LIST, 2)
+            oprot.writeListBegin(TType.STRUCT, len(self.crashes))
+            for iter95 in self.crashes:
+                iter95.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.clearances is not None:
+            oprot.writeFieldBegin('clearances', TType.LIST, 3)
+            oprot.writeListBegin(TType.STRUCT, len(self.clearances))
+            for iter96 in self.clearances:
+                iter96.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.convictions is not None:
+            oprot.writeFieldBegin('convictions', TType.LIST, 4)
+            oprot.writeListBegin(TType.STRUCT, len(self.convictions))
+            for iter97 in self.convictions:
+                iter97.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.known is None:
+            raise TProtocolException(message='Required field known is unset!')
         return
 
     def __repr__(self):
@@ -2397,22 +2941,22 @@
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype52, _size49) = iprot.readListBegin()
-                    for _i53 in range(_size49):
-                        _elem54 = TeamDemand()
-                        _elem54.read(iprot)
-                        self.demands.append(_elem54)
+                    (_etype101, _size98) = iprot.readListBegin()
+                    for _i102 in range(_size98):
+                        _elem103 = TeamDemand()
+                        _elem103.read(iprot)
+                        self.demands.append(_elem103)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.waits = []
-                    (_etype58, _size55) = iprot.readListBegin()
-                    for _i59 in range(_size55):
-                        _elem60 = ServiceWait()
-                        _elem60.read(iprot)
-                        self.waits.append(_elem60)
+                    (_etype107, _size104) = iprot.readListBegin()
+                    for _i108 in range(_size104):
+                        _elem109 = ServiceWait()
+                        _elem109.read(iprot)
+                        self.waits.append(_elem109)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2445,15 +2989,15 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter61 in self.demands:
-                iter61.write(oprot)
+            for iter110 in self.demands:
+                iter110.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waits is not None:
             oprot.writeFieldBegin('waits', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.waits))
-            for iter62 in self.waits:
-                iter62.write(oprot)
+            for iter111 in self.waits:
+                iter111.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2602,12 +3146,12 @@
      - members
      - demands
      - work
-     - suspects
      - regions
      - source_age_ms
      - source_failing
      - reopened
      - lag_ms
+     - containment
 
     """
 
@@ -2620,16 +3164,16 @@
         'members',
         'demands',
         'work',
-        'suspects',
         'regions',
         'source_age_ms',
         'source_failing',
         'reopened',
         'lag_ms',
+        'containment',
     )
 
 
-    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, suspects=None, regions=None, source_age_ms=None, source_failing=None, reopened=None, lag_ms=None,):
+    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, regions=None, source_age_ms=None, source_failing=None, reopened=None, lag_ms=None, containment=None,):
         self.sender = sender
         self.sequence = sequence
         self.ready = ready
@@ -2638,12 +3182,12 @@
         self.members = members
         self.demands = demands
         self.work = work
-        self.suspects = suspects
         self.regions = regions
         self.source_age_ms = source_age_ms
         self.source_failing = source_failing
         self.reopened = reopened
         self.lag_ms = lag_ms
+        self.containment = containment
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2683,55 +3227,44 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype66, _size63) = iprot.readListBegin()
-                    for _i67 in range(_size63):
-                        _elem68 = MemberNote()
-                        _elem68.read(iprot)
-                        self.members.append(_elem68)
+                    (_etype115, _size112) = iprot.readListBegin()
+                    for _i116 in range(_size112):
+                        _elem117 = MemberNote()
+                        _elem117.read(iprot)
+                        self.members.append(_elem117)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype72, _size69) = iprot.readListBegin()
-                    for _i73 in range(_size69):
-                        _elem74 = TeamDemand()
-                        _elem74.read(iprot)
-                        self.demands.append(_elem74)
+                    (_etype121, _size118) = iprot.readListBegin()
+                    for _i122 in range(_size118):
+                        _elem123 = TeamDemand()
+                        _elem123.read(iprot)
+                        self.demands.append(_elem123)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype78, _size75) = iprot.readListBegin()
-                    for _i79 in range(_size75):
-                        _elem80 = EndpointWork()
-                        _elem80.read(iprot)
-                        self.work.append(_elem80)
-                    iprot.readListEnd()
-                else:
-                    iprot.skip(ftype)
-            elif fid == 10:
-                if ftype == TType.LIST:
-                    self.suspects = []
-                    (_etype84, _size81) = iprot.readListBegin()
-                    for _i85 in range(_size81):
-                        _elem86 = Suspect()
-                        _elem86.read(iprot)
-                        self.suspects.append(_elem86)
+                    (_etype127, _size124) = iprot.readListBegin()
+                    for _i128 in range(_size124):
+                        _elem129 = EndpointWork()
+                        _elem129.read(iprot)
+                        self.work.append(_elem129)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.regions = []
-                    (_etype90, _size87) = iprot.readListBegin()
-                    for _i91 in range(_size87):
-                        _elem92 = RegionSummary()
-                        _elem92.read(iprot)
-                        self.regions.append(_elem92)
+                    (_etype133, _size130) = iprot.readListBegin()
+                    for _i134 in range(_size130):
+                        _elem135 = RegionSummary()
+                        _elem135.read(iprot)
+                        self.regions.append(_elem135)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2748,11 +3281,11 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.reopened = []
-                    (_etype96, _size93) = iprot.readListBegin()
-                    for _i97 in range(_size93):
-                        _elem98 = ZoneReopening()
-                        _elem98.read(iprot)
-                        self.reopened.append(_elem98)
+                    (_etype139, _size136) = iprot.readListBegin()
+                    for _i140 in range(_size136):
+                        _elem141 = ZoneReopening()
+                        _elem141.read(iprot)
+                        self.reopened.append(_elem141)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2761,6 +3294,12 @@
                     self.lag_ms = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.containment = ContainmentNews()
+                    self.containment.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2794,36 +3333,29 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter99 in self.members:
-                iter99.write(oprot)
+            for iter142 in self.members:
+                iter142.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter100 in self.demands:
-                iter100.write(oprot)
+            for iter143 in self.demands:
+                iter143.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter101 in self.work:
-                iter101.write(oprot)
-            oprot.writeListEnd()
-            oprot.writeFieldEnd()
-        if self.suspects is not None:
-            oprot.writeFieldBegin('suspects', TType.LIST, 10)
-            oprot.writeListBegin(TType.STRUCT, len(self.suspects))
-            for iter102 in self.suspects:
-                iter102.write(oprot)
+            for iter144 in self.work:
+                iter144.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.regions is not None:
             oprot.writeFieldBegin('regions', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.regions))
-            for iter103 in self.regions:
-                iter103.write(oprot)
+            for iter145 in self.regions:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.source_age_ms is not None:
@@ -2837,14 +3369,18 @@
         if self.reopened is not None:
             oprot.writeFieldBegin('reopened', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.reopened))
-            for iter104 in self.reopened:
-                iter104.write(oprot)
+            for iter146 in self.reopened:
+                iter146.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lag_ms is not None:
             oprot.writeFieldBegin('lag_ms', TType.I32, 15)
             oprot.writeI32(self.lag_ms)
             oprot.writeFieldEnd()
+        if self.containment is not None:
+            oprot.writeFieldBegin('containment', TType.STRUCT, 16)
+            self.containment.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2898,7 +3434,7 @@
      - cancel
      - loan_ask
      - loan_grant
-     - suspect
+     - containment
      - load_report
      - beat
 
@@ -2918,13 +3454,13 @@
         'cancel',
         'loan_ask',
         'loan_grant',
-        'suspect',
+        'containment',
         'load_report',
         'beat',
     )
 
 
-    def __init__(self, hello=None, proof=None, heartbeat=None, heartbeat_ack=None, changes_pull=None, changes_reply=None, forward=None, answer_head=None, answer_data=None, answer_end=None, cancel=None, loan_ask=None, loan_grant=None, suspect=None, load_report=None, beat=None,):
+    def __init__(self, hello=None, proof=None, heartbeat=None, heartbeat_ack=None, changes_pull=None, changes_reply=None, forward=None, answer_head=None, answer_data=None, answer_end=None, cancel=None, loan_ask=None, loan_grant=None, containment=None, load_report=None, beat=None,):
         self.hello = hello
         self.proof = proof
         self.heartbeat = heartbeat
@@ -2938,7 +3474,7 @@
         self.cancel = cancel
         self.loan_ask = loan_ask
         self.loan_grant = loan_grant
-        self.suspect = suspect
+        self.containment = containment
         self.load_report = load_report
         self.beat = beat
 
@@ -3031,8 +3567,8 @@
                     iprot.skip(ftype)
             elif fid == 14:
                 if ftype == TType.STRUCT:
-                    self.suspect = Suspect()
-                    self.suspect.read(iprot)
+                    self.containment = ContainmentNews()
+                    self.containment.read(iprot)
                 else:
                     iprot.skip(ftype)
             elif fid == 15:
@@ -3109,9 +3645,9 @@
             oprot.writeFieldBegin('loan_grant', TType.STRUCT, 13)
             self.loan_grant.write(oprot)
             oprot.writeFieldEnd()
-        if self.suspect is not None:
-            oprot.writeFieldBegin('suspect', TType.STRUCT, 14)
-            self.suspect.write(oprot)
+        if self.containment is not None:
+            oprot.writeFieldBegin('containment', TType.STRUCT, 14)
+            self.containment.write(oprot)
             oprot.writeFieldEnd()
         if self.load_report is not None:
             oprot.writeFieldBegin('load_report', TType.STRUCT, 15)
@@ -3277,11 +3813,46 @@
     None,  # 0
     (1, TType.LIST, 'loads', (TType.STRUCT, [EndpointLoad, None], False), None, ),  # 1
 )
-all_structs.append(Suspect)
-Suspect.thrift_spec = (
+all_structs.append(CrashCandidate)
+CrashCandidate.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'request', None, None, ),  # 1
+    (2, TType.LIST, 'parts', (TType.I64, None, False), None, ),  # 2
+    (3, TType.I32, 'weight', None, None, ),  # 3
+)
+all_structs.append(CrashReport)
+CrashReport.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'incarnation', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+    (3, TType.LIST, 'candidates', (TType.STRUCT, [CrashCandidate, None], False), None, ),  # 3
+    (4, TType.LIST, 'proven', (TType.I64, None, False), None, ),  # 4
+)
+all_structs.append(Clearance)
+Clearance.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'thing', None, None, ),  # 1
+    (2, TType.I32, 'age_ms', None, None, ),  # 2
+)
+all_structs.append(ConvictionEntry)
+ConvictionEntry.thrift_spec = (
+    None,  # 0
+    (1, TType.I64, 'thing', None, None, ),  # 1
+    (2, TType.I32, 'epoch', None, None, ),  # 2
+    (3, TType.BOOL, 'held', None, None, ),  # 3
+    (4, TType.I32, 'age_ms', None, None, ),  # 4
+    (5, TType.I32, 'crash_age_ms', None, None, ),  # 5
+    (6, TType.I32, 'trials', None, None, ),  # 6
+    (7, TType.I32, 'crashes', None, None, ),  # 7
+    (8, TType.LIST, 'companions', (TType.I64, None, False), None, ),  # 8
+)
+all_structs.append(ContainmentNews)
+ContainmentNews.thrift_spec = (
     None,  # 0
-    (1, TType.STRING, 'digest', 'UTF8', None, ),  # 1
-    (2, TType.I32, 'deaths', None, None, ),  # 2
+    (1, TType.I64, 'known', None, None, ),  # 1
+    (2, TType.LIST, 'crashes', (TType.STRUCT, [CrashReport, None], False), None, ),  # 2
+    (3, TType.LIST, 'clearances', (TType.STRUCT, [Clearance, None], False), None, ),  # 3
+    (4, TType.LIST, 'convictions', (TType.STRUCT, [ConvictionEntry, None], False), None, ),  # 4
 )
 all_structs.append(MemberNote)
 MemberNote.thrift_spec = (
@@ -3336,12 +3907,13 @@
     (7, TType.LIST, 'demands', (TType.STRUCT, [TeamDemand, None], False), None, ),  # 7
     (8, TType.LIST, 'work', (TType.STRUCT, [EndpointWork, None], False), None, ),  # 8
     None,  # 9
-    (10, TType.LIST, 'suspects', (TType.STRUCT, [Suspect, None], False), None, ),  # 10
+    None,  # 10
     (11, TType.LIST, 'regions', (TType.STRUCT, [RegionSummary, None], False), None, ),  # 11
     (12, TType.I32, 'source_age_ms', None, None, ),  # 12
     (13, TType.BOOL, 'source_failing', None, None, ),  # 13
     (14, TType.LIST, 'reopened', (TType.STRUCT, [ZoneReopening, None], False), None, ),  # 14
     (15, TType.I32, 'lag_ms', None, None, ),  # 15
+    (16, TType.STRUCT, 'containment', [ContainmentNews, None], None, ),  # 16
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
@@ -3359,7 +3931,7 @@
     (11, TType.STRUCT, 'cancel', [Cancel, None], None, ),  # 11
     (12, TType.STRUCT, 'loan_ask', [LoanAsk, None], None, ),  # 12
     (13, TType.STRUCT, 'loan_grant', [LoanGrant, None], None, ),  # 13
-    (14, TType.STRUCT, 'suspect', [Suspect, None], None, ),  # 14
+    (14, TType.STRUCT, 'containment', [ContainmentNews, None], None, ),  # 14
     (15, TType.STRUCT, 'load_report', [LoadReport, None], None, ),  # 15
     (16, TType.STRUCT, 'beat', [Beat, None], None, ),  # 16
 )
--- a/src/cactusmill/internal/zone_routing.py
+++ b/src/cactusmill/internal/zone_routing.py
@@ -44,13 +44,16 @@
     Endpoint or None
         None if no endpoint that was not tried yet is usable and has free capacity.
     """
-    is_suspect = host.suspects.crash_count(progress.digest, host.now()) > 0
+    is_suspect = host.containment.crash_count(progress.culprits) > 0
     candidates = [
         c
         for c in zone_candidates(host, req, host.cfg.zone)
         if c.endpoint.name not in progress.tried
         and (
-            not is_suspect or host.suspects.may_run_on(progress.digest, c.endpoint.name)
+            not is_suspect
+            or host.running_suspects.may_run_on(
+                progress.culprits.request, c.endpoint.name
+            )
         )
     ]
     return choose_endpoint(candidates, req.affinity, host.rng)
--- a/src/cactusmill/serving/connections.py
+++ b/src/cactusmill/serving/connections.py
@@ -7,7 +7,7 @@
 import h11
 
 from ..errors import CrossedAnswerError, TruncatedAnswerError
-from ..internal.crash_probe import probe_twice
+from ..internal.containment.probe import probe_twice
 from ..internal.framing import ReceivedBody, response_framing
 from ..internal.http import (
     Connection,
@@ -150,7 +150,7 @@
         self._keep(name, await self.net.connect(address, _PROBE_TIMEOUT_S), now)
 
     async def probe_twice(self, name, address, now):
-        """Connect to an endpoint that may be dying, see :mod:`.crash_probe`.
+        """Connect to an endpoint that may be dying, see :mod:`.containment.probe`.
 
         A connection that stays open is kept for the next request.
 
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -23,17 +23,16 @@
     Refusal,
     RequestSuspected,
 )
-from ..internal.crash_evidence import Evidence
+from ..internal.containment.convictions import Verdict
+from ..internal.containment.evidence import Evidence
 from ..internal.request import is_permitted
 from ..internal.shedding import would_shed
 from .cross_region import run_in_other_region
 from .events import log_event
 from .overload import ForwardTo, Send, choose_remote_host, decide
-from .progress import deadline_exceeded, may_repeat
+from .progress import deadline_exceeded, may_repeat, suspected
 from .sending import send_to_endpoint
 
-# Retry time of a request that is blocked because endpoints crashed while it ran.
-_BLOCKED_RETRY_S = 30.0
 # Fraction of the latency objective for which a request waits while no endpoint may
 # accept it.
 _HOLD_FRACTION = 0.12
@@ -106,12 +105,7 @@
 
 async def _run_attempts(host, req, sink, progress, is_forwarded):
     """Make attempts until one completes the response or none may follow."""
-    if host.suspects.is_blocked(progress.digest, host.now()):
-        return RequestSuspected(
-            detail="endpoints died while they ran this request",
-            outcome=progress.outcome,
-            retry_after_s=_BLOCKED_RETRY_S,
-        )
+    await _wait_for_convictions(host, progress)
 
     async def may_give_up(is_silent):
         return await _reserve_step(host, req, progress, is_forwarded, is_silent)
@@ -121,6 +115,8 @@
         sink.check_open()
         if host.now() >= req.deadline:
             return _final_refusal(progress, deadline_exceeded(progress))
+        if _is_held_back(host, progress):
+            return _final_refusal(progress, suspected(progress.outcome))
         step, progress.reserved_step = progress.reserved_step, None
         if step is None:
             step = _next_step(host, req, progress, is_forwarded)
@@ -144,12 +140,38 @@
         if outcome is None:
             return None
         refusal = outcome
+        _end_trial(host, progress, refusal)
+        if isinstance(refusal, RequestSuspected):
+            return _final_refusal(progress, refusal)
         if progress.reserved_step is None and not _may_retry(host, req, progress):
             if refusal.outcome is Outcome.NOT_RUN:
                 refusal = _paused(host, req) or refusal
             return _final_refusal(progress, refusal)
 
 
+async def _wait_for_convictions(host, progress):
+    """Wait until a host that has just started knows what the others hold back."""
+    while progress.culprits.parts and not host.is_informed(host.now()):
+        await trio.sleep(_HOLD_POLL_S)
+
+
+def _is_held_back(host, progress):
+    """Return whether a request is refused for what is held back; may begin a trial."""
+    now = host.now()
+    verdict, _ = host.judge(progress.culprits, now)
+    if verdict is Verdict.TRY:
+        progress.is_trial = True
+        host.containment.convictions.begin_trial(progress.culprits, now)
+    return verdict is Verdict.REFUSE and not progress.is_trial
+
+
+def _end_trial(host, progress, refusal):
+    """End a trial that was not served; its crash, if there was one, is seen later."""
+    if progress.is_trial and refusal.outcome is Outcome.NOT_RUN:
+        host.containment.convictions.end_trial(progress.culprits)
+    progress.is_trial = False
+
+
 def _paused(host, req):
     """Return the refusal if all endpoints of the region want no requests, or None.
 
@@ -219,7 +241,10 @@
         local = host.placement.choose(
             req, service, listed, host.membership, now, progress.tried.union(silent)
         )
-    remote = None if is_forwarded else _remote_host(host, req, progress, now)
+    remote = None
+    # The other host would refuse a trial: this one makes it.
+    if not is_forwarded and not progress.is_trial:
+        remote = _remote_host(host, req, progress, now)
     objective_s = req.objective_at - now
     if progress.has_response_started:
         # A resumed stream has already met or missed its latency objective.
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -28,6 +28,7 @@
 )
 from ..internal.account import cut_reason
 from ..internal.buffer_budget import BUFFER_RETRY_S
+from ..internal.containment.convictions import Verdict
 from ..internal.http import (
     discard_received_body,
     has_other_end_closed,
@@ -41,7 +42,7 @@
 from ..internal.request import Request, Sink
 from .dispatch import run_request
 from .events import log_event, log_fault
-from .progress import may_repeat, new_progress
+from .progress import culprits_in, may_repeat, new_progress, suspected
 
 # A body follows its head without delay; a caller that stalls longer is gone.
 _BODY_TIMEOUT_S = 10.0
@@ -264,8 +265,10 @@
             body = await _read_body(host, caller, count_held, limit_s)
             req = _build_request(host, caller, event, route, team, body)
             _check_draining(host, req)
+            culprits = culprits_in(req)
+            _check_held_back(host, culprits)
             _charge_tokens(host, req)
-            progress = new_progress(req, route.attempts)
+            progress = new_progress(req, route.attempts, culprits)
             run_time = host.durations.begin(route.name, caller.began_at)
             refusal = await _run_until_disconnect(
                 host, caller, req, progress, count_held
@@ -451,6 +454,12 @@
         )
 
 
+def _check_held_back(host, culprits):
+    """Refuse a request for what is held back, before it is charged."""
+    if host.judge(culprits, host.now())[0] is Verdict.REFUSE:
+        raise _Refused(suspected(Outcome.NOT_RUN))
+
+
 def _charge_tokens(host, req):
     """Charge a request's tokens to this host's share of the team's rate."""
     now = host.now()
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -26,6 +26,7 @@
     NoEndpoint,
     Outcome,
     Overloaded,
+    RequestSuspected,
     SilentEndpointError,
     TruncatedAnswerError,
 )
@@ -327,6 +328,7 @@
         Overloaded.__name__: Overloaded,
         InternalFault.__name__: InternalFault,
         HostExits.__name__: HostExits,
+        RequestSuspected.__name__: RequestSuspected,
     }.get(head.refusal, EndpointFailed)
     retry_s = None if head.retry_after_ms is None else head.retry_after_ms / 1000
     return kind(
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -12,8 +12,10 @@
 
 from ..internal.account import Account
 from ..internal.buffer_budget import BufferBudget
-from ..internal.crash_evidence import Evidence
-from ..internal.crash_suspects import CrashSuspects
+from ..internal.containment.containment import CrashContainment
+from ..internal.containment.convictions import Verdict, has_turn
+from ..internal.containment.culprits import to_text
+from ..internal.containment.evidence import Evidence
 from ..internal.descriptors import IDLE_BEFORE_CLOSE_S, Descriptors
 from ..internal.idle_waits import IdleWaits
 from ..internal.loop_monitor import LoopMonitor
@@ -51,9 +53,8 @@
 # Longest time for which nothing is forwarded to a region that refused a request; its
 # next heartbeats then report whether it has capacity again.
 _REGION_BACKOFF_S = 0.4
-# A crash suspect, a request that was running when an endpoint crashed, is included in
-# heartbeats this long after its count last rose.
-_SUSPECT_REPORT_PERIOD_S = 3.0
+# Heartbeats of the other hosts have arrived this long after the start of the process.
+_INFORM_S = 0.4
 _DRAIN_POLL_INTERVAL_S = 0.02
 
 
@@ -172,7 +173,7 @@
     shed_average: ShedAverage = attrs.field(factory=ShedAverage)
     catalog: Catalog = attrs.field(factory=Catalog)
     source_health: SourceHealth = attrs.field(factory=SourceHealth)
-    suspects: CrashSuspects = attrs.field(factory=CrashSuspects)
+    containment: CrashContainment = attrs.field(factory=CrashContainment)
     loop: LoopMonitor = attrs.field(init=False)
     shedder: Shedder = attrs.field(init=False)
     metrics: Metrics = attrs.field(factory=Metrics)
@@ -187,7 +188,6 @@
     _leaving: trio.Event = attrs.field(factory=trio.Event)
     region_backoff_until: dict = attrs.field(factory=dict)
     _retry_schedules: dict = attrs.field(factory=dict)
-    _recent_suspects: dict = attrs.field(factory=dict)
     _accepting: list = attrs.field(factory=list)
 
     def __attrs_post_init__(self):
@@ -385,10 +385,9 @@
         now : float
             Current time, in seconds.
         """
-        for interruption, crash_count in self.suspects.count_crashes(
-            endpoint_name, evidence, now
-        ):
-            self._recent_suspects[interruption.digest] = (crash_count, now)
+        counted = self.containment.count_crashes(endpoint_name, evidence, now)
+        for interruption, crash_count in counted:
+            began_s = interruption.began_s
             log_event(
                 "request_suspected",
                 request_id=interruption.request_id,
@@ -396,35 +395,57 @@
                 deaths=crash_count,
                 evidence=evidence.value,
                 waited_s=round(now - interruption.broke_at, 3),
-                parts=interruption.parts,
-                began_s=None
-                if interruption.began_s is None
-                else round(interruption.began_s, 3),
+                digest=to_text(interruption.digest),
+                parts=[to_text(part) for part in interruption.culprits.parts],
+                began_s=None if began_s is None else round(began_s, 3),
+            )
+        if counted:
+            self.log_decisions(now)
+            self.gossip.tell_news()
+
+    def record_served(self, progress, now):
+        """Record that a request was served whole; what was in it is not at fault."""
+        began_at = progress.began_at
+        if began_at is None:
+            began_at = progress.sent_at
+        progress.is_trial = False
+        self.containment.record_served(progress.culprits, began_at, now)
+        self.log_decisions(now)
+
+    def judge(self, culprits, now):
+        """Return what may be done with a request, as :meth:`.Convictions.judge`."""
+        return self.containment.judge(culprits, self._makes_trial, now)
+
+    def refuses_culprits(self, progress, now):
+        """Return whether a request is refused for something that is held back."""
+        if progress.is_trial:
+            return False
+        return self.judge(progress.culprits, now)[0] is Verdict.REFUSE
+
+    def _makes_trial(self, thing, turn):
+        """Return whether this host makes the trials of something in a turn."""
+        names = [m.id.name for m in self.membership.serving(self.now())]
+        return has_turn(self.cfg.host, names, thing, turn)
+
+    def is_informed(self, now):
+        """Return whether this host knows what the others hold back."""
+        if self.gossip.has_heard or now - self.started_at > _INFORM_S:
+            return True
+        return all(seed == self.cfg.ip for seed in self.cfg.seeds)
+
+    def log_decisions(self, now):
+        """Log what was decided, here or by other hosts, to be held back or released."""
+        for conviction, why in self.containment.take_decisions():
+            log_event(
+                "held_back" if conviction.is_held else "released",
+                digest=to_text(conviction.thing),
+                reason=why,
+                crashes=conviction.crashes,
+                epoch=conviction.epoch,
+                trials=conviction.trials,
+                companions=[to_text(c) for c in conviction.companions],
+                age_s=round(now - conviction.since, 3),
             )
-
-    def merge_suspect(self, digest, crash_count, now):
-        """Apply a crash count that another host reported, if it is higher.
-
-        Parameters
-        ----------
-        digest : str
-            Digest of the suspected request.
-        crash_count : int
-            Crashes that the other host counts.
-        now : float
-            Current time, in seconds.
-        """
-        if crash_count > self.suspects.crash_count(digest, now):
-            self.suspects.merge_crash_count(digest, crash_count, now)
-            self._recent_suspects[digest] = (crash_count, now)
-
-    def recent_suspects(self, now):
-        """Return recent crash suspects as (digest, count), highest count first."""
-        for digest, (_, counted_at) in list(self._recent_suspects.items()):
-            if now - counted_at > _SUSPECT_REPORT_PERIOD_S:
-                del self._recent_suspects[digest]
-        suspects = [(digest, n) for digest, (n, _) in self._recent_suspects.items()]
-        return sorted(suspects, key=lambda s: -s[1])
 
     def waits(self, now):
         """Return the shortest predicted wait of each service in this region.
@@ -621,7 +642,9 @@
             self._log_shed_requests(now)
             self._log_descriptors(now)
             self.pool.close_expired(now)
-            self.suspects.interruptions.expire(now)
+            self.containment.interruptions.expire(now)
+            self.containment.review(now)
+            self.log_decisions(now)
 
     def _log_shed_requests(self, now):
         count = self.shedder.count_unlogged()
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -6,7 +6,7 @@
 - the demand of each team, in tokens requested per second;
 - the sender's requests in flight at each endpoint and their prompt tokens;
 - the shortest predicted wait of each service in a region;
-- crash suspects: digests of requests that were running when an endpoint crashed;
+- what crashes endpoints: reports of crashes, and what is held back for them;
 - zones whose evacuation ended recently, so that their endpoints may be cold.
 
 Hosts of one region exchange demands and loads individually, and pass on the totals of
@@ -24,6 +24,7 @@
 import trio
 
 from ..errors import LinkClosedError
+from ..internal.containment.messages import apply_news, build_news
 from ..internal.link import decode, encode_frame
 from ..internal.shedding import MIN_LAG_S
 from ..internal.steps import Steps
@@ -34,7 +35,6 @@
     MemberNote,
     RegionSummary,
     ServiceWait,
-    Suspect,
     TeamDemand,
     ZoneReopening,
 )
@@ -69,7 +69,6 @@
 MAX_DEMANDS = 40
 MAX_ENDPOINT_LOADS = 40
 MAX_WAITS = 8
-MAX_SUSPECTS = 8
 MAX_REOPENINGS = 8
 _MAX_I32 = 2**31 - 1
 _MAX_DATAGRAM_BYTES = 64 * 1024
@@ -83,6 +82,10 @@
 # faster than answers to all of them.
 _MAX_ANSWERS = 4
 _MAINTENANCE_INTERVAL_S = 0.5
+# Decisions are sent for this long after a host that knows other ones was heard.
+_DIFFERENCE_S = 0.5
+# Least time between two heartbeats that are sent early for the news that they carry.
+_NEWS_INTERVAL_S = 0.05
 
 
 def _member_entry(host_id, is_leaving, age_s):
@@ -148,11 +151,14 @@
         UDP port, the same on every host.
     seeds : tuple of str
         IP addresses of hosts to contact first. Addresses without a host do no harm.
+    has_heard : bool
+        True once another host's heartbeat was applied.
     """
 
     host: object
     port: int
     seeds: tuple
+    has_heard: bool = False
     _sock: object = None
     _sequence: int = 0
     _new_member_ips: list = attrs.field(factory=list)
@@ -160,6 +166,8 @@
     _answers_left: int = 0
     _next_receiver: int = 0
     _unresponsive: set = attrs.field(factory=set)
+    _others_differ_until: float = float("-inf")
+    _told_news_at: float = float("-inf")
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Send and receive heartbeats until cancelled."""
@@ -237,6 +245,17 @@
             [m.id.ip for m in members], self.build_heartbeat(now, is_same_region=True)
         )
 
+    def tell_news(self):
+        """Send a heartbeat early, for news about what crashes endpoints."""
+        now = self.host.now()
+        if self._sock is None or now - self._told_news_at < _NEWS_INTERVAL_S:
+            return
+        self._told_news_at = now
+        self._send_all(
+            self._region_receivers(), self.build_heartbeat(now, is_same_region=True)
+        )
+        self._send_totals(self._remote_receivers(), now)
+
     def _region_receivers(self):
         """Return the IP addresses of the next receivers in the region, round robin."""
         ips = sorted(m.id.ip for m in self.host.membership.region_members())
@@ -284,7 +303,12 @@
                 log_event("beat_not_sent", ip=ip, reason=repr(exc))
 
     def build_heartbeat(
-        self, now, is_same_region, with_regions=False, max_entries=MAX_ENTRIES
+        self,
+        now,
+        is_same_region,
+        with_regions=False,
+        max_entries=MAX_ENTRIES,
+        is_first=False,
     ):
         """Return this host's next heartbeat.
 
@@ -297,9 +321,13 @@
             need because they share its endpoints; False to include the totals of
             the region instead.
         with_regions : bool
-            True to include the totals of other regions, if `is_same_region`.
+            True to include the totals of other regions, if `is_same_region`, and what
+            tells whether two hosts hold the same back.
         max_entries : int
             Maximum number of members to report besides new and leaving ones.
+        is_first : bool
+            True if the receivers may have started just now, and know nothing of what
+            is held back.
 
         Returns
         -------
@@ -333,10 +361,6 @@
             ],
             demands=demands,
             work=work,
-            suspects=[
-                Suspect(digest, crash_count)
-                for digest, crash_count in host.recent_suspects(now)[:MAX_SUSPECTS]
-            ],
             regions=[_wire_summary(totals, now) for totals in regions],
             source_age_ms=None
             if source.failing_since is not None or source.responded_at == float("-inf")
@@ -348,6 +372,13 @@
             ][:MAX_REOPENINGS]
             or None,
             lag_ms=int(lag_s * 1000) if lag_s > MIN_LAG_S else None,
+            containment=build_news(
+                host.containment,
+                now < self._others_differ_until,
+                now,
+                is_first,
+                with_hash=with_regions or not is_same_region,
+            ),
         )
 
     def _select_entries(self, now, max_others):
@@ -419,7 +450,10 @@
         if ips:
             self._answers_left -= len(ips)
             heartbeat = self.build_heartbeat(
-                now, is_same_region=False, max_entries=MAX_NEW_MEMBER_ENTRIES
+                now,
+                is_same_region=False,
+                max_entries=MAX_NEW_MEMBER_ENTRIES,
+                is_first=True,
             )
             self._send_all(ips, heartbeat)
 
@@ -471,5 +505,13 @@
         for zone in heartbeat.reopened or ():
             reopened_at = now - max(0, zone.age_ms) / 1000
             host.catalog.merge_reopening(zone.zone, zone.revision, reopened_at)
-        for suspect in heartbeat.suspects or ():
-            host.merge_suspect(suspect.digest, suspect.deaths, now)
+        self._apply_news(heartbeat.containment, now)
+
+    def _apply_news(self, news, now):
+        """Apply another host's news about what crashes endpoints."""
+        host, self.has_heard = self.host, True
+        if news is None:
+            return
+        if apply_news(host.containment, news, now):
+            self._others_differ_until = now + _DIFFERENCE_S
+        host.log_decisions(now)
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -2,13 +2,15 @@
 
 import attrs
 
-from ..errors import DeadlineExceeded, Outcome
-from ..internal.crash_suspects import request_digest
+from ..errors import DeadlineExceeded, Outcome, RequestSuspected
+from ..internal.containment.culprits import Culprits, culprits_of
 from ..internal.event_stream import EventScanner
 
 # Retry time at an endpoint that rejects requests or cannot be reached: about the
 # duration of one response.
 BUSY_RETRY_S = 0.3
+# Retry time of a request of which something is held back.
+_SUSPECTED_RETRY_S = 30.0
 
 
 @attrs.define(eq=False)
@@ -19,8 +21,8 @@
     ----------
     attempts_left : int
         Number of further attempts allowed.
-    digest : str
-        Identifies the request among crash suspects.
+    culprits : Culprits
+        What may be at fault in the request if an endpoint crashes.
     may_have_run : bool
         True once an endpoint may have run it.
     may_have_run_before : bool
@@ -61,6 +63,9 @@
         Body of the latest response; None before a response.
     reserved_step : Send or ForwardTo or None
         Step that takes over from a silent endpoint; its retry has been paid for.
+    is_trial : bool
+        True if something in it is held back, and it is sent to learn whether it still
+        crashes endpoints.
     silence : (str, str) or None
         Silent endpoint or host that was logged last, and what followed.
     partial_event_bytes : int
@@ -68,7 +73,7 @@
     """
 
     attempts_left: int
-    digest: str
+    culprits: Culprits
     may_have_run: bool = False
     may_have_run_before: bool = False
     has_response_started: bool = False
@@ -90,6 +95,7 @@
     received: object = None
     partial_event_bytes: int = 0
     reserved_step: object = None
+    is_trial: bool = False
     silence: tuple | None = None
 
     def body_fields(self):
@@ -118,7 +124,29 @@
     )
 
 
-def new_progress(req, attempts):
+def culprits_in(req):
+    """Return what may be at fault in a request if an endpoint crashes."""
+    # Hosts share no secret here, and digests are only exchanged among them.
+    return culprits_of("", req)
+
+
+def suspected(outcome):
+    """Return the refusal of a request of which something is held back.
+
+    Parameters
+    ----------
+    outcome : Outcome
+        Whether the request may have run.
+    """
+    return RequestSuspected(
+        detail="endpoints died while they ran this request, or others with a part "
+        "of its prompt",
+        outcome=outcome,
+        retry_after_s=_SUSPECTED_RETRY_S,
+    )
+
+
+def new_progress(req, attempts, culprits=None):
     """Return the initial state of a request.
 
     Parameters
@@ -127,6 +155,7 @@
         The request.
     attempts : int
         Number of attempts.
+    culprits : Culprits or None
+        What may be at fault in it, if that is known already.
     """
-    # Hosts share no secret here, and the digest is only exchanged among them.
-    return Progress(attempts, request_digest("", req))
+    return Progress(attempts, culprits or culprits_in(req))
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -13,13 +13,13 @@
     Overloaded,
     SilentEndpointError,
 )
-from ..internal.crash_evidence import Evidence, Interruption
-from ..internal.crash_suspects import part_digests
+from ..internal.containment.culprits import to_text
+from ..internal.containment.evidence import Evidence, Interruption
 from ..internal.http import collect_body
 from .connections import exchange
 from .events import log_event
 from .placement import DEFAULT_KV_CACHE_TOKENS
-from .progress import BUSY_RETRY_S, deadline_exceeded, may_repeat
+from .progress import BUSY_RETRY_S, deadline_exceeded, may_repeat, suspected
 from .response_relay import (
     STALL_S,
     drain,
@@ -83,7 +83,7 @@
         try:
             # A new connection proves that the endpoint was alive when a suspect was
             # sent to it, so that a crash after it counts.
-            is_suspect = host.suspects.crash_count(progress.digest, sent_at) > 0
+            is_suspect = host.containment.crash_count(progress.culprits) > 0
             conn, was_used = await host.pool.acquire(
                 endpoint.name, endpoint.address, sent_at, new_connection=is_suspect
             )
@@ -110,12 +110,16 @@
             return NoEndpoint(
                 detail="the endpoint takes no requests now", retry_after_s=BUSY_RETRY_S
             )
+        if host.refuses_culprits(progress, host.now()):
+            # Another host found so while this request waited.
+            host.pool.put_back(endpoint.name, conn, now)
+            return suspected(progress.outcome)
         progress.sends += 1
         response = None
         try:
             response = await _exchange(host, req, progress, choice, conn, may_give_up)
             progress.received = response.received
-            host.suspects.interruptions.record_answer(endpoint.name, sent_at)
+            host.containment.interruptions.record_answer(endpoint.name, sent_at)
             return await _handle_response(
                 host, req, sink, progress, choice, response, load, sent_at
             )
@@ -222,7 +226,6 @@
     progress.scanner.discard_partial_event()
     view.record_result(True, now)
     progress.tried.add(endpoint.name)
-    parts = part_digests(req)
     began_s = None if progress.began_at is None else now - progress.began_at
     log_event(
         "endpoint_broke_off",
@@ -231,7 +234,7 @@
         reason=repr(exc),
         is_stale=is_stale,
         failure_rate=round(view.failure_rate(now), 2),
-        parts=parts,
+        parts=[to_text(part) for part in progress.culprits.parts],
         began_s=None if began_s is None else round(began_s, 3),
         **progress.body_fields(),
     )
@@ -243,11 +246,11 @@
         return
     # A live endpoint may lose a response, and a silent one may be alive; only a crash
     # makes the request a suspect. It is not sent again before both looks.
-    interruptions = host.suspects.interruptions
-    was_waiting = interruptions.is_waiting(progress.digest)
+    interruptions = host.containment.interruptions
+    was_waiting = interruptions.is_waiting(progress.culprits.request)
     interruptions.record(
         Interruption(
-            digest=progress.digest,
+            culprits=progress.culprits,
             request_id=req.request_id,
             team=req.team,
             route=req.route,
@@ -256,7 +259,6 @@
             broke_at=now,
             # It may have ended before the request was sent.
             may_block=not is_stale,
-            parts=parts,
             began_s=began_s,
         )
     )
@@ -309,7 +311,7 @@
             await response.release(host.now())
             load.is_complete = True
             await relay_body(host, sink, progress, response, body)
-    host.suspects.clear(progress.digest)
+    host.record_served(progress, host.now())
     return None
 
 
--- a/src/cactusmill/serving/source_sync.py
+++ b/src/cactusmill/serving/source_sync.py
@@ -14,7 +14,7 @@
 import trio
 
 from ..errors import ConnectError, LinkClosedError, PlatformError
-from ..internal.crash_evidence import Evidence
+from ..internal.containment.evidence import Evidence
 from ..internal.steps import Steps
 from .catalog import (
     SETTLE_S,
@@ -349,7 +349,7 @@
     Entries of live endpoints may expire while the source is unavailable.
     """
     if change.endpoint is not None:
-        for name in host.suspects.interruptions.find_replaced(change.endpoint):
+        for name in host.containment.interruptions.find_replaced(change.endpoint):
             host.record_crash_evidence(name, Evidence.REPLACED, now)
     elif not host.removal_grace_s(now):
         host.record_crash_evidence(change.name, Evidence.REMOVED, now)
