Operators see what is held back and release it; answers that end with their connection clear nothing

`cactusmill held` and `cactusmill release` show, on either interface, what is refused, since when and by what crashes, and release it on all hosts. A release counts as a response served whole at that moment, so that the crashes before it count no more.

A response without a length or chunks ends with its connection, which may have been the end of its endpoint: it is no evidence that its parts are sound. Prompts of the own interface have a part for each message.

--- a/src/cactusmill/cli.py
+++ b/src/cactusmill/cli.py
@@ -3,7 +3,7 @@
 import argparse
 import sys
 
-from .internal.commands import burn, check, explain, status, story
+from .internal.commands import burn, check, explain, held, status, story
 
 EXIT_FAULT = 1
 
@@ -51,6 +51,21 @@
     explain_.add_argument("--team", default="", help="team that sends the request")
     explain_.add_argument("--path", required=True, help="path of the request")
     explain_.add_argument("--model", default="", help="model name, for model routes")
+    _add_query_command(
+        commands,
+        "held",
+        "show requests and prompt parts that are refused because they crash endpoints",
+        held.run,
+    )
+    release_ = _add_query_command(
+        commands,
+        "release",
+        "serve again what is refused, once the endpoints are mended",
+        held.run_release,
+    )
+    release_.add_argument(
+        "--digest", required=True, help="as the command 'held' and the logs write it"
+    )
     story_ = commands.add_parser(
         "story",
         help="show the log lines of one request",
--- a/src/cactusmill/internal/chat.py
+++ b/src/cactusmill/internal/chat.py
@@ -43,6 +43,8 @@
         Upper bound on the generated tokens, over all choices.
     affinity : str
         Digest of the model's name and the prompt's prefix.
+    segments : tuple of (str, int)
+        Digest and estimated tokens of each message, in order.
     """
 
     model: str
@@ -50,6 +52,7 @@
     prompt_tokens: int
     max_tokens: int
     affinity: str
+    segments: tuple = ()
 
 
 def parse_chat(body):
@@ -81,7 +84,8 @@
     choices = data.get("n", 1)
     if not isinstance(choices, int) or not 0 < choices <= 128:
         return _malformed(f"'n' {choices!r} must be 1 to 128")
-    text = json.dumps(messages, ensure_ascii=False).encode("utf-8", "surrogatepass")
+    texts = [_encode(message) for message in messages]
+    text = b"[" + b", ".join(texts) + b"]"
     prefix = data["model"].encode("utf-8", "surrogatepass") + text[:_PREFIX_BYTES]
     return Success(
         ChatRequest(
@@ -90,10 +94,18 @@
             prompt_tokens=len(text) // _BYTES_PER_TOKEN + 1,
             max_tokens=max_tokens * choices,
             affinity=xxhash.xxh3_64_hexdigest(prefix),
+            segments=tuple(
+                (xxhash.xxh3_128_hexdigest(text), len(text) // _BYTES_PER_TOKEN + 1)
+                for text in texts
+            ),
         )
     )
 
 
+def _encode(message):
+    return json.dumps(message, ensure_ascii=False).encode("utf-8", "surrogatepass")
+
+
 def _malformed(detail):
     return Failure(MalformedRequest(detail=detail))
 
--- a/src/cactusmill/internal/commands/fleet_client.py
+++ b/src/cactusmill/internal/commands/fleet_client.py
@@ -16,7 +16,7 @@
     """A host's operators' port did not return a valid response."""
 
 
-def fetch_page(address, path, query=None):
+def fetch_page(address, path, query=None, method="GET"):
     """Return a page of one host, parsed from JSON.
 
     Parameters
@@ -27,6 +27,8 @@
         Path of the page.
     query : dict of str to str or None
         Query parameters.
+    method : str
+        HTTP method; a page that changes something takes POST only.
 
     Raises
     ------
@@ -37,7 +39,8 @@
     if query:
         url += "?" + urllib.parse.urlencode(query)
     try:
-        with urllib.request.urlopen(url, timeout=_TIMEOUT_S) as response:
+        request = urllib.request.Request(url, method=method)
+        with urllib.request.urlopen(request, timeout=_TIMEOUT_S) as response:
             return json.load(response)
     except (OSError, ValueError) as exc:
         raise HostUnreachableError(f"{address}: {exc}") from exc
--- a/src/cactusmill/internal/containment/containment.py
+++ b/src/cactusmill/internal/containment/containment.py
@@ -159,7 +159,9 @@
 
     def release(self, thing, now):
         """Release something on an operator's word; return whether it was held back."""
-        return self._release(thing, "operator", now)
+        is_released = self._release(thing, "operator", now, is_sound=True)
+        self.merge_clearance(thing, now, now)
+        return is_released
 
     # What other hosts report.
 
@@ -180,17 +182,19 @@
         held = self.convictions.held.get(thing)
         if not self.suspicion.clear(thing, served_at):
             if held is not None and served_at > held.crashed_at:
-                self._release(thing, "served", now)
+                self._release(thing, "served", now, is_sound=True)
             return
         self._new_clearances[thing] = (served_at, now + NEWS_S)
         if held is not None and not self._has_cause(held, now):
-            self._release(thing, "served", now)
+            self._release(thing, "served", now, is_sound=True)
 
     def merge_conviction(self, conviction, now):
         """Apply a decision of another host, unless a later one is known."""
         if not self.convictions.put(conviction):
             return
         self._tell(conviction, "told", now)
+        if not conviction.is_held and not conviction.crashes:
+            self.suspicion.clear(conviction.thing, conviction.since)
         self._review_crashes_with(conviction.thing)
 
     # Decisions.
@@ -269,8 +273,8 @@
         others = self.convictions.held.keys() - {thing, *conviction.companions}
         return bool(self.suspicion.examine(thing, others, now))
 
-    def _release(self, thing, why, now):
-        released = self.convictions.release(thing, now)
+    def _release(self, thing, why, now, is_sound=False):
+        released = self.convictions.release(thing, now, is_sound)
         if released is None:
             return False
         self._tell(released, why, now)
--- a/src/cactusmill/internal/containment/convictions.py
+++ b/src/cactusmill/internal/containment/convictions.py
@@ -68,7 +68,8 @@
     trials : int
         Trials that failed.
     crashes : int
-        Crashes that led to the decision.
+        Crashes that led to the decision; 0 in a release of something that no longer
+        crashes endpoints.
     companions : tuple of int
         Parts that stood in all of its crashed requests.
     """
@@ -183,9 +184,18 @@
             decided.append(conviction)
         return decided
 
-    def release(self, thing, now):
+    def release(self, thing, now, is_sound=False):
         """Release something that is held back.
 
+        Parameters
+        ----------
+        thing : int
+            The thing.
+        now : float
+            Current time, in seconds.
+        is_sound : bool
+            True if it no longer crashes endpoints, whatever it did before.
+
         Returns
         -------
         Conviction or None
@@ -195,7 +205,12 @@
         if known is None:
             return None
         released = attrs.evolve(
-            known, epoch=known.epoch + 1, is_held=False, since=now, companions=()
+            known,
+            epoch=known.epoch + 1,
+            is_held=False,
+            since=now,
+            crashes=0 if is_sound else known.crashes,
+            companions=(),
         )
         self.put(released)
         self._trials.pop(thing, None)
--- a/src/cactusmill/internal/operators.py
+++ b/src/cactusmill/internal/operators.py
@@ -7,6 +7,12 @@
 import h11
 
 from ..errors import ExchangeError
+from .containment.pages import (
+    HELD_PATH,
+    RELEASE_PATH,
+    describe_held,
+    release_by_operator,
+)
 from .http import read_page_request, server_connection
 from .request import is_permitted
 from .routing import make_candidate, rank_hosts
@@ -46,8 +52,8 @@
     stream : trio.abc.Stream
         The accepted connection.
     render : callable or None
-        ``render(host, target)`` returns a :class:`Page`; None for the pages of
-        a :class:`HostProcess`.
+        ``render(host, method, target)`` returns a :class:`Page`; None for the pages
+        of a :class:`HostProcess`.
     """
     conn = server_connection(stream, _MAX_HEAD_BYTES)
     try:
@@ -63,7 +69,7 @@
     head = await read_page_request(conn, _IDLE_TIMEOUT_S)
     if head is None:
         return False
-    page = render(host, head.target.decode("latin-1"))
+    page = render(host, head.method, head.target.decode("latin-1"))
     headers = [
         (b"content-type", page.content_type),
         (b"content-length", str(len(page.body)).encode()),
@@ -76,9 +82,12 @@
     return conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
 
 
-def _render(host, target):
+def _render(host, method, target):
     path, _, query = target.partition("?")
     args = dict(urllib.parse.parse_qsl(query))
+    page = render_containment(host, method, path, args)
+    if page is not None:
+        return page
     pages = {
         "/healthz": lambda: Page(200, b"ok\n", PLAIN_TEXT),
         "/readyz": lambda: _readiness(host),
@@ -91,6 +100,33 @@
     return page() if page else Page(404, b"no such page\n", PLAIN_TEXT)
 
 
+def render_containment(host, method, path, args):
+    """Return the page of what is held back or of its release, or None for others.
+
+    Parameters
+    ----------
+    host : HostProcess or GatewayHost
+        This process.
+    method : bytes
+        HTTP method.
+    path : str
+        Path of the page.
+    args : dict of str to str
+        Query arguments.
+
+    Returns
+    -------
+    Page or None
+    """
+    if path == HELD_PATH:
+        return _json_page({"held": describe_held(host.containment, host.now())})
+    if path != RELEASE_PATH:
+        return None
+    if method != b"POST":
+        return Page(405, b"a release takes POST\n", PLAIN_TEXT)
+    return _json_page(release_by_operator(host.containment, args, host.now()))
+
+
 def _metrics_page(host):
     accounts = {"callers": host.account, "hosts": host.forwards_account}
     page = host.metrics.render(
@@ -124,6 +160,7 @@
         "frame_bytes_sent": host.traffic.bytes_sent,
         "event_loop_lag_seconds": host.loop.lag_s(host.now()),
         "requests_shed": host.shedder.count,
+        "held_back": len(host.containment.convictions),
     }
 
 
--- a/src/cactusmill/internal/request_builder.py
+++ b/src/cactusmill/internal/request_builder.py
@@ -76,14 +76,14 @@
     if team is None and (team_name or not route.open):
         return Failure(UnknownKey(detail="the team is not known", outcome=outcome))
     service, cost, affinity, is_stream = route.service, route.charge_tokens, "", False
-    prompt_tokens = 0
+    prompt_tokens, segments = 0, ()
     if route.kind == "model":
         match parse_chat(body):
             case Failure(refusal):
                 return Failure(refusal)
             case Success(chat):
                 service, affinity, is_stream = chat.model, chat.affinity, chat.is_stream
-                prompt_tokens = chat.prompt_tokens
+                prompt_tokens, segments = chat.prompt_tokens, chat.segments
                 cost = float(chat.prompt_tokens + chat.max_tokens)
     return Success(
         Request(
@@ -102,5 +102,6 @@
             affinity=affinity,
             is_stream=is_stream,
             identifier=identifier,
+            prompt_segments=segments,
         )
     )
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -17,6 +17,7 @@
 from ..internal.containment.culprits import to_text
 from ..internal.containment.evidence import Evidence
 from ..internal.descriptors import IDLE_BEFORE_CLOSE_S, Descriptors
+from ..internal.framing import Framing
 from ..internal.idle_waits import IdleWaits
 from ..internal.loop_monitor import LoopMonitor
 from ..internal.metrics import Metrics
@@ -409,6 +410,10 @@
         if began_at is None:
             began_at = progress.sent_at
         progress.is_trial = False
+        if progress.received.framing is Framing.CLOSE:
+            # The end of the connection may have been that of the endpoint.
+            self.containment.record_begun(progress.culprits, now)
+            return
         self.containment.record_served(progress.culprits, began_at, now)
         self.log_decisions(now)
 
@@ -549,6 +554,7 @@
         )
         return {
             "ready": float(self.is_ready(now)),
+            "held_back": len(self.containment.convictions),
             "configuration_version": configuration.version if configuration else 0,
             "revision": revision_of(self.catalog.revision),
             "era": era_of(self.catalog.revision),
--- a/src/cactusmill/serving/pages.py
+++ b/src/cactusmill/serving/pages.py
@@ -1,28 +1,36 @@
 """HTTP pages of a host for operators and metric scrapers."""
 
-from ..internal.operators import PLAIN_TEXT, Page
+import urllib.parse
+
+from ..internal.operators import PLAIN_TEXT, Page, render_containment
 from . import events
 
 METRICS_PATH = "/metrics"
 HEALTH_PATH = "/healthz"
 
 
-def render_page(host, target):
+def render_page(host, method, target):
     """Return the page of a request target.
 
     Parameters
     ----------
     host : GatewayHost
         This process.
+    method : bytes
+        HTTP method.
     target : str
-        Request target; a query is ignored.
+        Request target.
 
     Returns
     -------
     Page
     """
-    path = target.partition("?")[0]
+    path, _, query = target.partition("?")
     now = host.now()
+    args = dict(urllib.parse.parse_qsl(query))
+    page = render_containment(host, method, path, args)
+    if page is not None:
+        return page
     if path == METRICS_PATH:
         accounts = {"callers": host.account, "hosts": host.forwards_account}
         text = host.metrics.render(
--- a/tests/serving/test_account.py
+++ b/tests/serving/test_account.py
@@ -422,7 +422,7 @@
             for path in PATHS:
                 await send(deployment, path)
             await send_malformed(deployment)
-            page = render_page(deployment.hosts["e1"], "/metrics").body.decode()
+            page = render_page(deployment.hosts["e1"], b"GET", "/metrics").body.decode()
             counts = {}
             for labels, value in re.findall(r"cactusmill_account{(.*)} (\d+)", page):
                 fields = dict(re.findall(r'(\w+)="([^"]*)"', labels))
