--- a/src/cactusmill/internal/containment/containment.py
+++ b/src/cactusmill/internal/containment/containment.py
@@ -95,7 +95,7 @@
             if _is_well_under_way(interruption):
                 self.record_begun(interruption.culprits, now)
         candidates = [candidate for _, candidate in described]
-        proven = {p for c in candidates for p in c.parts if self._is_proven(p, now)}
+        proven = {p for c in candidates for p in c.parts if self.is_proven(p, now)}
         candidates.sort(key=lambda c: (-c.weight, proven.issuperset(c.parts)))
         crashed_at = min(interruption.broke_at for interruption in found)
         self.merge_crash(incarnation, crashed_at, candidates, proven, now)
@@ -116,7 +116,7 @@
         weight = UNLIKELY if _is_well_under_way(interruption) else 1.0
         # Parts that were not served before come first, where their number is limited.
         parts = sorted(
-            interruption.culprits.parts, key=lambda p: self._is_proven(p, now)
+            interruption.culprits.parts, key=lambda p: self.is_proven(p, now)
         )
         return Candidate(
             interruption.digest,
@@ -124,7 +124,8 @@
             weight if interruption.may_block else 0.0,
         )
 
-    def _is_proven(self, part, now):
+    def is_proven(self, part, now):
+        """Return whether this host has served a part not long before."""
         return now - self._served.get(part, float("-inf")) <= _PROVEN_S
 
     def record_served(self, culprits, began_at, now):
--- a/standins/containment_model.py
+++ b/standins/containment_model.py
@@ -74,6 +74,9 @@
         When one region is parted from the others, and until when.
     bad_hosts : int or None
         Number of hosts to which requests with a bad part come; None for all.
+    has_quarantine : bool
+        True if requests with a part that their host has not served lately run on one
+        engine of their region.
     """
 
     hosts: int = 6
@@ -94,6 +97,7 @@
     replace_gap_s: float | None = None
     parted_s: tuple | None = None
     bad_hosts: int | None = None
+    has_quarantine: bool = False
 
 
 @attrs.define(eq=False)
@@ -301,7 +305,7 @@
         if not engines:
             host.containment.convictions.end_trial(run.culprits)
             return
-        run.engine, run.sent_at = self.rng.choice(engines), self.now
+        run.engine, run.sent_at = self.choose(run, engines), self.now
         run.attempts -= 1
         run.began_at = None
         run.engine.running[id(run)] = run
@@ -312,6 +316,14 @@
             delay_s += _COLD_QUEUE_S
         self.at(delay_s, self.begin, run, run.engine.entry())
 
+    def choose(self, run, engines):
+        if self.scenario.has_quarantine:
+            containment = run.host.containment
+            parts = run.culprits.parts
+            if not all(containment.is_proven(part, self.now) for part in parts):
+                return engines[0]
+        return self.rng.choice(engines)
+
     def begin(self, run, entry):
         if not self.is_running(run, entry):
             return
@@ -480,6 +492,24 @@
             host.differs_until = self.now + _DIFFERENCE_S
 
 
+SCENARIOS = {
+    "in-the-middle": {},
+    "first-part": {"is_bad_first": True},
+    "in-sound-company": {"companion_share": 0.02},
+    "never-without-a-sound-part": {"companion_share": 0.1, "companion_from_s": 16.0},
+    "amid-kills-and-restarts": {"kill_gap_s": 4.0, "replace_gap_s": 5.0},
+    "two-parts": {"bad_parts": ("bad", "worse")},
+    "at-one-host": {"bad_hosts": 1},
+    "rare": {"bad_per_s": 1.0},
+    "rapid": {"bad_per_s": 20.0, "down_s": (0.3, 0.3)},
+    "from-the-start": {"bad_from_s": 0.0},
+    "parted-region": {"parted_s": (5.0, 16.0)},
+    "hosts-restarted-in-turn": {"replace_gap_s": 1.0},
+    "cold-engines": {"is_cold": True},
+    "amid-an-outage": {"outage_at_s": 6.2},
+}
+
+
 def play(scenario, seed):
     """Play a scenario.
 
--- a/tests/internal/containment/test_containment.py
+++ b/tests/internal/containment/test_containment.py
@@ -8,7 +8,7 @@
 
 from cactusmill.internal.containment.convictions import Convictions, Verdict
 from cactusmill.internal.containment.suspicion import Suspicion
-from standins.containment_model import Scenario, play
+from standins.containment_model import SCENARIOS, Scenario, play
 
 # The users' bounds: `stable_window_ms` after the fifth crash at most three requests
 # with the part reach engines; sound ones go on nine tenths as often as before.
@@ -17,23 +17,6 @@
 MIN_SOUND_SHARE = 0.9
 SHORT = Scenario(for_s=26.0)
 
-SCENARIOS = {
-    "in-the-middle": {},
-    "first-part": {"is_bad_first": True},
-    "in-sound-company": {"companion_share": 0.02},
-    "never-without-a-sound-part": {"companion_share": 0.1, "companion_from_s": 16.0},
-    "amid-kills-and-restarts": {"kill_gap_s": 4.0, "replace_gap_s": 5.0},
-    "two-parts": {"bad_parts": ("bad", "worse")},
-    "at-one-host": {"bad_hosts": 1},
-    "rare": {"bad_per_s": 1.0},
-    "rapid": {"bad_per_s": 20.0, "down_s": (0.3, 0.3)},
-    "from-the-start": {"bad_from_s": 0.0},
-    "parted-region": {"parted_s": (5.0, 16.0)},
-    "hosts-restarted-in-turn": {"replace_gap_s": 1.0},
-    "cold-engines": {"is_cold": True},
-    "amid-an-outage": {"outage_at_s": 6.2},
-}
-
 
 @pytest.mark.parametrize("name", SCENARIOS)
 @pytest.mark.parametrize("seed", [1])
