A refusal names what is held back

Callers got no word of which part of their prompt was refused, and the line of a refused request did not lead operators to the crashes behind it. The detail of the refusal, which the log line has too, now names the digest.

--- a/benchmarks/containment.py
+++ b/benchmarks/containment.py
@@ -1,6 +1,7 @@
 """Ways of finding the prompt part that crashes engines, on the same modelled fleets.
 
-Usage: python -m benchmarks.containment [--ways NAME ...] [--seeds N] [--fleets]
+Usage: python -m benchmarks.containment [--ways NAME ...] [--scenarios NAME ...]
+    [--seeds N] [--fleets]
 
 Prints, for each way and scenario, the crashes until containment, the requests with the
 part that reached engines later than the users' window after the fifth crash, and the
@@ -127,12 +128,14 @@
     """Run the benchmark."""
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--ways", nargs="+", default=list(WAYS), choices=list(WAYS))
+    parser.add_argument("--scenarios", nargs="+", help="default: all")
     parser.add_argument("--seeds", type=int, default=10)
     parser.add_argument("--fleets", action="store_true", help="large fleets only")
     args = parser.parse_args(argv)
     scenarios = _FLEETS if args.fleets else SCENARIOS
     for way in args.ways:
-        for name, options in scenarios.items():
+        for name in args.scenarios or scenarios:
+            options = scenarios[name]
             print(f"{way:12} {name:28}", end=" ")
             measure(way, attrs.evolve(Scenario(for_s=26.0), **options), args.seeds)
 
--- a/src/cactusmill/internal/containment/containment.py
+++ b/src/cactusmill/internal/containment/containment.py
@@ -9,7 +9,7 @@
 import attrs
 import xxhash
 
-from .convictions import Convictions, Verdict
+from .convictions import Convictions
 from .evidence import Interruptions
 from .suspicion import (
     BEGIN_S,
@@ -63,10 +63,6 @@
         """Return what may be done with a request, see :meth:`Convictions.judge`."""
         return self.convictions.judge(culprits, is_owner, now)
 
-    def is_refused(self, culprits, is_owner, now):
-        """Return whether a request is refused, which is not a trial."""
-        return self.judge(culprits, is_owner, now)[0] is Verdict.REFUSE
-
     # What this host sees.
 
     def count_crashes(self, endpoint_name, evidence, now):
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -115,8 +115,9 @@
         sink.check_open()
         if host.now() >= req.deadline:
             return _final_refusal(progress, deadline_exceeded(progress))
-        if _is_held_back(host, progress):
-            return _final_refusal(progress, suspected(progress.outcome))
+        held = _held_back(host, progress)
+        if held is not None:
+            return _final_refusal(progress, suspected(held, progress.outcome))
         step, progress.reserved_step = progress.reserved_step, None
         if step is None:
             step = _next_step(host, req, progress, is_forwarded)
@@ -155,14 +156,13 @@
         await trio.sleep(_HOLD_POLL_S)
 
 
-def _is_held_back(host, progress):
-    """Return whether a request is refused for what is held back; may begin a trial."""
+def _held_back(host, progress):
+    """Return what a request is refused for, or None; may begin a trial."""
     now = host.now()
-    verdict, _ = host.judge(progress.culprits, now)
-    if verdict is Verdict.TRY:
+    if host.judge(progress.culprits, now)[0] is Verdict.TRY:
         progress.is_trial = True
         host.containment.convictions.begin_trial(progress.culprits, now)
-    return verdict is Verdict.REFUSE and not progress.is_trial
+    return host.thing_held_back(progress, now)
 
 
 def _end_trial(host, progress, refusal):
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -456,8 +456,9 @@
 
 def _check_held_back(host, culprits):
     """Refuse a request for what is held back, before it is charged."""
-    if host.judge(culprits, host.now())[0] is Verdict.REFUSE:
-        raise _Refused(suspected(Outcome.NOT_RUN))
+    verdict, thing = host.judge(culprits, host.now())
+    if verdict is Verdict.REFUSE:
+        raise _Refused(suspected(thing, Outcome.NOT_RUN))
 
 
 def _charge_tokens(host, req):
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -421,11 +421,11 @@
         """Return what may be done with a request, as :meth:`.Convictions.judge`."""
         return self.containment.judge(culprits, self._makes_trial, now)
 
-    def refuses_culprits(self, progress, now):
-        """Return whether a request is refused for something that is held back."""
-        if progress.is_trial:
-            return False
-        return self.judge(progress.culprits, now)[0] is Verdict.REFUSE
+    def thing_held_back(self, progress, now):
+        """Return what a request is refused for because it is held back, or None."""
+        verdict, thing = self.judge(progress.culprits, now)
+        is_refused = verdict is Verdict.REFUSE and not progress.is_trial
+        return thing if is_refused else None
 
     def _makes_trial(self, thing, turn):
         """Return whether this host makes the trials of something in a turn."""
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -3,7 +3,7 @@
 import attrs
 
 from ..errors import DeadlineExceeded, Outcome, RequestSuspected
-from ..internal.containment.culprits import Culprits, culprits_of
+from ..internal.containment.culprits import Culprits, culprits_of, to_text
 from ..internal.event_stream import EventScanner
 
 # Retry time at an endpoint that rejects requests or cannot be reached: about the
@@ -130,17 +130,19 @@
     return culprits_of("", req)
 
 
-def suspected(outcome):
+def suspected(thing, outcome):
     """Return the refusal of a request of which something is held back.
 
     Parameters
     ----------
+    thing : int
+        Digest of what is held back.
     outcome : Outcome
         Whether the request may have run.
     """
     return RequestSuspected(
         detail="endpoints died while they ran this request, or others with a part "
-        "of its prompt",
+        f"of its prompt (held back: {to_text(thing)})",
         outcome=outcome,
         retry_after_s=_SUSPECTED_RETRY_S,
     )
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -110,10 +110,11 @@
             return NoEndpoint(
                 detail="the endpoint takes no requests now", retry_after_s=BUSY_RETRY_S
             )
-        if host.refuses_culprits(progress, host.now()):
-            # Another host found so while this request waited.
+        held = host.thing_held_back(progress, now)
+        if held is not None:
+            # It was found while this request waited.
             host.pool.put_back(endpoint.name, conn, now)
-            return suspected(progress.outcome)
+            return suspected(held, progress.outcome)
         progress.sends += 1
         response = None
         try:
