A host that knows too few crashes keeps what another host decided

Found in the review of the diff: a host that knew one of the two crashes of a request took the decision of another host to have no cause a second later, and released the request on all hosts, so that it could reach endpoints again. Now a host judges a decision only if it knows as many crashes as it was based on, or three. The test failed before.

--- a/src/cactusmill/internal/containment/containment.py
+++ b/src/cactusmill/internal/containment/containment.py
@@ -25,8 +25,8 @@
 _PROVEN_S = 60.0
 _MAX_SERVED = 8192
 _MAX_NEWS = 256
-# Crashes that this host must know of a part before it takes it to be explained.
-_MIN_KNOWN = 3
+# A host that knows as many crashes of something may judge any decision about it.
+_ENOUGH_CRASHES = 3
 
 
 @attrs.define(eq=False)
@@ -233,17 +233,16 @@
         """Release what other things that are held back explain.
 
         A part is explained if each of its crashes has another one that is held back and
-        stands in more of them. Nothing tells parts of the same crashes apart.
+        stands in more of them. Nothing tells parts of the same crashes apart. A host
+        that knows fewer crashes than the decision was based on does not judge it.
         """
         held = self.convictions.held
-        found = held.keys() & crash.things()
+        found = {t for t in held.keys() & crash.things() if self._knows_cause(held[t])}
         requests = found & crash.candidates.keys()
         kept = set(held) - found
         parts = {part: self.suspicion.crashes_of(part) for part in found - requests}
         for part in sorted(parts, key=lambda p: (-len(parts[p]), p)):
-            is_explained = len(parts[part]) >= _MIN_KNOWN and all(
-                kept.intersection(c.likely_parts()) for c in parts[part]
-            )
+            is_explained = all(kept.intersection(c.likely_parts()) for c in parts[part])
             if is_explained and not any(parts[part] == parts.get(k) for k in kept):
                 self._release(part, "explained", now)
             else:
@@ -252,6 +251,10 @@
             if not self._is_request_guilty(request, now):
                 self._release(request, "explained", now)
 
+    def _knows_cause(self, conviction):
+        known = len(self.suspicion.crashes_with(conviction.thing))
+        return known >= min(conviction.crashes, _ENOUGH_CRASHES)
+
     def _convict(self, things, crashes, now):
         for conviction in self.convictions.convict(
             things, len(crashes), crashes[-1].at, now
--- a/tests/internal/containment/test_messages.py
+++ b/tests/internal/containment/test_messages.py
@@ -3,7 +3,11 @@
 from cactusmill.internal.containment import messages
 from cactusmill.internal.containment.containment import NEWS_S, CrashContainment
 from cactusmill.internal.containment.convictions import MAX_CONVICTIONS
-from cactusmill.internal.containment.messages import apply_news, build_news
+from cactusmill.internal.containment.messages import (
+    apply_news,
+    build_news,
+    conviction_news,
+)
 from cactusmill.internal.containment.suspicion import Candidate
 from cactusmill.internal.link import decode, encode_frame
 from cactusmill.internal.wire.ttypes import Frame
@@ -80,6 +84,16 @@
     assert BAD not in other.convictions.held
 
 
+def test_host_that_knows_one_crash_of_two_keeps_what_another_decided():
+    one, other = CrashContainment(), CrashContainment()
+    for number in range(2):
+        one.merge_crash(number, 10.0 + number, [Candidate(7)], set(), 10.0 + number)
+    other.merge_crash(0, 10.0, [Candidate(7)], set(), 10.0)
+    apply_news(other, conviction_news(one, one.convictions.all(), 11.1), 11.1)
+    other.review(20.0)
+    assert 7 in one.convictions.held and 7 in other.convictions.held
+
+
 def test_message_is_bounded_under_hostile_prompts():
     host = CrashContainment()
     crash_often(host, 50, parts_each=200)
