--- a/tests/internal/containment/test_containment.py
+++ b/tests/internal/containment/test_containment.py
@@ -6,8 +6,10 @@
 import attrs
 import pytest
 
+from cactusmill.internal.containment.containment import CrashContainment
 from cactusmill.internal.containment.convictions import Convictions, Verdict
-from cactusmill.internal.containment.suspicion import Suspicion
+from cactusmill.internal.containment.culprits import Culprits
+from cactusmill.internal.containment.suspicion import Candidate, Suspicion
 from standins.containment_model import SCENARIOS, Scenario, play
 
 # The users' bounds: `stable_window_ms` after the fifth crash at most three requests
@@ -56,3 +58,13 @@
     scenario = attrs.evolve(SHORT, bad_from_s=0.0, kill_gap_s=0.6)
     shares = [play(scenario, seed).served_share(8.0, 20.0) for seed in range(2)]
     assert min(shares) < MIN_SOUND_SHARE
+
+
+def test_one_crash_holds_nothing_back_and_the_second_holds_the_request():
+    containment, request = CrashContainment(), Culprits(7)
+    for number, verdict in enumerate((Verdict.PASS, Verdict.REFUSE)):
+        at = 10.0 + number
+        containment.merge_crash(number, at, [Candidate(7)], set(), at)
+        assert containment.crash_count(request) == number + 1
+        judged = containment.judge(request, lambda thing, turn: True, at)
+        assert judged[0] is verdict
