--- a/review/lib/desk.py
+++ b/review/lib/desk.py
@@ -72,7 +72,7 @@
     work : str
         Folder for settings and logs.
     machines : list
-        Is filled with the machines; stays empty if one is not ready in time.
+        Is filled with the machines.
     config : dict
         The first configuration.
     places : list of tuple
@@ -80,7 +80,7 @@
 
     Returns
     -------
-    Store, list of Worker
+    Store, list of Worker, or None if a machine is not ready in time
     """
     net, store = Network(), Store()
     store.put("op/config", config)
@@ -91,9 +91,8 @@
     ]
     for worker in workers:
         await worker.start()
-    machines += await start_machines(record, net, store, PLACES, work)
-    if not machines:
-        print("the machines did not become ready")
+    if not await start_machines(record, net, store, PLACES, work, machines):
+        return None
     return store, workers
 
 
--- a/review/lib/platform.py
+++ b/review/lib/platform.py
@@ -12,6 +12,7 @@
 import tempfile
 import time
 import tomllib
+import traceback
 import urllib.parse
 
 from .wire import Client, Closed, encode_message, serve
@@ -427,16 +428,13 @@
             await self._process.wait()
 
 
-async def start_machines(record, net, store, places, folder):
+async def start_machines(record, net, store, places, folder, machines):
     """Start one machine for each (name, zone, region), and wait until all are ready.
 
-    Returns
-    -------
-    list of Machine
-        Empty if one is not ready in time.
+    They are added to `machines`, for `run_case` to stop. Returns whether all are ready
+    in time.
     """
     zones = {zone: region for _, zone, region in places}
-    machines = []
     for name, zone, region in places:
         store_address = net.address()
         await store.listen(store_address)
@@ -447,17 +445,22 @@
     for machine in machines:
         await machine.start(seeds)
     is_ready = await asyncio.gather(*(m.wait_ready() for m in machines))
-    return machines if all(is_ready) else []
+    if not all(is_ready):
+        print("the machines did not become ready")
+    return all(is_ready)
 
 
 def run_case(case, folder):
     """Run ``await case(record, work_folder, machines, has_trouble)``; return its code.
 
-    `machines` is a list that the case fills; all of them are stopped at the end.
+    `machines` is a list that the case fills; all of them are stopped at the end. The
+    code is 2 if the case fails by an error of its own.
     """
 
     async def run():
         machines = []
+        stop = asyncio.current_task().cancel
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, stop)
         with tempfile.TemporaryDirectory() as work:
             try:
                 has_trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -465,4 +468,8 @@
             finally:
                 await asyncio.gather(*(m.stop() for m in machines))
 
-    return asyncio.run(run())
+    try:
+        return asyncio.run(run())
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+        return 2
