--- a/review/lib/platform.py
+++ b/review/lib/platform.py
@@ -15,7 +15,7 @@
 import traceback
 import urllib.parse
 
-from .wire import Client, Closed, encode_message, serve
+from .wire import encode_message, serve
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 METRICS_PORT = 7610
@@ -396,29 +396,8 @@
             await asyncio.sleep(0.1)
         return False
 
-    async def resolve(self, name, region, zone):
-        """Return the addresses that the directory here names; none on a failure."""
-        path = "/cactusmill/resolve?" + urllib.parse.urlencode(
-            {"name": name, "region": region, "zone": zone}
-        )
-        client = Client(self.settings["listen"]["directory"])
-        try:
-            _, _, body = await client.send(
-                "GET", path, {"host": client.address}, b"", 1
-            )
-            return json.loads(body).get("addresses", [])
-        except (Closed, OSError, TimeoutError):
-            return []
-        finally:
-            client.close()
-
-    def signal(self, number):
-        """Send a signal to the process."""
-        self.record.write("signal", machine=self.name, number=number)
-        self._process.send_signal(number)
-
     async def stop(self):
-        """End the process for good, as a loss of power does."""
+        """End the process for good."""
         self.record.write("stop", machine=self.name)
         self._is_stopping = True
         if self._keeper is not None:
