An entry in the store that no float holds costs its own key only

Cause: values of an entry were converted before anything had checked their range. `int()` of an infinity and the division of a whole number of 400 digits raise OverflowError, which is an ArithmeticError and was not among the errors that make an item unreadable. It left the task that follows the store, and with it the process. The JSON parser accepts NaN and Infinity, which JSON does not have, and 1e999 as an infinity.

Fix: the reader of published records, which already checked types and ranges, becomes a module of its own and reads entries too: numbers are finite and within a range, text can be encoded and printed, an address has an IP number and a port. It raises one error, which makes the item unreadable. The parser refuses what is not JSON, and a document that is nested too deep, as a ValueError. A key that is no plain text, which could neither be hashed nor sent, is unreadable too.

--- a/src/cactusmill/internal/steps.py
+++ b/src/cactusmill/internal/steps.py
@@ -20,10 +20,16 @@
 # A multiple of four, as is needed to decode base64 in parts.
 _PART_BYTES = 64 * 1024
 _READY_POLL_S = 0.1
-_DECODER = json.JSONDecoder()
 _SPACES = re.compile(r"[ \t\n\r]*")
 
 
+def _refuse_constant(text):
+    raise ValueError(f"{text} is no number of JSON")
+
+
+_DECODER = json.JSONDecoder(parse_constant=_refuse_constant)
+
+
 @attrs.define(eq=False)
 class Steps:
     """Divides the work of one task into steps.
@@ -89,8 +95,27 @@
     return b"".join(parts)
 
 
+def loads(data):
+    """Parse JSON bytes like `json.loads`, but strictly.
+
+    Raises
+    ------
+    ValueError
+        If the bytes are not valid JSON, for which the constants ``NaN`` and
+        ``Infinity`` are not, or are nested too deep.
+    """
+    try:
+        return _DECODER.decode(_decode_text(data))
+    except RecursionError as exc:
+        raise ValueError("the document is nested too deep") from exc
+
+
+def _decode_text(data):
+    return data.decode(json.detect_encoding(data), "surrogatepass")
+
+
 async def parse_json(data, steps):
-    """Parse JSON bytes like `json.loads`.
+    """Parse JSON bytes like :func:`loads`.
 
     It may pause after each member of the outermost object, and after each element of
     the arrays in these members.
@@ -98,13 +123,16 @@
     Raises
     ------
     ValueError
-        If the bytes are not valid JSON.
+        As :func:`loads`.
     """
-    text = data.decode(json.detect_encoding(data), "surrogatepass")
+    text = _decode_text(data)
     at = _skip(text, 0)
     if text[at : at + 1] != "{":
-        return json.loads(text)
-    value, at = await _read_object(text, at, steps)
+        return loads(data)
+    try:
+        value, at = await _read_object(text, at, steps)
+    except RecursionError as exc:
+        raise ValueError("the document is nested too deep") from exc
     if _skip(text, at) != len(text):
         raise json.JSONDecodeError("Extra data", text, at)
     return value
--- a/src/cactusmill/platform/items.py
+++ b/src/cactusmill/platform/items.py
@@ -6,10 +6,11 @@
 """
 
 import base64
-import json
+import re
 
-from ..errors import RecordError
-from ..internal.steps import decode_base64, parse_json
+from ..errors import RecordError, SettingsError
+from ..fields import FieldReader, describe, is_plain_text
+from ..internal.steps import decode_base64, loads, parse_json
 from ..records import CallerLimits, Endpoint, Route, Service, Team
 from ..serving.catalog import (
     Configuration,
@@ -19,14 +20,17 @@
     UnreadableItem,
     key_digest,
 )
+from ..serving.positions import MAX_POSITION
+from ..settings import parse_address
 
 CONFIGURATION_KEY = "op/config"
 EVACUATION_PREFIX = "op/evacuate/"
 ENDPOINT_PREFIX = "servers/"
 _MS_PER_S = 1000.0
 _STATES = ("ready", "draining")
-# RecursionError: the value is nested too deep.
-_MALFORMED = (RecordError, KeyError, TypeError, ValueError, RecursionError)
+# It is sent in a header of each request.
+_ENDPOINT_NAME = re.compile(r"[!-~]+")
+_MAX_COUNT = 1_000_000
 
 
 async def change_from_item(item, zones, steps):
@@ -44,7 +48,7 @@
     Returns
     -------
     change or None
-        None for keys that the gateway does not use. A malformed value gives an
+        None for keys that the gateway does not use. A malformed key or value gives an
         :class:`UnreadableItem`, so that it affects only its own key.
 
     Raises
@@ -53,10 +57,21 @@
         If the item has no valid key or revision.
     """
     if not isinstance(item, dict):
-        raise RecordError("item", "", f"{item!r} must be an object")
+        raise RecordError("item", "", f"{describe(item)} must be an object")
     key, revision = item.get("key"), item.get("revision")
     if not isinstance(key, str) or not isinstance(revision, int):
-        raise RecordError("item", "key", f"{item!r} has no key and revision")
+        raise RecordError("item", "key", f"{describe(item)} has no key and revision")
+    if not 0 <= revision <= MAX_POSITION:
+        raise RecordError("item", "revision", f"{describe(revision)} is no revision")
+    try:
+        return await _decode_change(key, revision, item, zones, steps)
+    except (RecordError, ValueError) as exc:
+        return UnreadableItem(revision=revision, key=key, problem=repr(exc))
+
+
+async def _decode_change(key, revision, item, zones, steps):
+    if not is_plain_text(key):
+        raise RecordError("item", "key", f"{describe(key)} is no plain text")
     is_removed = item.get("tombstone") is True
     if key.startswith(EVACUATION_PREFIX):
         zone = key[len(EVACUATION_PREFIX) :]
@@ -64,67 +79,66 @@
             revision=revision, zone=zone, is_evacuated=not is_removed
         )
     if key.startswith(ENDPOINT_PREFIX):
-        return _decode_endpoint_change(
-            key, revision, None if is_removed else item, zones
-        )
+        name = key[len(ENDPOINT_PREFIX) :]
+        endpoint = None
+        if not is_removed:
+            value = loads(base64.b64decode(_read_value(item), validate=True))
+            endpoint = _parse_endpoint(name, _open(key, value), zones)
+        return EndpointChange(revision=revision, name=name, endpoint=endpoint)
     if key == CONFIGURATION_KEY and not is_removed:
+        data = await decode_base64(_read_value(item), steps)
+        value = await parse_json(data, steps)
         try:
-            data = await decode_base64(item["value"], steps)
-            value = _check_object(await parse_json(data, steps))
-            configuration = await _parse_configuration(value, steps)
-        except (*_MALFORMED, AttributeError) as exc:
-            return UnreadableItem(revision=revision, key=key, problem=repr(exc))
+            configuration = await _parse_configuration(_open(key, value).body, steps)
+        except (KeyError, TypeError, AttributeError) as exc:
+            raise RecordError(key, "", repr(exc)) from exc
         return ConfigurationChange(revision=revision, configuration=configuration)
     return None
 
 
-def _check_object(value):
-    if not isinstance(value, dict):
-        raise RecordError("item", "value", f"{value!r} must be an object")
+def _read_value(item):
+    value = item.get("value")
+    if not isinstance(value, str):
+        raise RecordError("item", "value", f"{describe(value)} must be a text")
     return value
 
 
-def _decode_endpoint_change(key, revision, item, zones):
-    name = key[len(ENDPOINT_PREFIX) :]
-    if item is None:
-        return EndpointChange(revision=revision, name=name, endpoint=None)
-    try:
-        value = json.loads(base64.b64decode(item["value"], validate=True))
-        endpoint = _parse_endpoint(name, _check_object(value), zones)
-    except _MALFORMED as exc:
-        return UnreadableItem(revision=revision, key=key, problem=repr(exc))
-    return EndpointChange(revision=revision, name=name, endpoint=endpoint)
-
-
-def _get_typed(data, name, kind, default=None):
-    value = data.get(name, default)
-    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
-        raise RecordError("item", name, f"{value!r} has an unexpected type")
-    return value
+def _open(key, value):
+    if not isinstance(value, dict):
+        raise RecordError(key, "value", f"{describe(value)} must be an object")
+    return FieldReader(key, value, is_null_missing=True)
 
 
-def _parse_endpoint(name, data, zones):
-    zone = _get_typed(data, "zone", str)
-    state = _get_typed(data, "state", str)
-    address = _get_typed(data, "address", str)
-    if zone not in zones or state not in _STATES or ":" not in address:
-        raise RecordError(
-            "item", "zone", f"{zone!r}, {state!r} or {address!r} is invalid"
-        )
+def _parse_endpoint(name, fields, zones):
+    if not _ENDPOINT_NAME.fullmatch(name):
+        raise RecordError(fields.record, "key", f"{describe(name)} is no header value")
+    zone = fields.string("zone", choices=zones)
+    address = fields.string("address")
+    try:
+        parse_address("address", address)
+    except SettingsError as exc:
+        raise RecordError(fields.record, "address", exc.problem) from exc
     return Endpoint(
         name=name,
         zone=zone,
         region=zones[zone],
         address=address,
-        serves=(_get_typed(data, "service", str),),
-        capacity=max(1, _get_typed(data, "slots", int)),
-        live=state == "ready",
-        warmup_left_s=_get_typed(data, "cold_left_ms", int | float, 0) / _MS_PER_S,
-        started_ms=int(_get_typed(data, "born", int | float, 0)),
-        sequence=int(_get_typed(data, "seq", int | float, 0)),
+        serves=(fields.string("service"),),
+        capacity=max(1, fields.integer("slots", high=_MAX_COUNT)),
+        live=fields.string("state", choices=_STATES) == "ready",
+        warmup_left_s=fields.number("cold_left_ms", 0) / _MS_PER_S,
+        started_ms=fields.integer("born", 0),
+        sequence=fields.integer("seq", 0),
     )
 
 
+def _get_typed(data, name, kind, default=None):
+    value = data.get(name, default)
+    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
+        raise RecordError("item", name, f"{value!r} has an unexpected type")
+    return value
+
+
 async def _parse_configuration(data, steps):
     routes = []
     for route in _get_typed(data, "routes", list):
--- a/src/cactusmill/records.py
+++ b/src/cactusmill/records.py
@@ -14,6 +14,7 @@
 import attrs
 
 from .errors import RecordError
+from .fields import FieldReader
 
 DEFAULT_TIMEOUT_S = 60.0
 DEFAULT_MAX_BODY_BYTES = 1024 * 1024
@@ -325,89 +326,6 @@
     role: str = "both"
 
 
-@attrs.define
-class _FieldReader:
-    """Reads the fields of one record's body and rejects those never read."""
-
-    record: str
-    body: dict
-    used: set = attrs.field(factory=set)
-
-    def _read(self, name, default):
-        self.used.add(name)
-        if name in self.body:
-            return self.body[name]
-        if default is attrs.NOTHING:
-            raise RecordError(self.record, name, "the field is missing; add it")
-        return default
-
-    def string(self, name, default=attrs.NOTHING, pattern=None, choices=None):
-        value = self._read(name, default)
-        if not isinstance(value, str):
-            raise RecordError(self.record, name, f"{value!r} must be a text")
-        if choices and value not in choices:
-            raise RecordError(
-                self.record, name, f"{value!r} must be one of {', '.join(choices)}"
-            )
-        if pattern and value != default and not pattern.fullmatch(value):
-            raise RecordError(
-                self.record, name, f"{value!r} must match {pattern.pattern}"
-            )
-        return value
-
-    def number(self, name, default=attrs.NOTHING, low=0.0, high=1e15):
-        value = self._read(name, default)
-        is_number = isinstance(value, int | float) and not isinstance(value, bool)
-        if not is_number or not low <= value <= high:
-            raise RecordError(
-                self.record, name, f"{value!r} must be a number, {low} to {high}"
-            )
-        return value
-
-    def integer(self, name, default=attrs.NOTHING, low=0, high=10**15):
-        value = self.number(name, default, low, high)
-        if value != int(value):
-            raise RecordError(
-                self.record, name, f"{value!r} must be a whole number, {low} to {high}"
-            )
-        return int(value)
-
-    def boolean(self, name, default=attrs.NOTHING):
-        value = self._read(name, default)
-        if not isinstance(value, bool):
-            raise RecordError(self.record, name, f"{value!r} must be true or false")
-        return value
-
-    def names(self, name):
-        value = self._read(name, ())
-        is_list = isinstance(value, list | tuple)
-        if not is_list or not all(isinstance(v, str) for v in value):
-            raise RecordError(self.record, name, f"{value!r} must be a list of names")
-        return tuple(value)
-
-    def shares(self, name):
-        value = self._read(name, {})
-        if not isinstance(value, dict):
-            raise RecordError(self.record, name, f"{value!r} must map zones to shares")
-        for zone, share in value.items():
-            if not isinstance(share, int | float) or not 0 <= share <= 1:
-                raise RecordError(
-                    self.record, name, f"{zone}: {share!r} must be 0 to 1"
-                )
-        if sum(value.values()) > 1 + 1e-9:
-            raise RecordError(
-                self.record, name, f"sum {sum(value.values())} is over 1; lower it"
-            )
-        return dict(value)
-
-    def check_unknown(self):
-        unknown = sorted(set(self.body) - self.used)
-        if unknown:
-            raise RecordError(
-                self.record, unknown[0], "unknown field; remove it or raise the schema"
-            )
-
-
 def _zone_v1(name, fields):
     return Zone(
         name=name,
@@ -562,7 +480,7 @@
         raise RecordError(record, "name", f"{name!r} must match {_NAME.pattern}")
     if not isinstance(body, dict):
         raise RecordError(record, "body", f"{body!r} must hold fields")
-    fields = _FieldReader(record, body)
+    fields = FieldReader(record, body)
     parsed = parser(name, fields)
     fields.check_unknown()
     return parsed
--- a/src/cactusmill/serving/positions.py
+++ b/src/cactusmill/serving/positions.py
@@ -9,6 +9,7 @@
 MAX_REVISION = 2**_REVISION_BITS - 1
 # The number fits into 63 bits.
 MAX_ERA = 2**23 - 1
+MAX_POSITION = MAX_ERA << _REVISION_BITS | MAX_REVISION
 
 
 def position(era, revision):
--- a/tests/internal/test_steps.py
+++ b/tests/internal/test_steps.py
@@ -18,6 +18,7 @@
     Steps,
     decode_base64,
     freeze_heap,
+    loads,
     parse_json,
 )
 
@@ -49,6 +50,15 @@
         return "ValueError"
 
 
+def refuse_constant(text):
+    raise ValueError(text)
+
+
+def loads_strictly(data):
+    """Parse JSON as the standard library does, without its constants."""
+    return json.loads(data, parse_constant=refuse_constant)
+
+
 def run(function, data):
     async def main():
         return await function(data, Steps())
@@ -61,7 +71,18 @@
 @example({"a": [], "b": {}}, 1, False)
 def test_json_is_parsed_like_json_loads(value, indent, is_ascii):
     data = json.dumps(value, indent=indent, ensure_ascii=is_ascii).encode()
-    assert outcome(run, parse_json, data) == outcome(json.loads, data)
+    assert outcome(run, parse_json, data) == outcome(loads_strictly, data)
+    assert outcome(loads, data) == outcome(loads_strictly, data)
+
+
+@pytest.mark.parametrize("text", ["NaN", "[Infinity]", '{"a": -Infinity}', "[" * 9999])
+def test_what_is_no_json_of_other_parsers_is_refused(text):
+    """Guards against numbers that no reader expects, and against a deep recursion."""
+    for parse in (loads, lambda data: run(parse_json, data)):
+        with pytest.raises(ValueError):
+            parse(text.encode())
+        with pytest.raises(ValueError):
+            parse(b'{"a": [%s]}' % text.encode())
 
 
 @given(
@@ -75,7 +96,8 @@
         st.sampled_from([b"", b",", b":", b"}", b"]", b'"', b" ", b"\xff"])
     )
     damaged = data[:at] + patch + data[end:]
-    assert outcome(run, parse_json, damaged) == outcome(json.loads, damaged)
+    assert outcome(run, parse_json, damaged) == outcome(loads_strictly, damaged)
+    assert outcome(loads, damaged) == outcome(loads_strictly, damaged)
 
 
 @given(st.binary(max_size=40), st.integers(0, 60), st.sampled_from(["", "=", "*", "A"]))
