A configuration with a value out of range is refused as a whole

What callers saw: beside such a configuration all hosts ended by themselves, or every request was closed without an answer as long as it was in force.

Cause: most fields of a configuration were taken as they came. A time of 400 digits ended the process when it was divided; other values were applied and failed later, where each request (a time that is negative or NaN, a capacity that is text), each heartbeat (the cost of a request that is infinite, a version of over 63 bits) or each count of warming endpoints (a warm-up time that is text) computes with them. The tasks that do this end the process with them.

Evidence, before any change: three real processes under traffic with one odd value at a time ended or closed requests without an answer for the times of routes, weights, warm-up times and rates of services, the capacity of engines, the limits' times, the tokens and burst of teams, the version and a route's name.

Fix: a configuration is read by the same typed reader as entries; every field has a type and a range in which what follows can compute with it and send it. A document with another value is unreadable as a whole, the former one stays in force, and the log names the field. Fields that are null count as missing, as before.

--- a/src/cactusmill/platform/items.py
+++ b/src/cactusmill/platform/items.py
@@ -31,6 +31,8 @@
 # It is sent in a header of each request.
 _ENDPOINT_NAME = re.compile(r"[!-~]+")
 _MAX_COUNT = 1_000_000
+# Times travel between hosts as 32-bit numbers of milliseconds.
+_MAX_MS = 2**31 - 1
 
 
 async def change_from_item(item, zones, steps):
@@ -88,10 +90,7 @@
     if key == CONFIGURATION_KEY and not is_removed:
         data = await decode_base64(_read_value(item), steps)
         value = await parse_json(data, steps)
-        try:
-            configuration = await _parse_configuration(_open(key, value).body, steps)
-        except (KeyError, TypeError, AttributeError) as exc:
-            raise RecordError(key, "", repr(exc)) from exc
+        configuration = await _parse_configuration(_open(key, value), steps)
         return ConfigurationChange(revision=revision, configuration=configuration)
     return None
 
@@ -132,91 +131,101 @@
     )
 
 
-def _get_typed(data, name, kind, default=None):
-    value = data.get(name, default)
-    if not isinstance(value, kind) or (isinstance(value, bool) and kind is not bool):
-        raise RecordError("item", name, f"{value!r} has an unexpected type")
-    return value
-
-
-async def _parse_configuration(data, steps):
+async def _parse_configuration(fields, steps):
     routes = []
-    for route in _get_typed(data, "routes", list):
+    for route in fields.objects("routes"):
         routes.append(_parse_route(route))
         await steps.pause()
-    services = [_parse_service(s) for s in _get_typed(data, "services", list)]
+    services = [_parse_service(service) for service in fields.objects("services")]
     teams, team_by_key = {}, {}
-    for tenant in data.get("tenants") or ():
+    for tenant in fields.objects("tenants", ()):
         team = _parse_team(tenant)
         teams[team.name] = team
-        for key in tenant.get("api_keys") or ():
+        for key in tenant.names("api_keys"):
             team_by_key[key_digest(key.encode("latin-1"))] = team.name
         await steps.pause()
     return Configuration(
-        version=_get_typed(data, "version", int),
+        version=fields.integer("version"),
         routes=tuple(routes),
         teams=teams,
         team_by_key=team_by_key,
         services={s.name: s for s in services},
-        limits=_parse_limits(data.get("limits") or {}),
+        limits=_parse_limits(fields.object("limits")),
     )
 
 
-def _parse_route(data):
-    kind = _get_typed(data, "kind", str)
-    traffic_split = tuple(
-        (_get_typed(entry, "service", str), float(entry.get("weight", 1)))
-        for entry in data.get("traffic_split") or ()
-    )
+def _parse_route(fields):
+    kind = fields.string("kind")
     return Route(
-        name=_get_typed(data, "name", str),
-        host=_get_typed(data, "host", str).lower(),
-        prefix=_get_typed(data, "path_prefix", str),
-        kind="model" if data.get("sticky") else "service",
-        service=data.get("service") or "",
-        split=traffic_split,
+        name=fields.string("name"),
+        host=fields.string("host").lower(),
+        prefix=fields.string("path_prefix"),
+        kind="model" if fields.boolean("sticky", False) else "service",
+        service=fields.string("service", ""),
+        split=_parse_split(fields),
         # A stream is retried only after the last event that was delivered.
         repeatable=kind == "safe",
         is_stream=kind == "streaming",
-        resumable=bool(data.get("resumable")),
-        open=bool(data.get("public")),
-        regions=tuple(data.get("allowed_regions") or ()),
-        timeout_s=data.get("timeout_ms", 60_000) / _MS_PER_S,
-        objective_s=data.get("target_latency_ms", 2000) / _MS_PER_S,
-        attempts=max(1, data.get("max_attempts") or 1),
-        priority=data.get("priority") or 0,
+        resumable=fields.boolean("resumable", False),
+        open=fields.boolean("public", False),
+        regions=fields.names("allowed_regions"),
+        timeout_s=fields.number("timeout_ms", 60_000, high=_MAX_MS) / _MS_PER_S,
+        objective_s=fields.number("target_latency_ms", 2000, high=_MAX_MS) / _MS_PER_S,
+        attempts=max(1, fields.integer("max_attempts", 1, high=_MAX_COUNT)),
+        priority=_read_priority(fields, 0),
     )
 
 
-def _parse_service(data):
-    engine = data.get("engine") or {}
+def _parse_split(fields):
+    split = tuple(
+        (entry.string("service"), float(entry.number("weight", 1)))
+        for entry in fields.objects("traffic_split", ())
+    )
+    if split and not any(weight for _, weight in split):
+        raise RecordError(fields.record, "traffic_split", "no weight is above 0")
+    return split
+
+
+def _read_priority(fields, default):
+    if not fields.has("priority"):
+        return default
+    return fields.integer("priority", low=-_MAX_COUNT, high=_MAX_COUNT)
+
+
+def _parse_service(fields):
+    engine = fields.object("engine")
     return Service(
-        name=_get_typed(data, "name", str),
-        max_connections=data.get("max_conns") or 64,
-        warmup_s=data.get("cold_start_s") or 0.0,
-        warmup_rate_per_s=data.get("cold_per_s") or 0.0,
-        is_engine=bool(engine),
-        kv_cache_tokens=engine.get("kv_capacity") or 0.0,
-        tokens_per_event=max(1, engine.get("stride") or 1),
+        name=fields.string("name"),
+        max_connections=fields.integer("max_conns", 0, high=_MAX_COUNT) or 64,
+        warmup_s=fields.number("cold_start_s", 0.0),
+        warmup_rate_per_s=fields.number("cold_per_s", 0.0),
+        is_engine=bool(engine.body),
+        kv_cache_tokens=engine.number("kv_capacity", 0.0),
+        tokens_per_event=max(1, engine.integer("stride", 1, high=_MAX_COUNT)),
     )
 
 
-def _parse_team(data):
+def _parse_team(fields):
     return Team(
-        name=_get_typed(data, "name", str),
-        rate_tokens_per_s=data.get("rate_per_s") or 0.0,
-        burst_tokens=data.get("burst") or 0.0,
-        regions=tuple(data.get("allowed_regions") or ()),
-        priority=data.get("priority"),
-        default_cost_tokens=data.get("plain_tokens") or 0.0,
+        name=fields.string("name"),
+        rate_tokens_per_s=fields.number("rate_per_s", 0.0),
+        burst_tokens=fields.number("burst", 0.0),
+        regions=fields.names("allowed_regions"),
+        priority=_read_priority(fields, None),
+        default_cost_tokens=fields.number("plain_tokens", 0.0),
     )
 
 
-def _parse_limits(data):
+def _parse_limits(fields):
     defaults = CallerLimits()
     return CallerLimits(
-        max_head_bytes=data.get("max_header_bytes") or defaults.max_head_bytes,
-        max_body_bytes=data.get("max_body_bytes") or defaults.max_body_bytes,
-        head_timeout_s=(data.get("header_timeout_ms") or 3000) / _MS_PER_S,
-        idle_timeout_s=(data.get("idle_timeout_ms") or 15000) / _MS_PER_S,
+        max_head_bytes=fields.integer("max_header_bytes", 0) or defaults.max_head_bytes,
+        max_body_bytes=fields.integer("max_body_bytes", 0) or defaults.max_body_bytes,
+        head_timeout_s=_read_ms(fields, "header_timeout_ms", defaults.head_timeout_s),
+        idle_timeout_s=_read_ms(fields, "idle_timeout_ms", defaults.idle_timeout_s),
     )
+
+
+def _read_ms(fields, name, default_s):
+    """Return a time in seconds; the default if it is 0 or missing."""
+    return fields.number(name, 0, high=_MAX_MS) / _MS_PER_S or default_s
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -15,10 +15,10 @@
 from cactusmill.platform.items import change_from_item
 from cactusmill.platform.store import StoreClient
 from cactusmill.serving import source_sync
-from cactusmill.serving.catalog import UnreadableItem
+from cactusmill.serving.catalog import ConfigurationChange, UnreadableItem
 from cactusmill.serving.edge import choose_service
 from cactusmill.serving.gateway_host import GatewayHost, HostSettings
-from standins.loopback import ZONES, running_deployment
+from standins.loopback import ZONES, configuration, running_deployment
 
 from .odd_values import (
     ENTRY,
@@ -122,6 +122,61 @@
     trio.run(play, documents)
 
 
+@pytest.mark.parametrize("value", ODD_VALUES)
+def test_odd_value_in_a_configuration_harms_no_host(value):
+    """Guards against errors in what reads a configuration, and in what uses it."""
+    document = full_configuration(2)
+    documents = [
+        ("op/config", replace_field(document, path, ODD_VALUES[value]))
+        for path in [(), *paths_of(document)]
+    ]
+    trio.run(play, documents)
+
+
+@pytest.mark.parametrize(
+    ("path", "value"),
+    [
+        (("routes", 0, "timeout_ms"), "400 digits"),
+        (("routes", 0, "timeout_ms"), "not a number"),
+        (("routes", 0, "timeout_ms"), "negative"),
+        (("routes", 0, "timeout_ms"), "true"),
+        (("routes", 0, "target_latency_ms"), "minus infinity"),
+        (("routes", 0, "name"), "lone surrogate"),
+        (("routes", 0, "allowed_regions"), "text"),
+        (("routes", 0, "traffic_split", 0, "weight"), "zero"),
+        (("services", 0, "max_conns"), "float beyond its range"),
+        (("services", 0, "engine", "kv_capacity"), "400 digits"),
+        (("tenants", 0, "rate_per_s"), "400 digits"),
+        (("tenants", 0, "api_keys"), "text"),
+        (("tenants", 0, "name"), "control characters"),
+        (("limits", "idle_timeout_ms"), "infinity"),
+        (("version",), "64 bits"),
+    ],
+)
+def test_configuration_with_a_value_out_of_range_is_refused_as_a_whole(path, value):
+    """Guards against requests that end without an answer under such a version."""
+    document = full_configuration(2)
+    data = replace_field(document, path, ODD_VALUES[value])
+    change = decode_item(make_item("op/config", data))
+    assert isinstance(change, UnreadableItem)
+    assert str(path[-1]) in change.problem or "JSON" in change.problem
+
+
+def test_fields_that_are_null_or_missing_have_their_defaults():
+    document = full_configuration(2)
+    for name in ("priority", "traffic_split", "allowed_regions", "resumable"):
+        document["routes"][0][name] = None
+    document["services"][0]["engine"] = None
+    document["limits"] = None
+    data = replace_field(document, ("a_field_of_tomorrow",), "Infinity")
+    assert isinstance(decode_item(make_item("op/config", data)), UnreadableItem)
+    data = replace_field(document, ("a_field_of_tomorrow",), "[1]")
+    change = decode_item(make_item("op/config", data))
+    assert isinstance(change, ConfigurationChange)
+    assert change.configuration.routes[0].priority == 0
+    assert not change.configuration.services["engines"].is_engine
+
+
 json_values = st.recursive(
     st.none()
     | st.booleans()
@@ -139,11 +194,13 @@
 
 @given(st.data())
 def test_drawn_values_in_any_field_harm_no_host(data):
-    path = data.draw(st.sampled_from(paths_of(ENTRY)))
+    kind = data.draw(st.sampled_from(["servers/i-odd", "op/config"]))
+    document = ENTRY if kind != "op/config" else full_configuration(2)
+    path = data.draw(st.sampled_from(paths_of(document)))
     value = data.draw(json_values)
     text = replace_field({"v": value}, ("other",), "0").decode()
     value_text = text[len('{"v": ') : text.rindex(', "other"')]
-    trio.run(play, [("servers/i-odd", replace_field(ENTRY, path, value_text))])
+    trio.run(play, [(kind, replace_field(document, path, value_text))])
 
 
 @pytest.mark.parametrize(
@@ -174,6 +231,7 @@
     endpoints = tuple((f"e{n}", zone, "desk") for n, zone in enumerate(ZONES))
     async with running_deployment(hosts, endpoints) as run:
         await run.wait_until_ready()
+        version = 1
         for number, (key, data) in enumerate(documents):
             run.store.put(key, data)
             revision = run.store.revision
@@ -189,7 +247,11 @@
                     name, "/look/1", request_id=f"r-{number}"
                 )
                 assert reply.status == 200 and reply.is_complete
-            run.store.remove(key)
+            if key == "op/config":
+                version += 2
+                run.store.put(key, configuration(version))
+            else:
+                run.store.remove(key)
 
 
 def test_hosts_serve_beside_an_entry_that_cannot_be_read():
@@ -205,3 +267,15 @@
     """Guards against the end of a region's hosts in their predictions of waits."""
     data = replace_field(ENTRY, ("slots",), ODD_VALUES["400 digits"])
     trio.run(_serve_beside, [("servers/i-odd", data)])
+
+
+def test_hosts_serve_beside_a_configuration_with_a_time_beyond_floats():
+    """Guards against the end of all hosts when an operator's tool writes such a one."""
+    documents = [
+        ("op/config", replace_field(configuration(version), path, ODD_VALUES[value]))
+        for version, path, value in [
+            (2, ("routes", 3, "timeout_ms"), "400 digits"),
+            (4, ("tenants", 0, "rate_per_s"), "float beyond its range"),
+        ]
+    ]
+    trio.run(_serve_beside, documents)
