A response of the store that cannot be read is an error of that response only

By the tests, one header or page of the store, or one export of another host, ended every host that read it, with all requests in it.

The era was converted before its length was checked, and a whole number of over 4,300 digits raises a ValueError that the caller of this reader does not expect. A key with a lone surrogate, from which a listing goes on, cannot be encoded into the query. The revisions of an export had no range, and a host tells its own in each heartbeat, where 64 bits hold it. The same for the versions of the own interface's services.

Evidence: before the fix three cases of test_export_with_a_revision_that_no_heartbeat_can_tell_is_refused, one of test_era_that_is_no_number_is_a_platform_error, test_listing_goes_on_behind_a_key_that_is_no_text and the three of test_version_that_no_heartbeat_can_tell_is_refused failed. Pages that are nested too deep or hold constants that JSON lacks are covered since the parser refuses them; their cases guard that.

Fix: the era is read by the reader of counts that headers of callers have, revisions and versions have the range of what carries them, and the query of a listing takes any key. Each gives the PlatformError after which the store is asked again.

--- a/src/cactusmill/internal/configuration.py
+++ b/src/cactusmill/internal/configuration.py
@@ -13,8 +13,11 @@
 import attrs
 
 from ..errors import RecordError
+from ..fields import describe
 from ..records import Policy, known_schemas, parse_record
 
+# Versions travel between hosts as 64-bit numbers.
+MAX_VERSION = 2**63 - 1
 _DEFAULT_POLICY = Policy(name="default")
 
 
@@ -64,6 +67,11 @@
             raise RecordError(
                 record, field, f"{data.get(field)!r} must be a {expected_type.__name__}"
             )
+    for field in ("schema", "version"):
+        if not 0 <= data[field] <= MAX_VERSION:
+            raise RecordError(
+                record, field, f"{describe(data[field])} must be 0 to {MAX_VERSION}"
+            )
     body = data.get("body")
     if body is not None and not isinstance(body, dict):
         raise RecordError(record, "body", f"{body!r} must be an object or null")
--- a/src/cactusmill/internal/platform_client.py
+++ b/src/cactusmill/internal/platform_client.py
@@ -8,7 +8,8 @@
 import attrs
 
 from ..errors import PlatformError, RecordError
-from .configuration import change_from_json, check_change
+from ..fields import describe
+from .configuration import MAX_VERSION, change_from_json, check_change
 from .net import Network
 from .service_client import ServiceClient
 from .steps import Steps, parse_json
@@ -61,6 +62,8 @@
         raise PlatformError(f"malformed response: {exc!r}") from exc
     if not isinstance(version, int) or not isinstance(items, list):
         raise PlatformError("the response's version or changes have the wrong type")
+    if not 0 <= version <= MAX_VERSION:
+        raise PlatformError(f"{describe(version)} is no version")
     changes, checked = [], []
     for item in items:
         await steps.pause()
--- a/src/cactusmill/platform/store.py
+++ b/src/cactusmill/platform/store.py
@@ -13,11 +13,19 @@
 import trio
 
 from ..errors import PlatformError, RecordError
-from ..internal.http import header
+from ..fields import describe
+from ..internal.http import header, parse_count
 from ..internal.service_client import ServiceClient
 from ..internal.steps import Steps, parse_json
 from ..serving.connections import IDLE_SILENCE_MS, enable_dead_peer_detection
-from ..serving.positions import MAX_ERA, MAX_REVISION, era_of, position, revision_of
+from ..serving.positions import (
+    MAX_ERA,
+    MAX_POSITION,
+    MAX_REVISION,
+    era_of,
+    position,
+    revision_of,
+)
 from ..serving.source_sync import HistoryLostError, Source
 from .items import change_from_item
 
@@ -123,7 +131,7 @@
         if not isinstance(export, dict):
             raise PlatformError("export is not a JSON object")
         items = _get_field(export, "items", list)
-        revision = _get_field(export, "revision", int)
+        revision = _get_revision(export, "revision", MAX_POSITION)
         return await self._decode_items(items), revision
 
     async def list_all(self):
@@ -222,7 +230,9 @@
 
     async def _get(self, name, query, timeout_s):
         """Return the decoded body of a response, and its era."""
-        target = f"/cactusmill/{name}?{urllib.parse.urlencode(query)}"
+        # A key may hold lone surrogates.
+        text = urllib.parse.urlencode(query, errors="surrogatepass")
+        target = f"/cactusmill/{name}?{text}"
         status, headers, body = await self._client.get(target, timeout_s)
         if status == _GONE:
             raise HistoryLostError(f"{name}: history was compacted")
@@ -238,9 +248,10 @@
 
 
 def _parse_era(text):
-    if not (text.isascii() and text.isdigit() and int(text) <= MAX_ERA):
+    era = parse_count(text)
+    if era is None or era > MAX_ERA:
         raise PlatformError(f"the era {text[:40]!r} is no number up to {MAX_ERA}")
-    return int(text)
+    return era
 
 
 def _locate_items(items, era):
@@ -253,10 +264,10 @@
     ]
 
 
-def _get_revision(data, name):
+def _get_revision(data, name, high=MAX_REVISION):
     revision = _get_field(data, name, int)
-    if not 0 <= revision <= MAX_REVISION:
-        raise PlatformError(f"{name}: {revision} is no revision")
+    if not 0 <= revision <= high:
+        raise PlatformError(f"{name}: {describe(revision)} is no revision")
     return revision
 
 
