Pages and refusals answer HEAD, and pages refuse methods that they lack

A request with HEAD that was refused, for an unknown route or key for instance, was closed without an answer.

Cause: the response to HEAD has no body, and h11 raises LocalProtocolError for bytes behind such a head. Pages and refusals always sent their body. After a 2xx to CONNECT h11 takes no body either.

Fix: one function sends the pages of both interfaces. It leaves the body out for HEAD, with the length that GET has, and answers 405 to methods other than GET, HEAD and POST. Refusals leave the body out too. The condition under which a connection carries another request becomes one function, which the callers' connections use as well.

--- a/src/cactusmill/internal/edge.py
+++ b/src/cactusmill/internal/edge.py
@@ -34,6 +34,7 @@
 from .chat import error_event
 from .directory import DIRECTORY_PATH, list_permitted_hosts, serve_directory
 from .http import (
+    can_go_on,
     header,
     is_idle_and_open,
     lingering_close,
@@ -88,7 +89,7 @@
         # The caller relies on keep-alive unless either side announced a close.
         if not (caller.announced_close or _wants_close(head)):
             return True
-    elif conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE:
+    elif can_go_on(conn):
         return True
     await lingering_close(conn)
     return False
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -37,6 +37,7 @@
 # wait for the endpoint.
 _MAX_UNBLOCKED_BYTES = 8 * 1024
 _MAX_PAGE_REQUEST_BYTES = 64 * 1024
+_PAGE_METHODS = frozenset({b"GET", b"HEAD", b"POST"})
 # Events of received bytes that are handled before other tasks get a turn.
 _EVENTS_PER_TURN = 64
 _LINGER = struct.Struct("ii")
@@ -474,6 +475,44 @@
     return None
 
 
+async def send_page(conn, request, status, content_type, body):
+    """Send a page of this host; one that was asked for by HEAD without its body.
+
+    Parameters
+    ----------
+    conn : Connection
+        A server's connection.
+    request : h11.Request
+        Head of the request, from :func:`read_page_request`.
+    status : int
+        HTTP status; replaced by 405 for methods that no page has.
+    content_type, body : bytes
+        The page.
+
+    Raises
+    ------
+    ExchangeError
+        If the connection fails.
+    """
+    if request.method not in _PAGE_METHODS:
+        status, body = 405, b""
+    headers = [
+        (b"content-type", content_type),
+        (b"content-length", str(len(body)).encode()),
+    ]
+    data = b"" if request.method == b"HEAD" else body
+    await conn.send(
+        h11.Response(status_code=status, headers=headers),
+        h11.Data(data=data),
+        h11.EndOfMessage(),
+    )
+
+
+def can_go_on(conn):
+    """Return whether a connection can carry another request after a response."""
+    return conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
+
+
 async def lingering_close(conn):
     """Half-close the connection and discard received bytes for a while.
 
--- a/src/cactusmill/internal/operators.py
+++ b/src/cactusmill/internal/operators.py
@@ -13,7 +13,7 @@
     describe_held,
     release_by_operator,
 )
-from .http import read_page_request, server_connection
+from .http import can_go_on, read_page_request, send_page, server_connection
 from .request import is_permitted
 from .routing import make_candidate, rank_hosts
 
@@ -70,16 +70,8 @@
     if head is None:
         return False
     page = render(host, head.method, head.target.decode("latin-1"))
-    headers = [
-        (b"content-type", page.content_type),
-        (b"content-length", str(len(page.body)).encode()),
-    ]
-    await conn.send(
-        h11.Response(status_code=page.status, headers=headers),
-        h11.Data(data=page.body),
-        h11.EndOfMessage(),
-    )
-    return conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE
+    await send_page(conn, head, page.status, page.content_type, page.body)
+    return can_go_on(conn)
 
 
 def _render(host, method, target):
--- a/src/cactusmill/platform/directory.py
+++ b/src/cactusmill/platform/directory.py
@@ -9,7 +9,12 @@
 import h11
 
 from ..errors import ExchangeError
-from ..internal.http import read_page_request, server_connection
+from ..internal.http import (
+    can_go_on,
+    read_page_request,
+    send_page,
+    server_connection,
+)
 
 DIRECTORY_PATH = "/cactusmill/resolve"
 READY_PATH = "/cactusmill/ready"
@@ -35,18 +40,8 @@
     try:
         while (head := await read_page_request(conn, _IDLE_TIMEOUT_S)) is not None:
             status, body = respond(host, head.target.decode("latin-1"))
-            await conn.send(
-                h11.Response(
-                    status_code=status,
-                    headers=[
-                        (b"content-type", b"application/json"),
-                        (b"content-length", str(len(body)).encode()),
-                    ],
-                ),
-                h11.Data(data=body),
-                h11.EndOfMessage(),
-            )
-            if conn.h11.our_state is not h11.DONE:
+            await send_page(conn, head, status, b"application/json", body)
+            if not can_go_on(conn):
                 return
             conn.h11.start_next_cycle()
     except (ExchangeError, h11.RemoteProtocolError):
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -30,6 +30,7 @@
 from ..internal.buffer_budget import BUFFER_RETRY_S
 from ..internal.containment.convictions import Verdict
 from ..internal.http import (
+    can_go_on,
     discard_received_body,
     has_other_end_closed,
     header,
@@ -143,7 +144,7 @@
             await _serve_request(host, caller, event)
     finally:
         host.busy_connections.discard(conn)
-    if conn.h11.our_state is h11.DONE and conn.h11.their_state is h11.DONE:
+    if can_go_on(conn):
         return not caller.closes
     is_body_read = _is_body_read(conn)
     discarded_bytes = await lingering_close(conn)
@@ -209,9 +210,14 @@
     await lingering_close(conn)
 
 
-async def _send_refusal(conn, rendered, closes):
-    """Send a refusal as rendered by the dialect: status, headers and body."""
+async def _send_refusal(conn, rendered, closes, method=b""):
+    """Send a refusal as rendered by the dialect: status, headers and body.
+
+    The response to a HEAD request has no body.
+    """
     status, headers, body = rendered
+    if method == b"HEAD":
+        body = b""
     if closes:
         headers = [*headers, (b"connection", b"close")]
     response = h11.Response(status_code=status, headers=headers)
@@ -246,7 +252,7 @@
     rendered = host.dialect.render_refusal(refusal, caller.head.request_id)
     caller.status = rendered[0]
     caller.closes = is_faulty or _closes_after_refusal(host, caller.conn, event)
-    await _send_refusal(caller.conn, rendered, caller.closes)
+    await _send_refusal(caller.conn, rendered, caller.closes, event.method)
     caller.entry.refuse(refusal)
 
 
@@ -340,7 +346,7 @@
     caller.status = rendered[0]
     caller.closes = is_own or _closes_after_refusal(host, conn, event)
     try:
-        await _send_refusal(conn, rendered, caller.closes)
+        await _send_refusal(conn, rendered, caller.closes, event.method)
     except (AnswerCutError, ExchangeError) as exc:
         return exc
     caller.entry.refuse(refusal)
