A response that closes the store's connection is a response

Cause: after each response the client of the store began the next cycle of its connection. h11 raises LocalProtocolError when the response has closed it; the client expects errors of the connection only, and the task that follows the store, which expects errors of the store only, ended the process.

Fix: the cycle begins only on a connection that can carry another request.

--- a/src/cactusmill/internal/service_client.py
+++ b/src/cactusmill/internal/service_client.py
@@ -4,7 +4,7 @@
 import trio
 
 from ..errors import ConnectError, ExchangeError, PlatformError
-from .http import client_connection, perform_request
+from .http import can_go_on, client_connection, perform_request
 
 _CONNECT_TIMEOUT_S = 1.0
 
@@ -61,7 +61,10 @@
                 status, headers, body = await perform_request(
                     self._conn, "GET", target, [(b"host", self.address.encode())]
                 )
+            if can_go_on(self._conn):
                 self._conn.h11.start_next_cycle()
+            else:
+                await self.close()
         except (ConnectError, ExchangeError, trio.TooSlowError) as exc:
             await self.close()
             raise PlatformError(f"{self.address}: {exc!r}") from exc
