A log line that cannot be written is dropped, not raised

What callers saw: none known. A line with a number of over 4,300 digits, or a log whose reader had gone (a pipe of which the other end is closed polls as writable, and the write raises BrokenPipeError), raised its error in whichever task logged: in a request's, which then ended without an answer, or in one of the host's, which ended the process.

Cause: the handler passed on every error of encoding and writing.

Evidence: test_line_that_cannot_be_written_is_dropped_and_ends_nothing failed before.

--- a/src/cactusmill/internal/logs.py
+++ b/src/cactusmill/internal/logs.py
@@ -56,11 +56,19 @@
         """Write a log record, or drop and count it if the write would block.
 
         A line that could block because of its length is replaced by a
-        ``line_too_long`` line.
+        ``line_too_long`` line. One that cannot be encoded, or that nobody reads any
+        more, is dropped as well: logging never fails the caller.
         """
         if not self._poller.poll(0):
             self.dropped += 1
             return
+        dropped = self.dropped
+        try:
+            self._emit_line(record)
+        except (OSError, TypeError, ValueError, RecursionError):
+            self.dropped = dropped + 1
+
+    def _emit_line(self, record):
         if self.dropped:
             record.fields = {
                 **getattr(record, "fields", {}),
--- a/tests/internal/test_logs.py
+++ b/tests/internal/test_logs.py
@@ -45,3 +45,18 @@
     logger, _ = logger_to(writer)
     logger.info("request", extra={"fields": {"detail": "x" * 10_000}})
     assert json.loads(os.read(reader, 10_000))["event"] == "line_too_long"
+
+
+def test_line_that_cannot_be_written_is_dropped_and_ends_nothing():
+    """Guards against the end of the process when its log has no reader any more."""
+    reader, writer = os.pipe()
+    logger, handler = logger_to(writer)
+    logger.info("request", extra={"fields": {"number": 10**5000}})
+    logger.info("request", extra={"fields": {"object": object()}})
+    assert handler.dropped == 2
+    logger.info("request", extra={"fields": {}})
+    assert json.loads(os.read(reader, 10_000))["dropped_lines"] == 2
+    os.close(reader)
+    logger.info("request", extra={"fields": {}})
+    logger.info("request", extra={"fields": {}})
+    assert handler.dropped == 2
