Settings are checked for range and encoding, also when they are reloaded

What callers saw: none known. A settings file that was reloaded with a port of thousands of digits or a digit of another script, or that is nested too deep, ended the process; one with an infinite or negative bound, or a name that cannot be encoded, was accepted and failed in the next heartbeat or shutdown.

Fix: settings are parsed strictly, numbers are finite and not negative, texts can be printed, a port has at most five ASCII digits.

--- a/src/cactusmill/platform/settings.py
+++ b/src/cactusmill/platform/settings.py
@@ -4,12 +4,13 @@
 :class:`~cactusmill.serving.gateway_host.HostSettings`.
 """
 
-import json
 import pathlib
 
 import attrs
 
 from ..errors import SettingsError
+from ..fields import MAX_NUMBER, describe, is_plain_text
+from ..internal.steps import loads
 from ..serving.gateway_host import HostSettings
 from ..serving.quota import RateExcess
 from ..settings import parse_address
@@ -60,7 +61,7 @@
         Names the invalid field, its value and how to fix it.
     """
     try:
-        data = json.loads(pathlib.Path(path).read_text(encoding="utf-8"))
+        data = loads(pathlib.Path(path).read_bytes())
     except OSError as exc:
         raise SettingsError(str(path), f"cannot be read: {exc.strerror}") from exc
     except ValueError as exc:
@@ -99,7 +100,7 @@
         callers=_get_address(data, "listen.front"),
         peers=peers,
         seeds=tuple(seeds),
-        zones=_get_field(data, "zones", dict),
+        zones=_get_zones(data),
         grace_s=_get_field(bounds, "grace_s", int | float, 8.0, "bounds."),
         retry_ratio=_get_field(
             bounds, "retry_budget_ratio", int | float, 0.1, "bounds."
@@ -133,10 +134,23 @@
             raise SettingsError(prefix + name, "the field is missing; add it")
         return default
     if not isinstance(value, kind) or isinstance(value, bool):
-        raise SettingsError(prefix + name, f"{value!r} has an unexpected type")
+        raise SettingsError(prefix + name, f"{describe(value)} has an unexpected type")
+    if isinstance(value, int | float) and not 0 <= value <= MAX_NUMBER:
+        raise SettingsError(
+            prefix + name, f"{describe(value)} must be a number, 0 to {MAX_NUMBER}"
+        )
+    if isinstance(value, str) and not is_plain_text(value):
+        raise SettingsError(prefix + name, f"{describe(value)} is no plain text")
     return value
 
 
+def _get_zones(data):
+    zones = _get_field(data, "zones", dict)
+    for zone in zones:
+        _get_field(zones, zone, str, prefix="zones.")
+    return zones
+
+
 def _get_address(data, place):
     """Return the address in a field given as ``SECTION.NAME``, as ``"IP:PORT"``."""
     section, _, name = place.partition(".")
--- a/src/cactusmill/settings.py
+++ b/src/cactusmill/settings.py
@@ -7,12 +7,15 @@
 
 import ipaddress
 import pathlib
+import re
 
 import attrs
 import yaml
 
 from .errors import SettingsError
 
+_PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
+
 
 @attrs.frozen
 class Address:
@@ -62,7 +65,7 @@
         ipaddress.ip_address(ip)
     except ValueError:
         raise SettingsError(place, f"{ip!r} is no IP number; {hint}") from None
-    if not port.isdigit() or not 0 < int(port) < 65536:
+    if not _PORT.fullmatch(port) or not 0 < int(port) < 65536:
         raise SettingsError(place, f"{port!r} is no port; {hint}")
     return Address(ip, int(port))
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -45,6 +45,14 @@
         ({"seeds": ["nowhere"]}, "seeds.0"),
         ({"platform": {"address": "host:1"}}, "platform.address"),
         ({"bounds": {"grace_s": "8"}}, "bounds.grace_s"),
+        ({"bounds": {"grace_s": float("inf")}}, "bounds.grace_s"),
+        ({"bounds": {"quota_slack": float("nan")}}, "bounds.quota_slack"),
+        ({"bounds": {"retry_slack": 10**400}}, "bounds.retry_slack"),
+        ({"bounds": {"retry_budget_ratio": -1}}, "bounds.retry_budget_ratio"),
+        ({"node": "front-\ud800"}, "node"),
+        ({"zones": {"east-a": ["east"]}}, "zones.east-a"),
+        ({"seeds": ["10.1.0.25:²"]}, "seeds.0"),
+        ({"seeds": ["10.1.0.25:" + "9" * 5000]}, "seeds.0"),
     ],
 )
 def test_error_names_the_invalid_field(change, place):
@@ -58,6 +66,13 @@
     with pytest.raises(SettingsError, match="cannot be read"):
         load_platform_settings(path)
     path.write_text("{")
+    with pytest.raises(SettingsError, match="is not JSON"):
+        load_platform_settings(path)
+    for text in ("[" * 100_000, '{"node": NaN}', '{"node": %s}' % ("9" * 5000)):
+        path.write_text(text)
+        with pytest.raises(SettingsError, match="is not JSON"):
+            load_platform_settings(path)
+    path.write_bytes(b"\xff\xfe\x00")
     with pytest.raises(SettingsError, match="is not JSON"):
         load_platform_settings(path)
     path.write_text(json.dumps(SETTINGS))
