A task that meets an unexpected error is started again

What callers saw: every fault of this class ended the process, and with it all requests that ran in it, on all hosts that met the same value. The platform starts the process again, which meets the value again.

Cause: the long-lived tasks of a host (following the store and other hosts, sending and receiving heartbeats, maintenance, watching the settings) and the handlers of the ready, directory and metrics addresses and of signals ran bare in the nursery of the process. Each expects the errors of its own work; any other ended everything.

Fix: a supervisor runs these tasks. An unexpected error is logged as `task_failed`, with the calls that led to it, and counted by task in the metrics; the task begins anew after a delay that doubles up to 10 s, with jitter. What the host knows stays. Nothing is hidden from tests: in the stand-ins the supervisor is strict, and the error ends the host as before. Pages and signals are contained as callers' connections are. Waiting for a change of the settings file decides nothing of the platform's and moves out of its folder. The own interface's tasks run under the same supervisor; its links to peers do not yet.

--- a/src/cactusmill/internal/host_process.py
+++ b/src/cactusmill/internal/host_process.py
@@ -49,6 +49,7 @@
 from .request import is_permitted
 from .retries import RetryBudgets
 from .shedding import Shedder
+from .supervision import Supervisor
 from .wire.ttypes import Hello
 from .zone_routing import zone_wait_s
 
@@ -137,6 +138,7 @@
     caller_connections: int = 0
     running_at_most_once: int = 0
     nursery: trio.Nursery | None = None
+    supervisor: Supervisor = attrs.field(init=False)
     loop: LoopMonitor = attrs.field(init=False)
     shedder: Shedder = attrs.field(init=False)
     ledger: Ledger = attrs.field(init=False)
@@ -156,6 +158,7 @@
             self.cfg.host, self.incarnation, secrets.token_bytes(_SECRET_BYTES)
         )
         self.ledger = Ledger(minter, self.cfg.identifier_ttl_s)
+        self.supervisor = Supervisor(self.now, self.rng, self._record_failed_task)
         self.loop = LoopMonitor(self.now)
         self.idle_callers = IdleWaits(self.now)
         self.shedder = Shedder(self.loop, self.rng)
@@ -266,6 +269,9 @@
         self.faults += 1
         logging.exception("fault: " + where, *args)
 
+    def _record_failed_task(self, name, exc, retry_s):
+        self.record_fault("task %s, restarted after %.1f s", name, retry_s)
+
     def cancel_forward(self, link, cancel):
         """Tell a peer to cancel a forwarded request, from a background task."""
 
@@ -492,11 +498,12 @@
             self.nursery = nursery
             await self._listen(self.cfg.peers, serve_link)
             await self._listen(self.cfg.operators, serve_operator)
+            run = self.supervisor.run
             for name in STORE_NAMES:
-                nursery.start_soon(watch_platform, self, name)
-            nursery.start_soon(self._run_housekeeping)
-            nursery.start_soon(self.body_relay.run)
-            nursery.start_soon(reconcile_placements, self)
+                nursery.start_soon(run, f"watch_{name}", watch_platform, self, name)
+            nursery.start_soon(run, "maintain_host", self._run_housekeeping)
+            nursery.start_soon(run, "relay_bodies", self.body_relay.run)
+            nursery.start_soon(run, "reconcile_placements", reconcile_placements, self)
             await sync_initial_state(self)
             await self._listen_to_callers()
             self.ready.set()
--- a/src/cactusmill/platform/daemon.py
+++ b/src/cactusmill/platform/daemon.py
@@ -1,6 +1,7 @@
 """Daemon that runs a gateway host on the platform: start, signals, settings reload."""
 
 import argparse
+import functools
 import os
 import signal
 import sys
@@ -14,6 +15,7 @@
 from ..internal.operators import serve_operator
 from ..internal.steps import freeze_heap
 from ..serving.events import log_event
+from ..serving.file_watch import call_on_change
 from ..serving.gateway_host import GatewayHost
 from ..serving.pages import render_page
 from .dialect import DIALECT
@@ -22,9 +24,6 @@
 from .store import StoreClient
 
 _EXIT_USAGE = 2
-# Interval at which the settings file is checked for changes. A stat() of the file
-# takes microseconds.
-_SETTINGS_POLL_S = 1.0
 
 
 async def _run(cfg, path):
@@ -32,10 +31,10 @@
     host = GatewayHost(cfg.host, DIALECT, store.source())
 
     async def directory(stream):
-        await serve_directory(host, stream)
+        await host.contain_errors(serve_directory, host, stream)
 
     async def metrics(stream):
-        await serve_operator(host, stream, render_page)
+        await host.contain_errors(serve_operator, host, stream, render_page)
 
     async with trio.open_nursery() as nursery:
         try:
@@ -46,8 +45,11 @@
         for address in {cfg.ready, cfg.directory}:
             await nursery.start(TCP.serve, address, directory, nursery)
         nursery.start_soon(_handle_signals, host, path)
-        nursery.start_soon(_poll_settings_file, host, path)
-        nursery.start_soon(freeze_heap, lambda: host.is_ready(host.now()))
+        run = host.supervisor.run
+        reload = functools.partial(_reload_settings, host, path)
+        nursery.start_soon(run, "watch_settings", call_on_change, path, reload)
+        is_ready = lambda: host.is_ready(host.now())
+        nursery.start_soon(run, "freeze_heap", freeze_heap, is_ready)
         await host.run()
         nursery.cancel_scope.cancel()
 
@@ -55,29 +57,14 @@
 async def _handle_signals(host, path):
     with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
         async for number in signals:
-            if number == signal.SIGTERM and not host.is_leaving:
-                await host.shut_down()
-            elif number == signal.SIGHUP:
-                _reload_settings(host, path)
+            await host.contain_errors(_handle_signal, host, path, number)
 
 
-async def _poll_settings_file(host, path):
-    """Reload settings when the file changes without a SIGHUP."""
-    last_mtime_ns = _read_mtime_ns(path)
-    while True:
-        await trio.sleep(_SETTINGS_POLL_S)
-        mtime_ns = _read_mtime_ns(path)
-        if mtime_ns not in (None, last_mtime_ns):
-            last_mtime_ns = mtime_ns
-            _reload_settings(host, path)
-
-
-def _read_mtime_ns(path):
-    try:
-        return os.stat(path).st_mtime_ns
-    except OSError as exc:
-        log_event("settings_not_seen", path=path, reason=repr(exc))
-        return None
+async def _handle_signal(host, path, number):
+    if number == signal.SIGTERM and not host.is_leaving:
+        await host.shut_down()
+    elif number == signal.SIGHUP:
+        _reload_settings(host, path)
 
 
 def _reload_settings(host, path):
--- a/src/cactusmill/serving/events.py
+++ b/src/cactusmill/serving/events.py
@@ -1,11 +1,15 @@
 """Structured log events, which are also counted for the metrics."""
 
 import collections
+import pathlib
+import traceback
 
 from ..internal.logs import log_fields
 
 # Number of events by name in this process, including those whose line was dropped.
 counts = collections.Counter()
+# Innermost calls that the line of an internal error names.
+_MAX_PLACES = 6
 
 
 def log_event(event, **fields):
@@ -34,7 +38,45 @@
     **fields
         Further fields of the line.
     """
-    log_event("fault", handler=handler, reason=_describe(exc), **fields)
+    log_event(
+        "fault",
+        handler=handler,
+        reason=_describe(exc),
+        places=_find_places(exc),
+        **fields,
+    )
+
+
+def log_failed_task(task, exc, retry_s):
+    """Log an internal error that ended a long-lived task.
+
+    Parameters
+    ----------
+    task : str
+        Name of the task.
+    exc : Exception
+        The error.
+    retry_s : float
+        Mean time until it is started again, in seconds.
+    """
+    log_event(
+        "task_failed",
+        task=task,
+        reason=_describe(exc),
+        places=_find_places(exc),
+        retry_s=retry_s,
+    )
+
+
+def _find_places(exc):
+    """Return where an exception was raised, innermost call last.
+
+    Of an exception group it is that of the first exception in it.
+    """
+    while isinstance(exc, BaseExceptionGroup):
+        exc = exc.exceptions[0]
+    frames = traceback.extract_tb(exc.__traceback__)[-_MAX_PLACES:]
+    return [f"{pathlib.Path(f.filename).name}:{f.lineno} {f.name}" for f in frames]
 
 
 def _describe(exc):
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -23,6 +23,7 @@
 from ..internal.metrics import Metrics
 from ..internal.net import TCP
 from ..internal.shedding import ShedAverage, Shedder, name_with_room
+from ..internal.supervision import Supervisor
 from ..records import CallerLimits, Service
 from .budgets import RetryBudgets
 from .catalog import Catalog
@@ -30,7 +31,7 @@
 from .dispatch import run_request
 from .durations import Durations
 from .edge import choose_service, serve_caller
-from .events import log_event, log_fault
+from .events import log_event, log_failed_task, log_fault
 from .forwarding import LinkPool, serve_link
 from .gossip import Gossip
 from .membership import HostId, Membership
@@ -131,6 +132,8 @@
         Open links of other hosts.
     idle_links : IdleWaits
         Those that wait for the next request.
+    supervisor : Supervisor
+        Runs the long-lived tasks.
     descriptors : Descriptors
         How near the process is to its limit of descriptors.
     buffers : BufferBudget
@@ -175,6 +178,7 @@
     catalog: Catalog = attrs.field(factory=Catalog)
     source_health: SourceHealth = attrs.field(factory=SourceHealth)
     containment: CrashContainment = attrs.field(factory=CrashContainment)
+    supervisor: Supervisor = attrs.field(init=False)
     loop: LoopMonitor = attrs.field(init=False)
     shedder: Shedder = attrs.field(init=False)
     metrics: Metrics = attrs.field(factory=Metrics)
@@ -201,6 +205,7 @@
             region=cfg.region,
             incarnation=secrets.token_hex(8),
         )
+        self.supervisor = Supervisor(self.now, self.rng, log_failed_task)
         self.loop = LoopMonitor(self.now)
         self.idle_callers = IdleWaits(self.now)
         self.shedder = Shedder(self.loop, self.rng)
@@ -580,6 +585,11 @@
             "buffered_bytes": self.buffers.used_bytes,
             "event_loop_lag_seconds": self.loop.lag_s(now),
             "requests_shed": self.shedder.count,
+            "task_failures": self.supervisor.failures.total(),
+            **{
+                f"task_failures_{task}": count
+                for task, count in self.supervisor.failures.items()
+            },
         }
 
     # Start, maintenance and shutdown.
@@ -604,11 +614,15 @@
     async def _serve_until_drained(self, task_status):
         async with trio.open_nursery() as nursery:
             await nursery.start(self.gossip.run)
-            nursery.start_soon(sync_from_source, self, self.source)
-            nursery.start_soon(sync_from_hosts, self, self.source)
+            for task in (sync_from_source, sync_from_hosts):
+                nursery.start_soon(
+                    self.supervisor.run, task.__name__, task, self, self.source
+                )
             await self._listen(nursery, self.cfg.peers, self._serve_link)
             await self._listen(nursery, self.cfg.callers, self._serve_caller)
-            nursery.start_soon(self._maintenance_loop)
+            nursery.start_soon(
+                self.supervisor.run, "maintain_host", self._maintenance_loop
+            )
             task_status.started()
             await self._drain()
             await self._refuse_running()
@@ -626,15 +640,15 @@
         await nursery.start(accept)
 
     async def _serve_caller(self, stream):
-        await self._contain_errors(serve_caller, self, stream)
+        await self.contain_errors(serve_caller, self, stream)
 
     async def _serve_link(self, stream):
-        await self._contain_errors(serve_link, self, stream, _run_forwarded)
+        await self.contain_errors(serve_link, self, stream, _run_forwarded)
 
-    async def _contain_errors(self, handler, *args):
-        """Run the handler of one connection, and log an internal error in it.
+    async def contain_errors(self, handler, *args):
+        """Run the handler of one connection or signal, and log an internal error in it.
 
-        The error does not end other connections.
+        The error does not end what else the process does.
         """
         try:
             await handler(*args)
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -180,10 +180,11 @@
             await self._run_loops()
 
     async def _run_loops(self):
+        run = self.host.supervisor.run
         async with trio.open_nursery() as nursery:
-            nursery.start_soon(self._receive_loop)
-            nursery.start_soon(self._send_loop)
-            nursery.start_soon(self._maintenance_loop)
+            nursery.start_soon(run, "receive_heartbeats", self._receive_loop)
+            nursery.start_soon(run, "send_heartbeats", self._send_loop)
+            nursery.start_soon(run, "maintain_members", self._maintenance_loop)
 
     async def _maintenance_loop(self):
         while True:
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -453,12 +453,13 @@
         rng = random.Random(number)
         host = GatewayHost(cfg, DIALECT, client.source(), rng=rng)
         host.shedder.is_on = False
+        host.supervisor.is_strict = True
         self.hosts[name] = host
         scope = trio.CancelScope()
         self.scopes[name] = scope
 
         async def directory(stream):
-            await serve_directory(host, stream)
+            await host.contain_errors(serve_directory, host, stream)
 
         async def run():
             with scope:
--- a/standins/simulation.py
+++ b/standins/simulation.py
@@ -159,6 +159,7 @@
             rng=random.Random(self.rng.random()),
             wall_time=trio.current_time,
         )
+        host.supervisor.is_strict = True
         self.hosts[name] = host
         self._started.append(host)
         for callback in self.on_host_start:
