A datagram that is no sound heartbeat is ignored

What callers saw: none known. Any datagram that decodes as a frame with an incomplete heartbeat ended the host that received it, with all requests in it; a region that reports no hosts did so by a division. Hosts that had known a region which is lost for 25 days would all have ended at once, since the age of what they know of it no longer fits into 32 bits.

The codec returns messages whose required fields are missing, and the numbers in them had no range; what is sent was not bounded to what the fields hold.

Fix: a heartbeat is checked before any of it is applied: required fields are there, names and addresses can be used, ages, loads and counts are not negative. One that fails is logged as unreadable and ignored; the next one replaces it. What a host sends is bounded to 32 bits.

--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -39,6 +39,7 @@
     ZoneReopening,
 )
 from .events import log_event
+from .heartbeat_checks import check_heartbeat
 from .heartbeats import MAX_REGION_RECEIVERS, REGION_HEARTBEAT_S
 from .membership import HostId, RegionTotals
 
@@ -88,6 +89,15 @@
 _NEWS_INTERVAL_S = 0.05
 
 
+def _to_i32(number):
+    return max(0, min(_MAX_I32, int(number)))
+
+
+def _to_ms(seconds):
+    """Return a time in whole milliseconds, as large as a heartbeat can tell it."""
+    return _to_i32(min(seconds * 1000, _MAX_I32))
+
+
 def _member_entry(host_id, is_leaving, age_s):
     return MemberNote(
         host=host_id.name,
@@ -95,7 +105,7 @@
         zone=host_id.zone,
         region=host_id.region,
         incarnation=host_id.incarnation,
-        age_ms=int(age_s * 1000),
+        age_ms=_to_ms(age_s),
         leaving=is_leaving,
     )
 
@@ -113,7 +123,7 @@
 def _wire_demands(demands):
     """Return the largest of the demands, given by team key, in their wire form."""
     largest = sorted(demands.items(), key=lambda d: -d[1])[:MAX_DEMANDS]
-    return [TeamDemand(key, min(_MAX_I32, demand)) for key, demand in largest]
+    return [TeamDemand(key, _to_i32(demand)) for key, demand in largest]
 
 
 def _wire_summary(totals, now):
@@ -121,10 +131,10 @@
     return RegionSummary(
         region=totals.region,
         hosts=totals.hosts,
-        heard_age_ms=int((now - totals.last_seen_at) * 1000),
-        told_age_ms=int((now - totals.reported_at) * 1000),
+        heard_age_ms=_to_ms(now - totals.last_seen_at),
+        told_age_ms=_to_ms(now - totals.reported_at),
         demands=_wire_demands(totals.demands),
-        waits=[ServiceWait(service, int(wait_s * 1000)) for service, wait_s in waits],
+        waits=[ServiceWait(service, _to_ms(wait_s)) for service, wait_s in waits],
     )
 
 
@@ -341,7 +351,7 @@
             demands = _wire_demands(host.quotas.reported_demands())
             local_load = list(host.placement.local_load().items())[:MAX_ENDPOINT_LOADS]
             work = [
-                EndpointWork(key, in_flight, tokens)
+                EndpointWork(key, _to_i32(in_flight), _to_i32(tokens))
                 for key, (in_flight, tokens) in local_load
             ]
             regions = host.membership.regions() if with_regions else []
@@ -365,14 +375,14 @@
             regions=[_wire_summary(totals, now) for totals in regions],
             source_age_ms=None
             if source.failing_since is not None or source.responded_at == float("-inf")
-            else int((now - source.responded_at) * 1000),
+            else _to_ms(now - source.responded_at),
             source_failing=source.failing_since is not None,
             reopened=[
-                ZoneReopening(zone, revision, int((now - reopened_at) * 1000))
+                ZoneReopening(zone, revision, _to_ms(now - reopened_at))
                 for zone, revision, reopened_at in host.catalog.reopenings(now)
             ][:MAX_REOPENINGS]
             or None,
-            lag_ms=int(lag_s * 1000) if lag_s > MIN_LAG_S else None,
+            lag_ms=_to_ms(lag_s) if lag_s > MIN_LAG_S else None,
             containment=build_news(
                 host.containment,
                 now < self._others_differ_until,
@@ -420,11 +430,13 @@
                 await steps.pause()
                 try:
                     heartbeat = decode(data).beat
+                    if heartbeat is None:
+                        continue
+                    check_heartbeat(heartbeat)
                 except LinkClosedError as exc:
                     log_event("beat_unreadable", reason=str(exc))
                     continue
-                if heartbeat is not None:
-                    self.apply_heartbeat(heartbeat, self.host.now())
+                self.apply_heartbeat(heartbeat, self.host.now())
             self._answer_new_members(self.host.now())
             await trio.sleep(_RECEIVE_INTERVAL_S)
 
