Links, pulls and crash reports of the own interface outlive unexpected errors

What callers saw: none known. What a peer sends on a link, or a response that a host pulls from it, ended the process if it raised an error that the link does not expect.

Evidence: test_host_goes_on_when_a_link_fails_in_an_unexpected_way failed before: the error left the task.

Fix: the supervisor runs short tasks once and counts their errors; a link is dialled again after its usual delay, a pull is repeated with the next heartbeat. The condition on which the heap is frozen is that a configuration is in force.

--- a/src/cactusmill/internal/host_process.py
+++ b/src/cactusmill/internal/host_process.py
@@ -446,7 +446,8 @@
             if name not in listed:
                 found.setdefault(name, Evidence.REMOVED)
         for name, evidence in found.items():
-            self.nursery.start_soon(self.record_crash_evidence, name, evidence)
+            run, record = self.supervisor.run_once, self.record_crash_evidence
+            self.nursery.start_soon(run, "count_crashes", record, name, evidence)
 
     def _update_slot(self):
         listed = self.host_list.get("host", self.cfg.host)
@@ -478,7 +479,9 @@
 
     async def _pull(self, peer, name):
         try:
-            await pull_from_peer(self, peer, name)
+            await self.supervisor.run_once(
+                "pull_from_peer", pull_from_peer, self, peer, name
+            )
         finally:
             self._pulling.discard(name)
 
--- a/src/cactusmill/internal/peers.py
+++ b/src/cactusmill/internal/peers.py
@@ -231,14 +231,18 @@
         wait_s = _MIN_REDIAL_S
         while True:
             opened_at = host.now()
-            with contextlib.suppress(ConnectError, LinkClosedError):
-                await _run_link(host, peer)
+            await host.supervisor.run_once("maintain_link", _try_link, host, peer)
             if host.now() - opened_at > _MAX_REDIAL_S:
                 wait_s = _MIN_REDIAL_S
             await trio.sleep(wait_s * (0.5 + host.rng.random()))
             wait_s = min(_MAX_REDIAL_S, 2 * wait_s)
 
 
+async def _try_link(host, peer):
+    with contextlib.suppress(ConnectError, LinkClosedError):
+        await _run_link(host, peer)
+
+
 async def _run_link(host, peer):
     stream = await host.net.connect(peer.host.peers, _DIAL_TIMEOUT_S)
     try:
--- a/src/cactusmill/internal/record_sync.py
+++ b/src/cactusmill/internal/record_sync.py
@@ -33,7 +33,8 @@
     an outage of the platform.
     """
     for seed in host.cfg.seed_peers:
-        host.nursery.start_soon(_sync_from_seed, host, str(seed))
+        run = host.supervisor.run
+        host.nursery.start_soon(run, "sync_from_seed", _sync_from_seed, host, str(seed))
     while not (host.records.version and host.host_list.version):
         await trio.sleep(0.05)
     # The platform's response may come from a stale replica. Newer changes that a
--- a/src/cactusmill/internal/supervision.py
+++ b/src/cactusmill/internal/supervision.py
@@ -60,11 +60,25 @@
             try:
                 return await task(*args)
             except Exception as exc:
-                if self.is_strict:
-                    raise
-                self.failures[name] += 1
-                self.record(name, exc, retry_s)
+                self._record_failure(name, exc, retry_s)
             if self.now() - began_at >= _CALM_S:
                 retry_s = _FIRST_RETRY_S
             await trio.sleep(retry_s * (0.5 + self.rng.random()))
             retry_s = min(_LAST_RETRY_S, 2 * retry_s)
+
+    async def run_once(self, name, task, *args):
+        """Run ``await task(*args)`` once; return its result, or None after an error.
+
+        For short tasks that others start again when they are needed. Errors that the
+        caller expects are for the task to catch.
+        """
+        try:
+            return await task(*args)
+        except Exception as exc:
+            self._record_failure(name, exc, 0.0)
+
+    def _record_failure(self, name, exc, retry_s):
+        if self.is_strict:
+            raise exc
+        self.failures[name] += 1
+        self.record(name, exc, retry_s)
--- a/src/cactusmill/platform/daemon.py
+++ b/src/cactusmill/platform/daemon.py
@@ -30,8 +30,7 @@
     store = StoreClient(cfg.store, TCP, cfg.host.zones)
     host = GatewayHost(cfg.host, DIALECT, store.source())
 
-    async def directory(stream):
-        await host.contain_errors(serve_directory, host, stream)
+    directory = functools.partial(host.contain_errors, serve_directory, host)
 
     async def metrics(stream):
         await host.contain_errors(serve_operator, host, stream, render_page)
@@ -48,8 +47,7 @@
         run = host.supervisor.run
         reload = functools.partial(_reload_settings, host, path)
         nursery.start_soon(run, "watch_settings", call_on_change, path, reload)
-        is_ready = lambda: host.is_ready(host.now())
-        nursery.start_soon(run, "freeze_heap", freeze_heap, is_ready)
+        nursery.start_soon(run, "freeze_heap", freeze_heap, host.has_configuration)
         await host.run()
         nursery.cancel_scope.cancel()
 
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -236,9 +236,13 @@
         configuration = self.catalog.configuration
         return configuration.services.get(name) or Service(name=name)
 
+    def has_configuration(self):
+        """Return whether a configuration is in force."""
+        return self.catalog.configuration is not None
+
     def is_ready(self, now):
         """Return whether callers should be directed to this host."""
-        return not self.is_leaving and self.catalog.configuration is not None
+        return not self.is_leaving and self.has_configuration()
 
     def refuses_requests(self, now):
         """Return whether new requests are refused because of the shutdown."""
--- a/tests/internal/test_peers.py
+++ b/tests/internal/test_peers.py
@@ -4,7 +4,9 @@
 
 import pytest
 import trio
+import trio.testing
 
+from cactusmill.internal import peers
 from cactusmill.internal.host_process import HostProcess
 from cactusmill.internal.peers import Peer, apply_heartbeat, heartbeat
 from cactusmill.internal.wire.ttypes import Heartbeat, HeartbeatAck
@@ -53,3 +55,23 @@
         assert host.accepts_callers(OTHER)
 
     trio.run(main)
+
+
+def test_host_goes_on_when_a_link_fails_in_an_unexpected_way(monkeypatch):
+    """Guards against the end of the process by what a peer sends."""
+
+    async def main():
+        host, _, peer = new_hosts()
+        begun_at = []
+
+        async def fail(*_):
+            begun_at.append(trio.current_time())
+            raise ExceptionGroup("two tasks", [OverflowError("int out of range")])
+
+        monkeypatch.setattr(peers, "_run_link", fail)
+        with trio.move_on_after(30) as scope:
+            await peers.maintain_link(host, peer)
+        assert scope.cancelled_caught and len(begun_at) >= 5
+        assert host.faults == len(begun_at)
+
+    trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
--- a/tests/internal/test_supervision.py
+++ b/tests/internal/test_supervision.py
@@ -73,3 +73,26 @@
         assert scope.cancelled_caught and not recorded and not supervisor.failures
 
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
+
+
+@pytest.mark.parametrize("is_strict", [False, True])
+def test_short_task_that_fails_is_counted_and_not_repeated(is_strict):
+    async def fail():
+        raise OverflowError
+
+    async def main():
+        recorded = []
+        supervisor = Supervisor(
+            trio.current_time,
+            random.Random(1),
+            lambda *args: recorded.append(args),
+            is_strict=is_strict,
+        )
+        assert await supervisor.run_once("task", fail) is None
+        assert supervisor.failures == {"task": 1} and len(recorded) == 1
+
+    if is_strict:
+        with pytest.raises(OverflowError):
+            trio.run(main)
+    else:
+        trio.run(main)
