The soak finds internal errors that a host survives

Since a host goes on after an unexpected error in one of its tasks, so that the soak no longer sees it as a process that ended by itself. A checker reads the counts of failed tasks and of internal errors from each process's metrics and reports any. Its test has a process with and without such counts.

--- a/soak/checks/__init__.py
+++ b/soak/checks/__init__.py
@@ -6,6 +6,7 @@
     at_most_once,
     bounds,
     configuration,
+    errors,
     gone,
     keys,
     leaving,
@@ -19,7 +20,7 @@
 )
 
 CHECKS = (lost, answers, streams, at_most_once, not_run, keys, regions, rate, retries)
-CHECKS += (leaving, configuration, gone, shutdown, accounts, bounds)
+CHECKS += (leaving, configuration, gone, shutdown, accounts, bounds, errors)
 
 
 def check_all(history):
--- a/soak/findings.py
+++ b/soak/findings.py
@@ -52,6 +52,7 @@
 WorkedForNobody = _define("WorkedForNobody", "RULES.md, GONE")
 BadExit = _define("BadExit", "docs/OPERATIONS.md: SIGTERM")
 UnbalancedAccount = _define("UnbalancedAccount", "docs/OPERATIONS.md: account")
+InternalError = _define("InternalError", "docs/OPERATIONS.md: task_failures")
 BoundExceeded = _define("BoundExceeded", "RULES.md, Faults")
 
 
--- a/tests/soak/test_checks_hosts.py
+++ b/tests/soak/test_checks_hosts.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from soak.checks import accounts, bounds, gone, shutdown
+from soak.checks import accounts, bounds, errors, gone, shutdown
 
 from .records import Exit, Sample, attempt, history, run, strike
 
@@ -105,3 +105,14 @@
 def test_a_process_that_ended_by_itself_is_found():
     ended = Exit(name="endpoint-1", at=1.0, code=1, is_expected=False)
     assert len(bounds.check(history(ended))) == 1
+
+
+@pytest.mark.parametrize(
+    "name",
+    ['cactusmill_state{name="task_failures"}', 'cactusmill_events{event="fault"}'],
+)
+def test_an_internal_error_that_a_host_survives_is_found(name):
+    before = sample(0, 0, metrics={name: 0.0})
+    after = sample(0, 0, metrics={name: 2.0}, at=201.0)
+    assert errors.check(history(before)) == []
+    assert len(errors.check(history(before, after))) == 1
