An entry is unreadable on a host that knows no zone

With an empty list of zones in the settings the zone of an entry was not checked, and the look-up of its region raised a KeyError, which the client of the store does not expect.

Cause: a field's list of choices counted as absent when it was empty.

Evidence: test_entry_is_unreadable_where_no_zone_is_known failed before.

Fix: only a missing list permits every value.

--- a/src/cactusmill/fields.py
+++ b/src/cactusmill/fields.py
@@ -69,7 +69,7 @@
         value = self._read(name, default)
         if not is_plain_text(value):
             raise self._error(name, value, "be a text without control characters")
-        if choices and value not in choices:
+        if choices is not None and value not in choices:
             raise self._error(name, value, f"be one of {', '.join(choices)}")
         if pattern and value != default and not pattern.fullmatch(value):
             raise self._error(name, value, f"match {pattern.pattern}")
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -49,9 +49,9 @@
     }
 
 
-def decode_item(item):
+def decode_item(item, zones=ZONES):
     async def run():
-        return await change_from_item(item, ZONES, Steps())
+        return await change_from_item(item, zones, Steps())
 
     return trio.run(run)
 
@@ -113,6 +113,11 @@
     assert isinstance(decode_item(make_item("servers/e1", data)), UnreadableItem)
 
 
+def test_entry_is_unreadable_where_no_zone_is_known():
+    data = replace_field(ENTRY, ("seq",), "1")
+    assert isinstance(decode_item(make_item("servers/e1", data), {}), UnreadableItem)
+
+
 @pytest.mark.parametrize("value", ODD_VALUES)
 def test_odd_value_in_an_entry_harms_no_host(value):
     """Guards against errors in what reads an entry, and in what then uses it."""
