A host that starts beside an unreadable configuration gets the former one

What callers saw: nothing yet. While an operator's unreadable configuration is in the store, hosts that run keep the version before, but one that starts has none, says that it is not ready and refuses every request; after a restart of all hosts none would serve.

Cause: hosts exported the newest item of the store, also one that they could not read, and a host to which the store responds fetches nothing from others.

Evidence: test_host_that_starts_beside_an_unreadable_configuration_gets_the_former_one failed before.

Fix: an unreadable item does not replace what is kept for other hosts. A host whose only configuration is unreadable fetches everything from one that has one. It does so only after it has read such a configuration, so the start of a fleet costs nothing more.

--- a/src/cactusmill/platform/directory.py
+++ b/src/cactusmill/platform/directory.py
@@ -9,12 +9,7 @@
 import h11
 
 from ..errors import ExchangeError
-from ..internal.http import (
-    can_go_on,
-    read_page_request,
-    send_page,
-    server_connection,
-)
+from ..internal.http import can_go_on, read_page_request, send_page, server_connection
 
 DIRECTORY_PATH = "/cactusmill/resolve"
 READY_PATH = "/cactusmill/ready"
--- a/src/cactusmill/platform/items.py
+++ b/src/cactusmill/platform/items.py
@@ -68,7 +68,12 @@
     try:
         return await _decode_change(key, revision, item, zones, steps)
     except (RecordError, ValueError) as exc:
-        return UnreadableItem(revision=revision, key=key, problem=repr(exc))
+        return UnreadableItem(
+            revision=revision,
+            key=key,
+            problem=repr(exc),
+            is_configuration=key == CONFIGURATION_KEY,
+        )
 
 
 async def _decode_change(key, revision, item, zones, steps):
--- a/src/cactusmill/platform/store.py
+++ b/src/cactusmill/platform/store.py
@@ -17,6 +17,7 @@
 from ..internal.http import header, parse_count
 from ..internal.service_client import ServiceClient
 from ..internal.steps import Steps, parse_json
+from ..serving.catalog import UnreadableItem
 from ..serving.connections import IDLE_SILENCE_MS, enable_dead_peer_detection
 from ..serving.positions import (
     MAX_ERA,
@@ -200,7 +201,9 @@
                 raise PlatformError(str(exc)) from exc
             if change is not None:
                 changes.append(change)
-                self._cache_item(item)
+                # Other hosts may still need what an unreadable item has replaced.
+                if not isinstance(change, UnreadableItem):
+                    self._cache_item(item)
             await steps.pause()
         return changes
 
--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -86,6 +86,7 @@
     revision: int
     key: str
     problem: str
+    is_configuration: bool = False
 
 
 @attrs.define(eq=False)
--- a/src/cactusmill/serving/source_sync.py
+++ b/src/cactusmill/serving/source_sync.py
@@ -98,6 +98,8 @@
     follow_after : float
         Time from which this host may follow other hosts of its region, fetching
         changes from them instead of watching the source, in seconds.
+    is_configuration_unreadable : bool
+        Whether the source has had a configuration that could not be decoded.
     """
 
     failing_since: float | None = None
@@ -105,6 +107,7 @@
     responded_at: float = float("-inf")
     remote_failure_at: float = float("-inf")
     follow_after: float = float("-inf")
+    is_configuration_unreadable: bool = False
 
     def record_failure(self, now):
         """Record a failed call; return True if it is the first in a row."""
@@ -233,7 +236,8 @@
         if member is None:
             continue
         try:
-            data = await fetch_items(host, member, host.catalog.revision)
+            since = 0 if is_unconfigured(host) else host.catalog.revision
+            data = await fetch_items(host, member, since)
             changes, revision = await source.read_export(data)
         except (ConnectError, LinkClosedError, PlatformError) as exc:
             log_event("catch_up_failed", host=member.id.name, reason=repr(exc))
@@ -264,11 +268,18 @@
     return is_allowed and may_follow(host.membership, now)
 
 
+def is_unconfigured(host):
+    """Return whether all that the source has for this host is unreadable."""
+    is_unreadable = host.source_health.is_configuration_unreadable
+    return is_unreadable and host.catalog.configuration is None
+
+
 def choose_sync_peer(host, now):
     """Return a random member with a newer revision to fetch changes from.
 
     A follower fetches from hosts of its region. A host to which the source does
-    not respond fetches from any host; all others from none.
+    not respond fetches from any host, and one for which the source has no readable
+    configuration from any that has one; all others from none.
 
     Parameters
     ----------
@@ -282,6 +293,9 @@
     Member or None
     """
     membership = host.membership
+    if is_unconfigured(host):
+        configured = [m for m in membership.live(now) if m.configuration_version]
+        return host.rng.choice(configured) if configured else None
     if not membership.has_newer_revision(host.catalog.revision):
         return None
     is_following = _is_follower(host, now)
@@ -327,6 +341,8 @@
 
 def _apply_change(host, change):
     if isinstance(change, UnreadableItem):
+        if change.is_configuration:
+            host.source_health.is_configuration_unreadable = True
         log_event(
             "item_unreadable",
             key=change.key,
--- a/tests/platform/test_odd_values.py
+++ b/tests/platform/test_odd_values.py
@@ -284,3 +284,30 @@
         ]
     ]
     trio.run(_serve_beside, documents)
+
+
+def test_host_that_starts_beside_an_unreadable_configuration_gets_the_former_one():
+    """Guards against hosts that restart and serve nobody until it is mended."""
+
+    async def run():
+        hosts = (("h1", "east-a"), ("h2", "west-a"))
+        endpoints = (("e1", "east-a", "desk"), ("e2", "west-a", "desk"))
+        async with running_deployment(hosts, endpoints) as deployment:
+            await deployment.wait_until_ready()
+            path = ("routes", 3, "timeout_ms")
+            odd = replace_field(configuration(2), path, ODD_VALUES["400 digits"])
+            deployment.store.put("op/config", odd)
+            await deployment.add_host("h3", "north-a", 3, seeds=(1, 2))
+            await deployment.wait_until(
+                lambda: deployment.hosts["h3"].has_configuration()
+            )
+            assert deployment.hosts["h3"].catalog.configuration.version == 1
+            deployment.store.put("op/config", configuration(3))
+            await deployment.wait_until(
+                lambda: all(
+                    h.catalog.configuration.version == 3
+                    for h in deployment.hosts.values()
+                )
+            )
+
+    trio.run(run)
