--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -207,6 +207,35 @@
   1: required i32 key
   2: required i32 in_flight
   3: required i32 prompt_tokens
+  // The part of `prompt_tokens` that belongs to patient routes. Absent if none.
+  4: optional i32 patient_tokens
+  // Tokens of KV cache that the requests in flight hold or will hold. Absent if none.
+  5: optional i32 held_tokens
+}
+
+// What callers asked of a service at one priority, and what was refused of it because
+// the service had no room, in prompt tokens per second. `admitted_permille` is the part
+// of the requests at that priority that the sender admits.
+struct RankDemand {
+  1: required string serves
+  2: required i32 priority
+  3: required i32 asked_tokens_per_s
+  4: required i32 refused_tokens_per_s
+  5: optional i32 admitted_permille
+}
+
+// Newest pace of an endpoint's machine that the sender has seen, in percent of the usual
+// duration of work, and its age. The key is that of `EndpointWork`.
+struct EndpointPace {
+  1: required i32 key
+  2: required i32 percent
+  3: required i32 age_ms
+}
+
+// Prompt tokens per second of a service: room for more, or wanted from other regions.
+struct ServiceRoom {
+  1: required string serves
+  2: required i32 tokens_per_s
 }
 
 // Totals of a region: the demand of its hosts by team, and the wait for each service
@@ -220,6 +249,10 @@
   4: required i32 told_age_ms
   5: required list<TeamDemand> demands
   6: required list<ServiceWait> waits
+  // Room for requests of other regions, and what the region wants to forward to them.
+  // Absent where no service divides its room between regions.
+  7: optional list<ServiceRoom> rooms
+  8: optional list<ServiceRoom> forwards
 }
 
 // A zone whose evacuation ended, the revision of the end and the time since a host saw
@@ -255,6 +288,12 @@
   15: optional i32 lag_ms
   // Absent if the sender holds nothing back and has no news.
   16: optional ContainmentNews containment
+  // Absent if no service has patient routes.
+  17: optional list<RankDemand> ranks
+  // Absent if no endpoint reports a pace.
+  18: optional list<EndpointPace> paces
+  // What the sender wants to forward to other regions. Absent if nothing.
+  19: optional list<ServiceRoom> forwards
 }
 
 union Frame {
--- a/src/cactusmill/internal/wire/ttypes.py
+++ b/src/cactusmill/internal/wire/ttypes.py
@@ -2787,6 +2787,8 @@
      - key
      - in_flight
      - prompt_tokens
+     - patient_tokens
+     - held_tokens
 
     """
 
@@ -2794,13 +2796,17 @@
         'key',
         'in_flight',
         'prompt_tokens',
+        'patient_tokens',
+        'held_tokens',
     )
 
 
-    def __init__(self, key=None, in_flight=None, prompt_tokens=None,):
+    def __init__(self, key=None, in_flight=None, prompt_tokens=None, patient_tokens=None, held_tokens=None,):
         self.key = key
         self.in_flight = in_flight
         self.prompt_tokens = prompt_tokens
+        self.patient_tokens = patient_tokens
+        self.held_tokens = held_tokens
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2826,6 +2832,16 @@
                     self.prompt_tokens = iprot.readI32()
                 else:
                     iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.patient_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.held_tokens = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2848,6 +2864,14 @@
             oprot.writeFieldBegin('prompt_tokens', TType.I32, 3)
             oprot.writeI32(self.prompt_tokens)
             oprot.writeFieldEnd()
+        if self.patient_tokens is not None:
+            oprot.writeFieldBegin('patient_tokens', TType.I32, 4)
+            oprot.writeI32(self.patient_tokens)
+            oprot.writeFieldEnd()
+        if self.held_tokens is not None:
+            oprot.writeFieldBegin('held_tokens', TType.I32, 5)
+            oprot.writeI32(self.held_tokens)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2879,6 +2903,312 @@
         return not (self == other)
 
 
+class RankDemand(object):
+    """
+    Attributes:
+     - serves
+     - priority
+     - asked_tokens_per_s
+     - refused_tokens_per_s
+     - admitted_permille
+
+    """
+
+    __slots__ = (
+        'serves',
+        'priority',
+        'asked_tokens_per_s',
+        'refused_tokens_per_s',
+        'admitted_permille',
+    )
+
+
+    def __init__(self, serves=None, priority=None, asked_tokens_per_s=None, refused_tokens_per_s=None, admitted_permille=None,):
+        self.serves = serves
+        self.priority = priority
+        self.asked_tokens_per_s = asked_tokens_per_s
+        self.refused_tokens_per_s = refused_tokens_per_s
+        self.admitted_permille = admitted_permille
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.serves = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.priority = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.asked_tokens_per_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.I32:
+                    self.refused_tokens_per_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.I32:
+                    self.admitted_permille = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('RankDemand')
+        if self.serves is not None:
+            oprot.writeFieldBegin('serves', TType.STRING, 1)
+            oprot.writeString(self.serves.encode('utf-8') if sys.version_info[0] == 2 else self.serves)
+            oprot.writeFieldEnd()
+        if self.priority is not None:
+            oprot.writeFieldBegin('priority', TType.I32, 2)
+            oprot.writeI32(self.priority)
+            oprot.writeFieldEnd()
+        if self.asked_tokens_per_s is not None:
+            oprot.writeFieldBegin('asked_tokens_per_s', TType.I32, 3)
+            oprot.writeI32(self.asked_tokens_per_s)
+            oprot.writeFieldEnd()
+        if self.refused_tokens_per_s is not None:
+            oprot.writeFieldBegin('refused_tokens_per_s', TType.I32, 4)
+            oprot.writeI32(self.refused_tokens_per_s)
+            oprot.writeFieldEnd()
+        if self.admitted_permille is not None:
+            oprot.writeFieldBegin('admitted_permille', TType.I32, 5)
+            oprot.writeI32(self.admitted_permille)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.serves is None:
+            raise TProtocolException(message='Required field serves is unset!')
+        if self.priority is None:
+            raise TProtocolException(message='Required field priority is unset!')
+        if self.asked_tokens_per_s is None:
+            raise TProtocolException(message='Required field asked_tokens_per_s is unset!')
+        if self.refused_tokens_per_s is None:
+            raise TProtocolException(message='Required field refused_tokens_per_s is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class EndpointPace(object):
+    """
+    Attributes:
+     - key
+     - percent
+     - age_ms
+
+    """
+
+    __slots__ = (
+        'key',
+        'percent',
+        'age_ms',
+    )
+
+
+    def __init__(self, key=None, percent=None, age_ms=None,):
+        self.key = key
+        self.percent = percent
+        self.age_ms = age_ms
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.I32:
+                    self.key = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.percent = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.I32:
+                    self.age_ms = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('EndpointPace')
+        if self.key is not None:
+            oprot.writeFieldBegin('key', TType.I32, 1)
+            oprot.writeI32(self.key)
+            oprot.writeFieldEnd()
+        if self.percent is not None:
+            oprot.writeFieldBegin('percent', TType.I32, 2)
+            oprot.writeI32(self.percent)
+            oprot.writeFieldEnd()
+        if self.age_ms is not None:
+            oprot.writeFieldBegin('age_ms', TType.I32, 3)
+            oprot.writeI32(self.age_ms)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.key is None:
+            raise TProtocolException(message='Required field key is unset!')
+        if self.percent is None:
+            raise TProtocolException(message='Required field percent is unset!')
+        if self.age_ms is None:
+            raise TProtocolException(message='Required field age_ms is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ServiceRoom(object):
+    """
+    Attributes:
+     - serves
+     - tokens_per_s
+
+    """
+
+    __slots__ = (
+        'serves',
+        'tokens_per_s',
+    )
+
+
+    def __init__(self, serves=None, tokens_per_s=None,):
+        self.serves = serves
+        self.tokens_per_s = tokens_per_s
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.serves = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.I32:
+                    self.tokens_per_s = iprot.readI32()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ServiceRoom')
+        if self.serves is not None:
+            oprot.writeFieldBegin('serves', TType.STRING, 1)
+            oprot.writeString(self.serves.encode('utf-8') if sys.version_info[0] == 2 else self.serves)
+            oprot.writeFieldEnd()
+        if self.tokens_per_s is not None:
+            oprot.writeFieldBegin('tokens_per_s', TType.I32, 2)
+            oprot.writeI32(self.tokens_per_s)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        if self.serves is None:
+            raise TProtocolException(message='Required field serves is unset!')
+        if self.tokens_per_s is None:
+            raise TProtocolException(message='Required field tokens_per_s is unset!')
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class RegionSummary(object):
     """
     Attributes:
@@ -2888,6 +3218,8 @@
      - told_age_ms
      - demands
      - waits
+     - rooms
+     - forwards
 
     """
 
@@ -2898,16 +3230,20 @@
         'told_age_ms',
         'demands',
         'waits',
+        'rooms',
+        'forwards',
     )
 
 
-    def __init__(self, region=None, hosts=None, heard_age_ms=None, told_age_ms=None, demands=None, waits=None,):
+    def __init__(self, region=None, hosts=None, heard_age_ms=None, told_age_ms=None, demands=None, waits=None, rooms=None, forwards=None,):
         self.region = region
         self.hosts = hosts
         self.heard_age_ms = heard_age_ms
         self.told_age_ms = told_age_ms
         self.demands = demands
         self.waits = waits
+        self.rooms = rooms
+        self.forwards = forwards
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2960,6 +3296,28 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 7:
+                if ftype == TType.LIST:
+                    self.rooms = []
+                    (_etype113, _size110) = iprot.readListBegin()
+                    for _i114 in range(_size110):
+                        _elem115 = ServiceRoom()
+                        _elem115.read(iprot)
+                        self.rooms.append(_elem115)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.forwards = []
+                    (_etype119, _size116) = iprot.readListBegin()
+                    for _i120 in range(_size116):
+                        _elem121 = ServiceRoom()
+                        _elem121.read(iprot)
+                        self.forwards.append(_elem121)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2989,15 +3347,29 @@
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter110 in self.demands:
-                iter110.write(oprot)
+            for iter122 in self.demands:
+                iter122.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.waits is not None:
             oprot.writeFieldBegin('waits', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.waits))
-            for iter111 in self.waits:
-                iter111.write(oprot)
+            for iter123 in self.waits:
+                iter123.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.rooms is not None:
+            oprot.writeFieldBegin('rooms', TType.LIST, 7)
+            oprot.writeListBegin(TType.STRUCT, len(self.rooms))
+            for iter124 in self.rooms:
+                iter124.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.forwards is not None:
+            oprot.writeFieldBegin('forwards', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.forwards))
+            for iter125 in self.forwards:
+                iter125.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -3152,6 +3524,9 @@
      - reopened
      - lag_ms
      - containment
+     - ranks
+     - paces
+     - forwards
 
     """
 
@@ -3170,10 +3545,13 @@
         'reopened',
         'lag_ms',
         'containment',
+        'ranks',
+        'paces',
+        'forwards',
     )
 
 
-    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, regions=None, source_age_ms=None, source_failing=None, reopened=None, lag_ms=None, containment=None,):
+    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, regions=None, source_age_ms=None, source_failing=None, reopened=None, lag_ms=None, containment=None, ranks=None, paces=None, forwards=None,):
         self.sender = sender
         self.sequence = sequence
         self.ready = ready
@@ -3188,6 +3566,9 @@
         self.reopened = reopened
         self.lag_ms = lag_ms
         self.containment = containment
+        self.ranks = ranks
+        self.paces = paces
+        self.forwards = forwards
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3227,44 +3608,44 @@
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype115, _size112) = iprot.readListBegin()
-                    for _i116 in range(_size112):
-                        _elem117 = MemberNote()
-                        _elem117.read(iprot)
-                        self.members.append(_elem117)
+                    (_etype129, _size126) = iprot.readListBegin()
+                    for _i130 in range(_size126):
+                        _elem131 = MemberNote()
+                        _elem131.read(iprot)
+                        self.members.append(_elem131)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 7:
                 if ftype == TType.LIST:
                     self.demands = []
-                    (_etype121, _size118) = iprot.readListBegin()
-                    for _i122 in range(_size118):
-                        _elem123 = TeamDemand()
-                        _elem123.read(iprot)
-                        self.demands.append(_elem123)
+                    (_etype135, _size132) = iprot.readListBegin()
+                    for _i136 in range(_size132):
+                        _elem137 = TeamDemand()
+                        _elem137.read(iprot)
+                        self.demands.append(_elem137)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 8:
                 if ftype == TType.LIST:
                     self.work = []
-                    (_etype127, _size124) = iprot.readListBegin()
-                    for _i128 in range(_size124):
-                        _elem129 = EndpointWork()
-                        _elem129.read(iprot)
-                        self.work.append(_elem129)
+                    (_etype141, _size138) = iprot.readListBegin()
+                    for _i142 in range(_size138):
+                        _elem143 = EndpointWork()
+                        _elem143.read(iprot)
+                        self.work.append(_elem143)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 11:
                 if ftype == TType.LIST:
                     self.regions = []
-                    (_etype133, _size130) = iprot.readListBegin()
-                    for _i134 in range(_size130):
-                        _elem135 = RegionSummary()
-                        _elem135.read(iprot)
-                        self.regions.append(_elem135)
+                    (_etype147, _size144) = iprot.readListBegin()
+                    for _i148 in range(_size144):
+                        _elem149 = RegionSummary()
+                        _elem149.read(iprot)
+                        self.regions.append(_elem149)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3281,11 +3662,11 @@
             elif fid == 14:
                 if ftype == TType.LIST:
                     self.reopened = []
-                    (_etype139, _size136) = iprot.readListBegin()
-                    for _i140 in range(_size136):
-                        _elem141 = ZoneReopening()
-                        _elem141.read(iprot)
-                        self.reopened.append(_elem141)
+                    (_etype153, _size150) = iprot.readListBegin()
+                    for _i154 in range(_size150):
+                        _elem155 = ZoneReopening()
+                        _elem155.read(iprot)
+                        self.reopened.append(_elem155)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -3300,6 +3681,39 @@
                     self.containment.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.LIST:
+                    self.ranks = []
+                    (_etype159, _size156) = iprot.readListBegin()
+                    for _i160 in range(_size156):
+                        _elem161 = RankDemand()
+                        _elem161.read(iprot)
+                        self.ranks.append(_elem161)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 18:
+                if ftype == TType.LIST:
+                    self.paces = []
+                    (_etype165, _size162) = iprot.readListBegin()
+                    for _i166 in range(_size162):
+                        _elem167 = EndpointPace()
+                        _elem167.read(iprot)
+                        self.paces.append(_elem167)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 19:
+                if ftype == TType.LIST:
+                    self.forwards = []
+                    (_etype171, _size168) = iprot.readListBegin()
+                    for _i172 in range(_size168):
+                        _elem173 = ServiceRoom()
+                        _elem173.read(iprot)
+                        self.forwards.append(_elem173)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3333,29 +3747,29 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter142 in self.members:
-                iter142.write(oprot)
+            for iter174 in self.members:
+                iter174.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.demands is not None:
             oprot.writeFieldBegin('demands', TType.LIST, 7)
             oprot.writeListBegin(TType.STRUCT, len(self.demands))
-            for iter143 in self.demands:
-                iter143.write(oprot)
+            for iter175 in self.demands:
+                iter175.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.work is not None:
             oprot.writeFieldBegin('work', TType.LIST, 8)
             oprot.writeListBegin(TType.STRUCT, len(self.work))
-            for iter144 in self.work:
-                iter144.write(oprot)
+            for iter176 in self.work:
+                iter176.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.regions is not None:
             oprot.writeFieldBegin('regions', TType.LIST, 11)
             oprot.writeListBegin(TType.STRUCT, len(self.regions))
-            for iter145 in self.regions:
-                iter145.write(oprot)
+            for iter177 in self.regions:
+                iter177.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.source_age_ms is not None:
@@ -3369,8 +3783,8 @@
         if self.reopened is not None:
             oprot.writeFieldBegin('reopened', TType.LIST, 14)
             oprot.writeListBegin(TType.STRUCT, len(self.reopened))
-            for iter146 in self.reopened:
-                iter146.write(oprot)
+            for iter178 in self.reopened:
+                iter178.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.lag_ms is not None:
@@ -3381,6 +3795,27 @@
             oprot.writeFieldBegin('containment', TType.STRUCT, 16)
             self.containment.write(oprot)
             oprot.writeFieldEnd()
+        if self.ranks is not None:
+            oprot.writeFieldBegin('ranks', TType.LIST, 17)
+            oprot.writeListBegin(TType.STRUCT, len(self.ranks))
+            for iter179 in self.ranks:
+                iter179.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.paces is not None:
+            oprot.writeFieldBegin('paces', TType.LIST, 18)
+            oprot.writeListBegin(TType.STRUCT, len(self.paces))
+            for iter180 in self.paces:
+                iter180.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        if self.forwards is not None:
+            oprot.writeFieldBegin('forwards', TType.LIST, 19)
+            oprot.writeListBegin(TType.STRUCT, len(self.forwards))
+            for iter181 in self.forwards:
+                iter181.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -3877,6 +4312,30 @@
     (1, TType.I32, 'key', None, None, ),  # 1
     (2, TType.I32, 'in_flight', None, None, ),  # 2
     (3, TType.I32, 'prompt_tokens', None, None, ),  # 3
+    (4, TType.I32, 'patient_tokens', None, None, ),  # 4
+    (5, TType.I32, 'held_tokens', None, None, ),  # 5
+)
+all_structs.append(RankDemand)
+RankDemand.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'serves', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'priority', None, None, ),  # 2
+    (3, TType.I32, 'asked_tokens_per_s', None, None, ),  # 3
+    (4, TType.I32, 'refused_tokens_per_s', None, None, ),  # 4
+    (5, TType.I32, 'admitted_permille', None, None, ),  # 5
+)
+all_structs.append(EndpointPace)
+EndpointPace.thrift_spec = (
+    None,  # 0
+    (1, TType.I32, 'key', None, None, ),  # 1
+    (2, TType.I32, 'percent', None, None, ),  # 2
+    (3, TType.I32, 'age_ms', None, None, ),  # 3
+)
+all_structs.append(ServiceRoom)
+ServiceRoom.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'serves', 'UTF8', None, ),  # 1
+    (2, TType.I32, 'tokens_per_s', None, None, ),  # 2
 )
 all_structs.append(RegionSummary)
 RegionSummary.thrift_spec = (
@@ -3887,6 +4346,8 @@
     (4, TType.I32, 'told_age_ms', None, None, ),  # 4
     (5, TType.LIST, 'demands', (TType.STRUCT, [TeamDemand, None], False), None, ),  # 5
     (6, TType.LIST, 'waits', (TType.STRUCT, [ServiceWait, None], False), None, ),  # 6
+    (7, TType.LIST, 'rooms', (TType.STRUCT, [ServiceRoom, None], False), None, ),  # 7
+    (8, TType.LIST, 'forwards', (TType.STRUCT, [ServiceRoom, None], False), None, ),  # 8
 )
 all_structs.append(ZoneReopening)
 ZoneReopening.thrift_spec = (
@@ -3914,6 +4375,9 @@
     (14, TType.LIST, 'reopened', (TType.STRUCT, [ZoneReopening, None], False), None, ),  # 14
     (15, TType.I32, 'lag_ms', None, None, ),  # 15
     (16, TType.STRUCT, 'containment', [ContainmentNews, None], None, ),  # 16
+    (17, TType.LIST, 'ranks', (TType.STRUCT, [RankDemand, None], False), None, ),  # 17
+    (18, TType.LIST, 'paces', (TType.STRUCT, [EndpointPace, None], False), None, ),  # 18
+    (19, TType.LIST, 'forwards', (TType.STRUCT, [ServiceRoom, None], False), None, ),  # 19
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
