A forwarded request is not run by an older configuration

Cause: the version in Forward was never read. Change: the receiver waits 0.3 s for that version and then refuses the request as not run.

--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -63,6 +63,10 @@
 # The other host enforces the deadline; this covers the round trip and its delays.
 _RESPONSE_MARGIN_S = 0.3
 _ITEMS_TIMEOUT_S = 1.0
+# How long a forwarded request waits for the configuration by which its sender handled
+# it: most configurations reach all hosts within this time of the first one.
+_CONFIGURATION_WAIT_S = 0.3
+_CONFIGURATION_POLL_S = 0.02
 _ITEMS = "items"
 # Last message on a link that its other end opened, of a host that leaves or that has no
 # room for the frame that comes. It begins no request that it receives there after that,
@@ -472,6 +476,10 @@
 
 async def _serve_forward(host, link, message, arrived_at, run, entry):
     """Serve one request; return whether the link can be reused."""
+    if not await _has_configuration_of(host, message):
+        refusal = NoEndpoint(detail="this host has an older configuration")
+        await _refuse(link, message, refusal, entry)
+        return True
     req = progress = None
     refusal = NoEndpoint(detail="this host does not know the route yet")
     try:
@@ -498,6 +506,18 @@
         return await _run_forward(host, link, message, req, progress, run, entry)
 
 
+async def _has_configuration_of(host, message):
+    """Wait for the configuration by which a request was handled; return whether it is.
+
+    An older one may send the request to a service that its route has left.
+    """
+    with trio.move_on_after(_CONFIGURATION_WAIT_S):
+        while not host.has_configuration_since(message.records_version):
+            await trio.sleep(_CONFIGURATION_POLL_S)
+        return True
+    return False
+
+
 async def _run_forward(host, link, message, req, progress, run, entry):
     """Run a forwarded request; return whether the link can be reused."""
     has_begun = is_success = False
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -240,6 +240,11 @@
         """Return whether a configuration is in force."""
         return self.catalog.configuration is not None
 
+    def has_configuration_since(self, version):
+        """Return whether a configuration of a version or a newer one is in force."""
+        configuration = self.catalog.configuration
+        return configuration is not None and configuration.version >= version
+
     def is_ready(self, now):
         """Return whether callers should be directed to this host."""
         return not self.is_leaving and self.has_configuration()
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -170,7 +170,7 @@
         await self.stream.aclose()
 
 
-async def forward_on(near, body=b""):
+async def forward_on(near, body=b"", version=0):
     host = new_host("near", Clock(), dialect=DIALECT, routes=(ROUTE,))
     host.links = OneLink(Link(near))
     member = Member(id=host_id("far", "west"), last_seen_at=0.0)
@@ -179,6 +179,7 @@
         deadline=host.now() + 4,
         objective_at=host.now(),
         body=body,
+        records_version=version,
     )
     return await forward(host, member, request, SINK, 1, "", 1.0)
 
@@ -268,7 +269,7 @@
     trio.run(main, clock=trio.testing.MockClock(autojump_threshold=0))
 
 
-def serve_one_forward(prepare, body):
+def serve_one_forward(prepare, body, version=0):
     """Return what the near host gets for one request, and what ran at the far one."""
     runs, replies = [], []
 
@@ -286,7 +287,7 @@
             async with trio.open_nursery() as nursery:
                 nursery.start_soon(serve_link, other, far, run)
                 try:
-                    replies.append(await forward_on(near, body))
+                    replies.append(await forward_on(near, body, version))
                 except (ExchangeError, HostLeavingError) as exc:
                     replies.append(exc)
                 await near.aclose()
@@ -312,6 +313,27 @@
     assert not runs
 
 
+def test_forward_by_a_newer_configuration_is_not_run_by_an_older_one():
+    # The older one sent it to the service that its route had left.
+    reply, runs = serve_one_forward(lambda host: None, b"x", version=2)
+    assert isinstance(reply, NoEndpoint) and not runs
+    assert reply.outcome is Outcome.NOT_RUN
+
+
+def test_forward_waits_for_a_configuration_that_is_on_its_way(monkeypatch):
+    looks = []
+
+    def arrives_at_the_third_look(host, version):
+        looks.append(version)
+        return len(looks) == 3
+
+    monkeypatch.setattr(
+        gateway_host.GatewayHost, "has_configuration_since", arrives_at_the_third_look
+    )
+    reply, runs = serve_one_forward(lambda host: None, b"x", version=2)
+    assert looks == [2, 2, 2] and len(runs) == 1
+
+
 @pytest.mark.parametrize("place", ["_request", "new_progress"])
 def test_fault_before_a_forward_begins_is_refused_as_not_run(monkeypatch, place):
     def fail(*args):
