--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -17,6 +17,7 @@
 
 from ..records import CallerLimits, Endpoint
 from .positions import era_of, position
+from .scheduling.patience import find_patient_routes, find_ranked_services
 
 # What the source lost is published again within this time of the start of an era.
 SETTLE_S = 2.2
@@ -43,6 +44,9 @@
         By name.
     limits : CallerLimits
         Limits of callers' requests.
+    patient_routes, ranked_services : frozenset of str
+        Routes whose requests may wait longer than more urgent ones, and the services
+        that have such routes; see :mod:`.scheduling.patience`.
     """
 
     version: int
@@ -51,6 +55,16 @@
     team_by_key: dict
     services: dict
     limits: CallerLimits
+    patient_routes: frozenset = attrs.field(init=False)
+    ranked_services: frozenset = attrs.field(init=False)
+
+    @patient_routes.default
+    def _find_patient_routes(self):
+        return find_patient_routes(self.routes, self.services)
+
+    @ranked_services.default
+    def _find_ranked_services(self):
+        return find_ranked_services(self.routes, self.services)
 
 
 @attrs.frozen(kw_only=True)
--- /dev/null
+++ b/src/cactusmill/serving/scheduling/patience.py
@@ -0,0 +1,68 @@
+"""Which routes are patient: their requests may wait longer than more urgent ones.
+
+Answers the load pattern of a service whose urgent requests are large and whose less
+urgent ones are small and may wait: judged by size and predicted start alone, the urgent
+ones are refused first. The parts that order requests by rank apply to services with
+patient routes only.
+"""
+
+# A route is patient if its objective is at least this many times that of a more urgent
+# route of the same engine service. Smaller ratios are common between routes that
+# compete on equal terms.
+PATIENCE_RATIO = 3.0
+
+
+def find_patient_routes(routes, services):
+    """Return the names of the patient routes of a configuration.
+
+    Parameters
+    ----------
+    routes : iterable of Route
+        Its routes. Only streams count.
+    services : dict of str to Service
+        Its services, by name. Only engines count.
+
+    Returns
+    -------
+    frozenset of str
+    """
+    return frozenset(
+        name
+        for by_name in _streams_by_service(routes, services).values()
+        for name, route in by_name.items()
+        if _is_patient(route, by_name.values())
+    )
+
+
+def find_ranked_services(routes, services):
+    """Return the names of the services that have a patient route.
+
+    Parameters are those of :func:`find_patient_routes`.
+
+    Returns
+    -------
+    frozenset of str
+    """
+    return frozenset(
+        service
+        for service, by_name in _streams_by_service(routes, services).items()
+        if any(_is_patient(route, by_name.values()) for route in by_name.values())
+    )
+
+
+def _streams_by_service(routes, services):
+    found = {}
+    for route in routes:
+        names = [name for name, _ in route.split] or [route.service]
+        for name in names:
+            if route.is_stream and name in services and services[name].is_engine:
+                found.setdefault(name, {})[route.name] = route
+    return found
+
+
+def _is_patient(route, others):
+    return any(
+        other.priority < route.priority
+        and route.objective_s >= PATIENCE_RATIO * other.objective_s
+        for other in others
+    )
