Capacity between regions: room, allowances and their reports

Hosts of a region that know only the shortest wait elsewhere forward all at once. Regions report their room and wants for ranked services, and each host forwards within its part.

--- a/src/cactusmill/serving/cross_region.py
+++ b/src/cactusmill/serving/cross_region.py
@@ -48,6 +48,10 @@
     member = step.member
     progress.endpoint, progress.ttft_s = member.id.name, step.reported_wait_s
     progress.tried_remote_hosts.add(member.id.name)
+    if progress.forward_tokens:
+        host.allowances.record_forwarded(
+            member.id.region, req.service, progress.forward_tokens, host.now()
+        )
     progress.received, progress.partial_event_bytes = None, 0
     left_s = req.deadline - host.now()
     response, is_complete = None, False
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -31,6 +31,7 @@
 from .events import log_event
 from .overload import ForwardTo, Send, choose_remote_host, decide
 from .progress import deadline_exceeded, may_repeat, suspected
+from .room_sharing import count_tokens, may_forward, record_demand
 from .sending import send_to_endpoint
 
 # Fraction of the latency objective for which a request waits while no endpoint may
@@ -241,15 +242,15 @@
         local = host.placement.choose(
             req, service, listed, host.membership, now, progress.tried.union(silent)
         )
-    remote = None
+    remote, tokens = None, count_tokens(req, service, local)
     # The other host would refuse a trial: this one makes it.
     if not is_forwarded and not progress.is_trial:
-        remote = _remote_host(host, req, progress, now)
+        remote = _remote_host(host, req, progress, tokens, now)
     objective_s = req.objective_at - now
     if progress.has_response_started:
         # A resumed stream has already met or missed its latency objective.
         objective_s = req.deadline - now
-    return decide(
+    step = decide(
         local=local,
         remote=remote,
         objective_s=objective_s,
@@ -260,9 +261,12 @@
         endpoints_per_host=max(1.0, len(listed)) / host.count_region_hosts(now),
         now=now,
     )
+    if not is_forwarded and not progress.is_trial:
+        record_demand(host, req, progress, step, tokens, now)
+    return step
 
 
-def _remote_host(host, req, progress, now):
+def _remote_host(host, req, progress, tokens, now):
     """Return the host to forward a request to and its region's wait, or None."""
     members = [
         m
@@ -279,6 +283,7 @@
         host.region_backoff_until,
         now,
         host.rng,
+        lambda region: may_forward(host, req, tokens, region, now),
     )
 
 
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -39,6 +39,9 @@
 from .positions import era_of, revision_of
 from .quota import Quotas, RateExcess
 from .retry_after import RetrySchedule
+from .room_sharing import gauges as room_gauges
+from .room_sharing import log_rooms
+from .scheduling.region_room import RegionAllowances, RegionRooms
 from .source_sync import SourceHealth, sync_from_hosts, sync_from_source
 
 # A host that is shutting down accepts requests this long, and at most for this part of
@@ -153,6 +156,10 @@
     region_backoff_until : dict of (str, str) to float
         By region and service, the time until which nothing is forwarded there, in
         seconds. Past times have no effect.
+    rooms : RegionRooms
+        Room of this region for requests of others.
+    allowances : RegionAllowances
+        What may be forwarded to other regions.
     """
 
     cfg: HostSettings
@@ -192,6 +199,8 @@
     gossip: Gossip = attrs.field(init=False)
     _leaving: trio.Event = attrs.field(factory=trio.Event)
     region_backoff_until: dict = attrs.field(factory=dict)
+    rooms: RegionRooms = attrs.field(factory=RegionRooms)
+    allowances: RegionAllowances = attrs.field(init=False)
     _retry_schedules: dict = attrs.field(factory=dict)
     _accepting: list = attrs.field(factory=list)
 
@@ -213,6 +222,8 @@
         port = int(cfg.peers.rpartition(":")[2])
         self.membership = Membership(own_id)
         self.placement = Placement(cfg.region, cfg.host, rng=self.rng)
+        # Has its own source, so that other random choices stay as they are.
+        self.allowances = RegionAllowances(random.Random(own_id.incarnation))
         # run() sets the start time of the quotas and of the placement.
         self.quotas = Quotas(0.0, max(1, len(cfg.zones)), cfg.rate_excess)
         self.retry_budgets = RetryBudgets(cfg.retry_ratio, cfg.retry_slack)
@@ -310,6 +321,16 @@
         """Return how many hosts send to the region's endpoints, including this one."""
         return 1 + len(self.membership.serving(now, self.cfg.region))
 
+    def divided_services(self, now):
+        """Return the services whose capacity is divided between regions."""
+        configuration = self.catalog.configuration
+        return configuration.ranked_services if configuration else frozenset()
+
+    def home_tokens_per_s(self, service_name, now):
+        """Return what callers ask the region's hosts for, by what they ask this one."""
+        asked = self.rooms.asked.rate(service_name, now)
+        return asked * self.count_region_hosts(now)
+
     def with_connection_room(self, listed, service, now):
         """Return the endpoints to which this host may use one more connection.
 
@@ -364,6 +385,7 @@
         """
         wait_s = min(_REGION_BACKOFF_S, refusal.retry_after_s or _REGION_BACKOFF_S)
         self.region_backoff_until[region, service_name] = self.now() + wait_s
+        self.allowances.record_refused(region, service_name, self.now())
 
     def record_notices(self, endpoint, metadata):
         """Record what an endpoint says of itself in the head of a response."""
@@ -595,6 +617,7 @@
             "event_loop_lag_seconds": self.loop.lag_s(now),
             "requests_shed": self.shedder.count,
             "task_failures": self.supervisor.failures.total(),
+            **room_gauges(self),
             **{
                 f"task_failures_{task}": count
                 for task, count in self.supervisor.failures.items()
@@ -670,6 +693,7 @@
             now = self.now()
             self._log_shed_requests(now)
             self._log_descriptors(now)
+            log_rooms(self)
             self.pool.close_expired(now)
             self.containment.interruptions.expire(now)
             self.containment.review(now)
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -6,6 +6,7 @@
 - the demand of each team, in tokens requested per second;
 - the sender's requests in flight at each endpoint and their prompt tokens;
 - the shortest predicted wait of each service in a region;
+- the room of regions for requests of others, and what is wanted to be forwarded;
 - what crashes endpoints: reports of crashes, and what is held back for them;
 - zones whose evacuation ended recently, so that their endpoints may be cold.
 
@@ -34,6 +35,7 @@
     Frame,
     MemberNote,
     RegionSummary,
+    ServiceRoom,
     ServiceWait,
     TeamDemand,
     ZoneReopening,
@@ -42,6 +44,7 @@
 from .heartbeat_checks import check_heartbeat
 from .heartbeats import MAX_REGION_RECEIVERS, REGION_HEARTBEAT_S
 from .membership import HostId, RegionTotals
+from .room_sharing import compute_rooms, region_wants, update_allowances
 
 # Interval of heartbeats to hosts of other regions. Traffic between regions is
 # expensive, and their waits change slowly.
@@ -70,6 +73,7 @@
 MAX_DEMANDS = 40
 MAX_ENDPOINT_LOADS = 40
 MAX_WAITS = 8
+MAX_ROOMS = 8
 MAX_REOPENINGS = 8
 _MAX_I32 = 2**31 - 1
 _MAX_DATAGRAM_BYTES = 64 * 1024
@@ -122,6 +126,21 @@
     return [TeamDemand(key, min(_MAX_I32, demand)) for key, demand in largest]
 
 
+def _wire_rooms(rooms):
+    """Return tokens per second by service in their wire form; None if there are none.
+
+    Numbers are rounded down, so that no room is promised that does not exist.
+    """
+    largest = sorted(rooms.items(), key=lambda r: -r[1])[:MAX_ROOMS]
+    return [ServiceRoom(name, min(_MAX_I32, int(rate))) for name, rate in largest] or (
+        None
+    )
+
+
+def _read_rooms(rooms):
+    return {room.serves: room.tokens_per_s for room in rooms or ()}
+
+
 def _wire_summary(totals, now):
     waits = list(totals.waits.items())[:MAX_WAITS]
     return RegionSummary(
@@ -131,6 +150,8 @@
         told_age_ms=_to_ms(now - totals.reported_at),
         demands=_wire_demands(totals.demands),
         waits=[ServiceWait(service, _to_ms(wait_s)) for service, wait_s in waits],
+        rooms=_wire_rooms(totals.rooms),
+        forwards=_wire_rooms(totals.forwards),
     )
 
 
@@ -142,6 +163,8 @@
         reported_at=now - summary.told_age_ms / 1000,
         demands={d.key: d.tokens_per_s for d in summary.demands},
         waits={w.serves: w.wait_ms / 1000 for w in summary.waits},
+        rooms=_read_rooms(summary.rooms),
+        forwards=_read_rooms(summary.forwards),
     )
 
 
@@ -228,6 +251,7 @@
                 self.host.quotas.snapshot_demands(now)
             self.host.shed_average.update(self.host.loop.lag_s(now), now)
             self.host.quotas.update_shares(self.host.membership, now)
+            update_allowances(self.host, now)
             heartbeat = self.build_heartbeat(
                 now, is_same_region=True, with_regions=is_snapshot_due
             )
@@ -342,7 +366,7 @@
         """
         host = self.host
         self._sequence += 1
-        demands = work = None
+        demands = work = forwards = None
         if is_same_region:
             demands = _wire_demands(host.quotas.reported_demands())
             local_load = list(host.placement.local_load().items())[:MAX_ENDPOINT_LOADS]
@@ -351,6 +375,8 @@
                 for key, (in_flight, tokens) in local_load
             ]
             regions = host.membership.regions() if with_regions else []
+            services = host.divided_services(now)
+            forwards = _wire_rooms(host.allowances.wanted(services, now))
         else:
             regions = [self._own_totals(now)]
         source, lag_s = host.source_health, host.loop.lag_s(now)
@@ -368,6 +394,7 @@
             ],
             demands=demands,
             work=work,
+            forwards=forwards,
             regions=[_wire_summary(totals, now) for totals in regions],
             source_age_ms=None
             if source.failing_since is not None or source.responded_at == float("-inf")
@@ -416,6 +443,8 @@
             reported_at=now,
             demands=demands,
             waits=host.waits(now),
+            rooms=compute_rooms(host, now),
+            forwards=region_wants(host, now),
         )
 
     async def _receive_loop(self):
@@ -503,6 +532,9 @@
         if heartbeat.work is not None:
             work = {w.key: (w.in_flight, w.prompt_tokens) for w in heartbeat.work}
             host.membership.record_load(member, work, now)
+            if host.divided_services(now):
+                wants = _read_rooms(heartbeat.forwards)
+                host.membership.record_wants(member, wants, now)
         if heartbeat.source_age_ms is not None:
             member.source_responded_at = now - heartbeat.source_age_ms / 1000
         if heartbeat.source_failing and sender.region == host.cfg.region:
--- a/src/cactusmill/serving/heartbeat_checks.py
+++ b/src/cactusmill/serving/heartbeat_checks.py
@@ -43,6 +43,8 @@
         return "demands"
     if not all(w.in_flight >= 0 <= w.prompt_tokens for w in beat.work or ()):
         return "work"
+    if not _are_rooms(beat.forwards or ()):
+        return "forwards"
     if not all(map(_is_summary, beat.regions or ())):
         return "regions"
     if not all(map(_is_reopening, beat.reopened or ())):
@@ -76,6 +78,10 @@
     return all(d.key is not None and d.tokens_per_s >= 0 for d in demands)
 
 
+def _are_rooms(rooms):
+    return all(r.tokens_per_s >= 0 and is_plain_text(r.serves) for r in rooms)
+
+
 def _is_summary(summary):
     return (
         is_plain_text(summary.region)
@@ -83,6 +89,8 @@
         and _are_counts((summary.heard_age_ms, summary.told_age_ms))
         and _are_demands(summary.demands)
         and all(w.wait_ms >= 0 and is_plain_text(w.serves) for w in summary.waits)
+        and _are_rooms(summary.rooms or ())
+        and _are_rooms(summary.forwards or ())
     )
 
 
--- a/src/cactusmill/serving/membership.py
+++ b/src/cactusmill/serving/membership.py
@@ -124,6 +124,10 @@
         Tokens per second, by team key.
     waits : dict of str to float
         Shortest predicted wait, by service, in seconds.
+    rooms, forwards : dict of str to float
+        Room for requests of other regions, and what the region wants to forward to
+        them, by service, in tokens per second. Only services whose capacity is divided
+        between regions.
     """
 
     region: str
@@ -132,6 +136,8 @@
     reported_at: float
     demands: dict
     waits: dict
+    rooms: dict = attrs.field(factory=dict)
+    forwards: dict = attrs.field(factory=dict)
 
 
 @attrs.define(eq=False)
@@ -144,10 +150,14 @@
         This host.
     load : RegionLoad
         Load that the region's other hosts report.
+    wants : RegionLoad
+        Tokens per second that they want to forward to other regions, by service, each
+        as (0, tokens).
     """
 
     own_id: HostId
     load: RegionLoad = attrs.field(factory=RegionLoad)
+    wants: RegionLoad = attrs.field(factory=RegionLoad)
     _members: dict = attrs.field(factory=dict)
     _members_by_region: dict = attrs.field(factory=dict)
     _regions: dict = attrs.field(factory=dict)
@@ -205,6 +215,7 @@
         if member is not None:
             del self._members_by_region[member.id.region][name]
             self.load.forget(name)
+            self.wants.forget(name)
             self._invalidate_serving()
 
     def knows(self, host_id):
@@ -242,6 +253,21 @@
         """
         self.load.record(member.id.name, work, now)
 
+    def record_wants(self, member, wants, now):
+        """Store what a member wants to forward to other regions.
+
+        Parameters
+        ----------
+        member : Member
+            The member, a host of the local region.
+        wants : dict of str to int
+            Tokens per second, by service.
+        now : float
+            Current time, in seconds.
+        """
+        wants = {service: (0, tokens) for service, tokens in wants.items()}
+        self.wants.record(member.id.name, wants, now)
+
     def serving(self, now, region=None):
         """Return live members that accept callers and requests.
 
--- a/src/cactusmill/serving/overload.py
+++ b/src/cactusmill/serving/overload.py
@@ -169,12 +169,20 @@
 
 
 def choose_remote_host(
-    members, regions, service, is_permitted, backoff_until, now, rng
+    members,
+    regions,
+    service,
+    is_permitted,
+    backoff_until,
+    now,
+    rng,
+    may_forward=None,
 ):
     """Choose a host of another region to forward a request to.
 
     Takes the region with the shortest reported wait and a random host of it. A
-    region that has refused a request is skipped for as long as it asked to wait.
+    region that has refused a request is skipped for as long as it asked to wait, and
+    one whose allowance is used up.
 
     Parameters
     ----------
@@ -192,6 +200,9 @@
         Current time, in seconds.
     rng : random.Random
         Source of the jitter and of the choice among hosts.
+    may_forward : callable or None
+        ``may_forward(region)`` returns whether the allowance at a region suffices for
+        the request. None if the capacity of the service is not divided.
 
     Returns
     -------
@@ -209,6 +220,7 @@
         and totals.region in hosts
         and is_permitted(totals.region)
         and backoff_until.get((totals.region, service), 0.0) <= now
+        and (may_forward is None or may_forward(totals.region))
     }
     if not waits:
         return None
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -612,6 +612,36 @@
             waits.append(wait_s * view.bias(now))
         return min(waits, default=None)
 
+    def prefill_loads(self, catalog, service, membership, now):
+        """Return what each endpoint of a service can process, and what is queued there.
+
+        Parameters are those of :meth:`shortest_wait_s`.
+
+        Returns
+        -------
+        list of (float, float)
+            Tokens per second and queued tokens of each eligible, warm endpoint that is
+            not in backoff. At a plain service each request counts as 1 token. An engine
+            whose batch is full processes nothing more.
+        """
+        load = self._recent_load(membership, now)
+        loads = []
+        for entry in self.eligible_endpoints(catalog, service.name, now):
+            endpoint, view = entry.endpoint, self.view(entry.endpoint.name)
+            if now < view.backoff_until or self._is_warming(entry, service, now):
+                continue
+            in_flight, queued = self._load_at(view, load)
+            if not service.is_engine:
+                response_s = self._predict_response_s(service, endpoint, 0)
+                rate = endpoint.capacity / response_s
+                queued = max(0.0, in_flight - endpoint.capacity)
+            elif in_flight >= endpoint.capacity:
+                rate = 0.0
+            else:
+                rate = PREFILL_TOKENS_PER_S / self._pace(service).ratio(now)
+            loads.append((rate / view.bias(now), queued))
+        return loads
+
 
 def uncached_tokens(req, view, is_preferred):
     """Estimate the prompt tokens that an endpoint has not cached.
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -70,6 +70,10 @@
         Silent endpoint or host that was logged last, and what followed.
     partial_event_bytes : int
         Bytes after the last complete event when the latest response ended.
+    is_asked_counted, is_wanted_counted : bool
+        Whether the request was counted as asked for, and as wanted in other regions.
+    forward_tokens : int
+        Tokens that forwarding it takes from the allowance; 0 if it is not limited.
     """
 
     attempts_left: int
@@ -97,6 +101,9 @@
     reserved_step: object = None
     is_trial: bool = False
     silence: tuple | None = None
+    is_asked_counted: bool = False
+    is_wanted_counted: bool = False
+    forward_tokens: int = 0
 
     def body_fields(self):
         """Return the fields of log lines that tell how the latest response ended."""
--- a/src/cactusmill/serving/region_load.py
+++ b/src/cactusmill/serving/region_load.py
@@ -52,6 +52,10 @@
                 return
             self.forget(host_name)
 
+    def has_any(self):
+        """Return whether any report counts."""
+        return bool(self._reports)
+
     def at(self, key, hosts=None):
         """Return the requests in flight and uncached prompt tokens at an endpoint.
 
