--- a/src/cactusmill/serving/scheduling/region_room.py
+++ b/src/cactusmill/serving/scheduling/region_room.py
@@ -38,6 +38,8 @@
 STALE_S = 2.0
 EXPIRED_S = 5.0
 _STALE_PART = 0.1
+# Weight of a request in the mean size of the requests for a bucket.
+_SIZE_SMOOTHING = 0.1
 _REFUSED_PART = 0.5
 # Wanted tokens per second below which a host wants nothing.
 _MIN_RATE = 0.5
@@ -258,8 +260,8 @@
         Whether the region has refused a request since the last report.
     tokens : float
         Content; negative if a request was larger.
-    largest : int
-        Size of the largest request for which the bucket was asked.
+    mean_size : float
+        Moving average of the tokens of the requests that the bucket was asked for.
     filled_at : float
         When the content was computed, in seconds.
     """
@@ -271,7 +273,7 @@
     allowance: float = 0.0
     is_refused: bool = False
     tokens: float = 0.0
-    largest: int = 0
+    mean_size: float = 0.0
     filled_at: float = float("-inf")
 
     def fill(self, now):
@@ -280,12 +282,18 @@
         self.filled_at = now
         if self.allowance <= 0:
             # Credit that hosts keep from an earlier peak would be used by all at once.
-            self.tokens, self.largest = min(0.0, self.tokens), 0
+            self.tokens = min(0.0, self.tokens)
             return
-        limit = max(REPORT_INTERVAL_S * self.allowance, self.largest)
+        limit = max(REPORT_INTERVAL_S * self.allowance, self.mean_size)
         filled = self.tokens + self.allowance * max(0.0, elapsed_s)
         self.tokens = min(limit, filled)
 
+    def record_size(self, tokens):
+        """Update the mean size with a request."""
+        if not self.mean_size:
+            self.mean_size = tokens
+        self.mean_size += _SIZE_SMOOTHING * (tokens - self.mean_size)
+
     def set_allowance(self, now):
         """Compute the allowance from the age of the report and from refusals."""
         age_s = now - self.reported_at
@@ -407,8 +415,8 @@
         """Return whether the allowance at a region suffices for a request.
 
         Where a bucket is smaller than a request, as with many hosts, it fills up to the
-        size of a request, and a random part of it suffices; the rest is owed. The hosts
-        then forward the room together, and not all at the same moment.
+        mean size, and a random part of that suffices; the rest of the request is owed.
+        The hosts then forward the room together, and not all at the same moment.
 
         Parameters
         ----------
@@ -429,13 +437,13 @@
         if bucket is None:
             return region in self._regions
         bucket.set_allowance(now)
-        bucket.largest = max(bucket.largest, tokens)
+        bucket.record_size(tokens)
         bucket.fill(now)
         if bucket.allowance <= 0:
             return False
         if REPORT_INTERVAL_S * bucket.allowance >= tokens:
             return bucket.tokens >= tokens
-        return bucket.tokens >= bucket.draw * bucket.largest
+        return bucket.tokens >= bucket.draw * bucket.mean_size
 
     def record_forwarded(self, region, service, tokens, now):
         """Take the tokens of a forwarded request from the bucket of its region."""
