--- a/src/cactusmill/serving/scheduling/region_room.py
+++ b/src/cactusmill/serving/scheduling/region_room.py
@@ -278,7 +278,7 @@
 
     def fill(self, now):
         """Add the allowance of the time since the last call."""
-        elapsed_s = now - max(self.filled_at, self.reported_at)
+        elapsed_s = now - self.filled_at
         self.filled_at = now
         if self.allowance <= 0:
             # Credit that hosts keep from an earlier peak would be used by all at once.
@@ -354,8 +354,9 @@
             for service in own.services:
                 self._update_bucket(report, service, now)
         for key, bucket in list(self._buckets.items()):
+            # The bucket of a lost region stays, and its report expires.
             region, service = key
-            if region not in self._regions or service not in own.services:
+            if service not in own.services:
                 del self._buckets[key]
                 continue
             bucket.fill(now)
--- a/tests/serving/scheduling/test_region_room.py
+++ b/tests/serving/scheduling/test_region_room.py
@@ -4,19 +4,21 @@
 
 import attrs
 import pytest
+import trio
 
-from cactusmill.errors import Overloaded
+from cactusmill.errors import Outcome, Overloaded
 from cactusmill.internal.endpoints import load_key
 from cactusmill.internal.link import decode, encode_frame
 from cactusmill.internal.wire.ttypes import Frame
 from cactusmill.records import Route, Service
-from cactusmill.serving import dispatch
+from cactusmill.serving import cross_region, dispatch
 from cactusmill.serving.catalog import Configuration, ConfigurationChange
 from cactusmill.serving.heartbeat_checks import check_heartbeat
 from cactusmill.serving.membership import RegionTotals
 from cactusmill.serving.overload import ForwardTo
+from cactusmill.serving.placement import DEFAULT_RESPONSE_S
 from cactusmill.serving.progress import new_progress
-from cactusmill.serving.room_sharing import gauges, update_allowances
+from cactusmill.serving.room_sharing import count_tokens, gauges, update_allowances
 from cactusmill.serving.scheduling.region_room import (
     HOME_RESERVE,
     REPORT_INTERVAL_S,
@@ -369,9 +371,96 @@
     assert not host.rooms.asked.rate("engines", clock.time)
 
 
+def test_request_that_may_not_run_here_is_not_limited():
+    """Guards against refusals of routes that only other regions may serve."""
+    host, clock = make_busy_host()
+    record_reports(host, 0.0, 1.01)
+    update_allowances(host, clock.time)
+    quote = attrs.evolve(host.catalog.configuration.routes[0], regions=("west",))
+    req = attrs.evolve(make_request(1, clock.time), route=quote)
+    progress = new_progress(req, 1)
+    step = dispatch._next_step(host, req, progress, False)
+    assert isinstance(step, ForwardTo) and step.member.id.region == "west"
+    assert progress.forward_tokens == 0
+    assert not host.allowances.wanted(ENGINES, clock.time)
+
+
+def test_refused_forward_uses_and_halves_the_allowance(monkeypatch):
+    """A region that is full reports room: see :func:`run_in_other_region`."""
+
+    async def refuse(*args):
+        return Overloaded(detail="full", outcome=Outcome.NOT_RUN, retry_after_s=0.3)
+
+    monkeypatch.setattr(cross_region, "forward", refuse)
+    host, clock = make_busy_host()
+    record_reports(host, 400_000.0, 1.01)
+    host.allowances.wants.record("engines", 10_000, clock.time)
+    update_allowances(host, clock.time)
+    before = host.allowances.allowances()["west", "engines"]
+    req = make_request(1, clock.time)
+    progress = new_progress(req, 1)
+    progress.forward_tokens = 2700
+    (member,) = host.membership.serving(clock.time, "west")[:1]
+    step = ForwardTo(member=member, reported_wait_s=0.1)
+    refusal = trio.run(
+        cross_region.run_in_other_region, host, req, None, progress, step, None
+    )
+    assert isinstance(refusal, Overloaded)
+    assert host.allowances.forwarded_tokens == {"west": 2700}
+    assert host.allowances.allowances()["west", "engines"] == before / 2
+    assert host.region_backoff_until["west", "engines"] == clock.time + 0.3
+
+
+def test_plain_services_count_requests():
+    host, clock = make_busy_host()
+    host.membership.load.remove_older(float("inf"))
+    plain = Service(name="engines")
+    assert count_tokens(make_request(1, clock.time), plain, None) == 1
+    loads = host.placement.prefill_loads(
+        host.catalog, plain, host.membership, clock.time
+    )
+    assert loads == [(pytest.approx(24 / DEFAULT_RESPONSE_S), 0.0)] * ENDPOINTS
+
+
+def test_engines_that_take_nothing_more_give_no_room():
+    host, clock = make_busy_host()
+    host.membership.load.remove_older(float("inf"))
+    full, unreachable = (host.placement.view(f"engine-{n}") for n in (0, 1))
+    full.in_flight = 24
+    unreachable.backoff_until = clock.time + 1
+    loads = host.placement.prefill_loads(
+        host.catalog, host.service("engines"), host.membership, clock.time
+    )
+    rates = [rate for rate, _ in loads]
+    assert len(rates) == ENDPOINTS - 1 and rates.count(0.0) == 1
+
+
+def test_room_of_a_service_that_is_no_longer_divided_is_dropped():
+    """A configuration takes the patient routes away under load."""
+    host, clock = make_busy_host()
+    record_reports(host, 0.0, 1.01)
+    update_allowances(host, clock.time)
+    host.gossip.build_heartbeat(clock.time, is_same_region=False)
+    assert host.allowances.allowances() and host.rooms.rooms
+    configuration = attrs.evolve(
+        host.catalog.configuration,
+        version=3,
+        routes=host.catalog.configuration.routes[:1],
+    )
+    host.catalog.apply(
+        ConfigurationChange(revision=2000, configuration=configuration), 0.0
+    )
+    update_allowances(host, clock.time)
+    beat = host.gossip.build_heartbeat(clock.time, is_same_region=False)
+    assert not host.allowances.allowances() and not host.rooms.rooms
+    assert beat.regions[0].rooms is None
+    step, _ = decide(host, 1, clock.time)
+    assert isinstance(step, ForwardTo)
+
+
 def test_heartbeats_carry_wants_to_the_region_and_room_to_others():
     host, clock = make_busy_host()
-    record_reports(host, 0.0, 1.0)
+    record_reports(host, 0.0, 1.01)
     update_allowances(host, clock.time)
     decide(host, 1, clock.time)
     inside = exchange(host, clock.time, is_same_region=True)
@@ -404,8 +493,8 @@
     """Guards against changes of what other deployments serve, and of their traffic."""
     host, clock = make_busy_host(is_ranked=False)
     without, _ = make_busy_host(is_ranked=False)
-    record_reports(host, 0.0, 1.0)
-    record_reports(without, None, 1.0)
+    record_reports(host, 0.0, 1.01)
+    record_reports(without, None, 1.01)
     for number in range(20):
         for each in (host, without):
             update_allowances(each, clock.time)
@@ -418,7 +507,7 @@
     assert not gauges(host) and not host.rooms.rooms
     # Also with a heartbeat of a host whose configuration divides the service.
     other, _ = make_busy_host()
-    record_reports(other, 0.0, 1.0)
+    record_reports(other, 0.0, 1.01)
     decide(other, 1, clock.time)
     beat = exchange(other, clock.time, is_same_region=True)
     beat.sender.host, beat.sender.incarnation = "host-3", f"{3:016x}"
@@ -435,7 +524,7 @@
     costs = {}
     for hosts in (SMALL, LARGE):
         host, clock = make_busy_host(hosts)
-        record_reports(host, 400_000.0, 1.0)
+        record_reports(host, 400_000.0, 1.01)
         total = 0
         for number in range(10):
             update_allowances(host, clock.time)
@@ -449,7 +538,7 @@
     costs = {}
     for hosts in (SMALL, LARGE):
         host, clock = make_busy_host(hosts)
-        record_reports(host, 400_000.0, 1.0)
+        record_reports(host, 400_000.0, 1.01)
         decide(host, 1, clock.time)
         for member in host.membership.serving(clock.time, "east"):
             host.membership.record_wants(member, {"engines": 500}, clock.time)
--- a/tests/serving/test_odd_heartbeats.py
+++ b/tests/serving/test_odd_heartbeats.py
@@ -24,6 +24,7 @@
     Frame,
     MemberNote,
     RegionSummary,
+    ServiceRoom,
     ServiceWait,
     TeamDemand,
     ZoneReopening,
@@ -55,7 +56,14 @@
         work=[EndpointWork(1, 2, 300)],
         regions=[
             RegionSummary(
-                "west", 2, 10, 10, [TeamDemand(1, 5)], [ServiceWait("desk", 100)]
+                "west",
+                2,
+                10,
+                10,
+                [TeamDemand(1, 5)],
+                [ServiceWait("desk", 100)],
+                rooms=[ServiceRoom("desk", 50)],
+                forwards=[ServiceRoom("desk", 7)],
             )
         ],
         source_age_ms=10,
@@ -68,6 +76,7 @@
             clearances=[Clearance(5, 10)],
             convictions=[ConvictionEntry(6, 1, True, 10, 20, 1, 2, [3])],
         ),
+        forwards=[ServiceRoom("desk", 9)],
     )
 
 
@@ -144,6 +153,10 @@
         ("regions", "hosts", 0),
         ("regions", "hosts", -7),
         ("regions", "demands", None),
+        ("regions", "rooms", [ServiceRoom("desk", -1)]),
+        ("regions", "forwards", [ServiceRoom("a\nb", 1)]),
+        ("forwards", "tokens_per_s", -1),
+        ("forwards", "serves", None),
     ],
 )
 def test_heartbeat_with_an_invalid_field_is_ignored(place, name, value):
