Machine pace: a fourth value of the load header corrects predictions

Cause: endpoints on shared machines report how long work takes at this moment, and a fourth value made the whole header count as missing. Change: the header is read with three values or more; the newest pace of each endpoint, from its responses and from heartbeats of the region, multiplies predictions and waits, and measured times are divided by the pace of the prediction.

--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -553,6 +553,15 @@
     return number if number <= MAX_COUNT else None
 
 
+def parse_keep_alive(text):
+    """Return the idle timeout in seconds of "timeout=SECONDS, ..."; None if missing."""
+    for parameter in (text or "").split(","):
+        name, _, value = parameter.strip().partition("=")
+        if name.lower() == "timeout":
+            return parse_count(value)
+    return None
+
+
 def parse_retry_after(headers):
     """Return the seconds of ``retry-after``, whole or with a fraction.
 
--- a/src/cactusmill/platform/dialect.py
+++ b/src/cactusmill/platform/dialect.py
@@ -15,6 +15,7 @@
     end_to_end_headers,
     header,
     parse_count,
+    parse_keep_alive,
     parse_retry_after,
 )
 from ..internal.request import request_priority
@@ -50,6 +51,8 @@
 _MAX_PRIORITY = 9
 _INTEGER = re.compile(r"-?[0-9]+", re.ASCII)
 _MAX_LOGGED_CHARS = 20
+# Largest pace of a machine, in percent.
+_MAX_PACE = 1_000_000
 
 
 def _find_problem(headers):
@@ -222,13 +225,17 @@
     ResponseMetadata
     """
     is_misdirected = status == 421
+    load_text = header(headers, b"instance-load")
+    load = _parse_load(load_text) or ()
     return ResponseMetadata(
         request_id=header(headers, b"request-id"),
         is_not_run=header(headers, b"not-executed") is not None,
         is_misdirected=is_misdirected,
         is_signed=header(headers, b"response-signature") is not None,
-        work=_parse_load(header(headers, b"instance-load")),
-        idle_s=_parse_keep_alive(header(headers, b"keep-alive")),
+        work=load[:3] or None,
+        pace=load[3] / 100 if load[3:] else None,
+        is_load_malformed=load_text is not None and not load,
+        idle_s=parse_keep_alive(header(headers, b"keep-alive")),
         will_close="close" in header(headers, b"connection", "").lower(),
         is_leaving=header(headers, b"server-leaving", "").strip() == "1",
         pause_s=parse_retry_after(headers) if status == _UNAVAILABLE else None,
@@ -236,18 +243,11 @@
 
 
 def _parse_load(text):
-    """Return the numbers of "RUNNING,QUEUED,CAPACITY"; None if malformed or missing."""
-    numbers = [parse_count(item) for item in (text or "").split(",")]
-    return None if len(numbers) != 3 or None in numbers else tuple(numbers)
-
-
-def _parse_keep_alive(text):
-    """Return the idle timeout in seconds of "timeout=SECONDS, ..."; None if missing."""
-    for parameter in (text or "").split(","):
-        name, _, value = parameter.strip().partition("=")
-        if name.lower() == "timeout":
-            return parse_count(value)
-    return None
+    """Return the numbers of "RUNNING,QUEUED,CAPACITY[,PACE]"; None if malformed."""
+    # Later versions may append more values.
+    numbers = [parse_count(item) for item in (text or "").split(",", 4)[:4]]
+    is_malformed = len(numbers) < 3 or None in numbers or numbers[3:] > [_MAX_PACE]
+    return None if is_malformed else tuple(numbers)
 
 
 def filter_response_headers(headers):
--- a/src/cactusmill/serving/dialect.py
+++ b/src/cactusmill/serving/dialect.py
@@ -65,6 +65,11 @@
     work : tuple of (int, int, int) or None
         Running requests, queued requests and capacity of the endpoint; None if not
         reported.
+    pace : float or None
+        How long work takes on the endpoint's machine now, as a factor of the usual;
+        None if not reported.
+    is_load_malformed : bool
+        True if a report of `work` or `pace` could not be read.
     idle_s : float or None
         Idle timeout of the connection, in seconds; None if not announced.
     will_close : bool
@@ -85,6 +90,8 @@
     will_close: bool
     is_leaving: bool = False
     pause_s: float | None = None
+    pace: float | None = None
+    is_load_malformed: bool = False
 
 
 @attrs.frozen(kw_only=True)
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -644,6 +644,7 @@
         warmup_hosts=progress.warmup_hosts if progress else None,
         gap_s=_round_to_ms(progress.max_event_gap_s) if progress else None,
         **(progress.body_fields() if progress else {}),
+        **(progress.pace_fields() if progress else {}),
         cost_tokens=req.cost_tokens if req else None,
         version=req.records_version if req else None,
     )
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -606,6 +606,7 @@
         entry_revision=progress.entry_revision,
         warmup_hosts=progress.warmup_hosts,
         **progress.body_fields(),
+        **progress.pace_fields(),
     )
 
 
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -367,7 +367,9 @@
 
     def record_notices(self, endpoint, metadata):
         """Record what an endpoint says of itself in the head of a response."""
-        self.placement.notices.record(endpoint, metadata, self.now())
+        now = self.now()
+        self.placement.notices.record(endpoint, metadata, now)
+        self.placement.record_pace(endpoint, metadata, now)
         if metadata.is_leaving and not metadata.is_misdirected:
             self.pool.close_idle(endpoint.name)
 
@@ -580,6 +582,8 @@
             "endpoints_live": sum(e.endpoint.live for e in listed),
             "endpoints_leaving": leaving,
             "endpoints_paused": paused,
+            "endpoints_paced": self.placement.machine_pace.count_paced(now),
+            "malformed_load_reports": self.placement.machine_pace.malformed_reports,
             "endpoint_connections_opened": self.pool.opened,
             "caller_connections": len(self.caller_connections),
             "requests_running": len(self.busy_connections),
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -5,6 +5,7 @@
 
 - the demand of each team, in tokens requested per second;
 - the sender's requests in flight at each endpoint and their prompt tokens;
+- paces of the endpoints' machines that changed lately;
 - the shortest predicted wait of each service in a region;
 - what crashes endpoints: reports of crashes, and what is held back for them;
 - zones whose evacuation ended recently, so that their endpoints may be cold.
@@ -30,6 +31,7 @@
 from ..internal.steps import Steps
 from ..internal.wire.ttypes import (
     Beat,
+    EndpointPace,
     EndpointWork,
     Frame,
     MemberNote,
@@ -342,7 +344,7 @@
         """
         host = self.host
         self._sequence += 1
-        demands = work = None
+        demands = work = paces = None
         if is_same_region:
             demands = _wire_demands(host.quotas.reported_demands())
             local_load = list(host.placement.local_load().items())[:MAX_ENDPOINT_LOADS]
@@ -350,6 +352,10 @@
                 EndpointWork(key, in_flight, min(_MAX_I32, tokens))
                 for key, (in_flight, tokens) in local_load
             ]
+            paces = [
+                EndpointPace(key, percent, _to_ms(age_s))
+                for key, percent, age_s in host.placement.machine_pace.reports(now)
+            ] or None
             regions = host.membership.regions() if with_regions else []
         else:
             regions = [self._own_totals(now)]
@@ -368,6 +374,7 @@
             ],
             demands=demands,
             work=work,
+            paces=paces,
             regions=[_wire_summary(totals, now) for totals in regions],
             source_age_ms=None
             if source.failing_since is not None or source.responded_at == float("-inf")
@@ -503,6 +510,9 @@
         if heartbeat.work is not None:
             work = {w.key: (w.in_flight, w.prompt_tokens) for w in heartbeat.work}
             host.membership.record_load(member, work, now)
+        if heartbeat.paces and sender.region == host.cfg.region:
+            paces = [(p.key, p.percent, p.age_ms / 1000) for p in heartbeat.paces]
+            host.placement.machine_pace.apply_reports(paces, now)
         if heartbeat.source_age_ms is not None:
             member.source_responded_at = now - heartbeat.source_age_ms / 1000
         if heartbeat.source_failing and sender.region == host.cfg.region:
--- a/src/cactusmill/serving/heartbeat_checks.py
+++ b/src/cactusmill/serving/heartbeat_checks.py
@@ -43,6 +43,8 @@
         return "demands"
     if not all(w.in_flight >= 0 <= w.prompt_tokens for w in beat.work or ()):
         return "work"
+    if not all(map(_is_pace, beat.paces or ())):
+        return "paces"
     if not all(map(_is_summary, beat.regions or ())):
         return "regions"
     if not all(map(_is_reopening, beat.reopened or ())):
@@ -76,6 +78,10 @@
     return all(d.key is not None and d.tokens_per_s >= 0 for d in demands)
 
 
+def _is_pace(entry):
+    return entry.key is not None and _are_counts((entry.percent, entry.age_ms))
+
+
 def _is_summary(summary):
     return (
         is_plain_text(summary.region)
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -10,7 +10,7 @@
 all hosts of the region have sent to an engine and that are not prefilled yet, and
 from the prompt segments in its prefix cache. The prediction is multiplied by two
 correction factors that follow the measured times: the pace of the service and the bias
-of the endpoint.
+of the endpoint. A third factor is the pace of its machine, if the endpoint reports it.
 
 A prompt is divided into segments, such as a system prompt, a document and the
 question. Each has an identifier and a number of tokens.
@@ -29,6 +29,7 @@
 from .endpoint_notices import EndpointNotices
 from .endpoint_view import DEFAULT_EVENT_GAP_S, EndpointView
 from .heartbeats import REGION_HEARTBEAT_S, count_rounds
+from .scheduling.machine_pace import MachinePace
 from .service_pace import ServicePace
 
 # Prefill rate of an engine at the start. The measured pace of the service and the bias
@@ -115,6 +116,10 @@
         the cost of a failure), as an equivalent wait in seconds.
     priority : int
         Priority of the request at the endpoint.
+    machine_pace : float
+        Pace of the endpoint's machine that the predictions use; 1 if not reported.
+    machine_pace_age_s : float or None
+        Age of the report behind it, in seconds; None without one.
     """
 
     endpoint: object
@@ -131,6 +136,8 @@
     entry: object = None
     failure_cost_s: float = 0.0
     priority: int = 0
+    machine_pace: float = 1.0
+    machine_pace_age_s: float | None = None
 
     def record_sent(self, now):
         """Count a request that is sent to the endpoint towards its warm-up rate."""
@@ -154,6 +161,8 @@
         Source of the random samples.
     notices : EndpointNotices
         What endpoints said of themselves in responses.
+    machine_pace : MachinePace
+        What they said of the pace of their machines.
     """
 
     region: str
@@ -161,6 +170,7 @@
     started_at: float = float("-inf")
     rng: random.Random = attrs.field(factory=random.Random)
     notices: EndpointNotices = attrs.field(init=False)
+    machine_pace: MachinePace = attrs.field(factory=MachinePace)
     _views: dict = attrs.field(factory=dict)
     _response_s: dict = attrs.field(factory=dict)
     _paces: dict = attrs.field(factory=dict)
@@ -183,7 +193,7 @@
         """
         for name in self._views.keys() - names:
             if self._views[name].in_flight == 0:
-                del self._views[name]
+                self.machine_pace.forget(self._views.pop(name).load_key)
                 self._endpoint_started_ms.pop(name, None)
 
     def record_unreachable(self, entry, is_refused, now):
@@ -212,12 +222,33 @@
     def update_endpoint(self, endpoint):
         """Clear the cached segments of an endpoint whose entry has a new start time.
 
-        A restarted endpoint has an empty prefix cache.
+        A restarted endpoint has an empty prefix cache, and may be on another machine.
         """
         started = self._endpoint_started_ms.get(endpoint.name)
         self._endpoint_started_ms[endpoint.name] = endpoint.started_ms
         if started is not None and started != endpoint.started_ms:
             self.view(endpoint.name).clear_segments()
+            self.machine_pace.forget(self.view(endpoint.name).load_key)
+
+    def record_pace(self, endpoint, metadata, now):
+        """Record the pace that the head of an endpoint's response reports, if any.
+
+        Parameters
+        ----------
+        endpoint : Endpoint
+            The endpoint, as in the entry by which the request was sent.
+        metadata : ResponseMetadata
+            Of the response. The pace of another endpoint at its address, or of an
+            earlier life of it, is ignored.
+        now : float
+            Current time, in seconds.
+        """
+        self.machine_pace.malformed_reports += metadata.is_load_malformed
+        started_ms = self._endpoint_started_ms.get(endpoint.name, endpoint.started_ms)
+        is_other = metadata.is_misdirected or endpoint.started_ms < started_ms
+        if metadata.pace is not None and not is_other:
+            key = self.view(endpoint.name).load_key
+            self.machine_pace.record(key, metadata.pace, now)
 
     def count_unreachable(self, now):
         """Return the number of endpoints in backoff after a failed connection."""
@@ -514,7 +545,8 @@
         pace = 1.0
         if service.is_engine:
             pace = self._pace(service, priority).ratio(now)
-        ttft_s = uncorrected_s * pace * view.bias(now)
+        machine_pace = self.machine_pace.pace(view.load_key, now)
+        ttft_s = uncorrected_s * pace * view.bias(now) * machine_pace
         if in_flight >= endpoint.capacity and service.is_engine:
             ttft_s += _FULL_BATCH_COST_S
         return Choice(
@@ -529,6 +561,8 @@
             stream_delay_s=stream_delay_s,
             failure_cost_s=_FAILURE_COST_S * view.failure_rate(now),
             priority=priority,
+            machine_pace=machine_pace,
+            machine_pace_age_s=self.machine_pace.age_s(view.load_key, now),
         )
 
     def record_response_start(self, choice, service, took_s, now):
@@ -547,6 +581,8 @@
         """
         choice.view.record_result(False, now)
         uncorrected_s = choice.uncorrected_ttft_s
+        # The corrections follow the long-term speed.
+        took_s /= choice.machine_pace
         if service.is_engine:
             pace = self._pace(service, choice.priority)
             choice.view.record_ttft(uncorrected_s * pace.ratio(now), took_s, now)
@@ -609,7 +645,8 @@
                 wait_s = self._predict_response_s(service, entry.endpoint, in_flight)
             elif in_flight >= entry.endpoint.capacity:
                 wait_s += _FULL_BATCH_COST_S
-            waits.append(wait_s * view.bias(now))
+            machine_pace = self.machine_pace.pace(view.load_key, now)
+            waits.append(wait_s * view.bias(now) * machine_pace)
         return min(waits, default=None)
 
 
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -48,6 +48,9 @@
         seconds, of the latest attempt.
     uncached_tokens : int
         Predicted uncached prompt tokens of the latest attempt.
+    machine_pace, machine_pace_age_s : float or None
+        Pace of the endpoint's machine in the predictions of the latest attempt, and
+        the age of the report behind it, in seconds; the age is None without one.
     sent_at : float or None
         When the latest attempt was sent, in seconds.
     began_at : float or None
@@ -87,6 +90,8 @@
     ttft_s: float | None = None
     total_s: float | None = None
     uncached_tokens: int = 0
+    machine_pace: float | None = None
+    machine_pace_age_s: float | None = None
     sent_at: float | None = None
     began_at: float | None = None
     entry_revision: int = 0
@@ -106,6 +111,15 @@
             "partial_event_bytes": self.partial_event_bytes,
         }
 
+    def pace_fields(self):
+        """Return the fields of log lines about a reported machine pace, if any."""
+        if self.machine_pace_age_s is None:
+            return {}
+        return {
+            "machine_pace": round(self.machine_pace, 2),
+            "machine_pace_age_s": round(self.machine_pace_age_s, 3),
+        }
+
     @property
     def outcome(self):
         """Outcome to report if no response arrives."""
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -73,6 +73,8 @@
     sent_at = host.now()
     progress.endpoint, progress.ttft_s = endpoint.name, choice.ttft_s
     progress.total_s, progress.uncached_tokens = choice.total_s, choice.uncached_tokens
+    progress.machine_pace = choice.machine_pace
+    progress.machine_pace_age_s = choice.machine_pace_age_s
     progress.sent_at, progress.entry_revision = sent_at, choice.entry.revision
     progress.received, progress.partial_event_bytes = None, 0
     progress.began_at = None
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -197,6 +197,8 @@
         Duration of a request that is not streamed, in seconds.
     slots : int
         Capacity published in the store.
+    load : str
+        Value of ``instance-load`` on its responses; empty for none.
     """
 
     name: str
@@ -211,6 +213,7 @@
     event_gap_s: float = 0.0
     work_s: float = 0.0
     slots: int = 8
+    load: str = ""
 
     def entry(self, **changes):
         """Return the endpoint's entry in the store, with some fields replaced."""
@@ -253,6 +256,7 @@
             headers=[
                 ("request-id", header(request.headers, b"request-id", "")),
                 ("response-signature", f"signed-by-{self.name}"),
+                *([("instance-load", self.load)] if self.load else []),
                 *extra,
             ],
         )
