--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -249,6 +249,10 @@
                 conn.h11.start_next_cycle()
         await trio.aclose_forcefully(stream)
 
+    def load_headers(self):
+        """Return the header that reports its load, or none."""
+        return [("instance-load", self.load)] if self.load else []
+
     def head(self, request, status=200, extra=()):
         """Return the head of the response to a request."""
         return h11.Response(
@@ -256,7 +260,7 @@
             headers=[
                 ("request-id", header(request.headers, b"request-id", "")),
                 ("response-signature", f"signed-by-{self.name}"),
-                *([("instance-load", self.load)] if self.load else []),
+                *self.load_headers(),
                 *extra,
             ],
         )
@@ -322,6 +326,7 @@
         [
             ("request-id", header(request.headers, b"request-id")),
             ("not-executed", "1"),
+            *endpoint.load_headers(),
         ],
     )
     return True
--- a/tests/platform/test_dialect.py
+++ b/tests/platform/test_dialect.py
@@ -79,6 +79,62 @@
     assert parsed.idle_s is None and parsed.work is None
 
 
+def read_load(*values):
+    headers = [(b"instance-load", value) for value in values]
+    parsed = dialect.read_response_head(200, headers)
+    return parsed.work, parsed.pace, parsed.is_load_malformed
+
+
+@pytest.mark.parametrize(
+    ("value", "work", "pace"),
+    [
+        (b"3,1,8", (3, 1, 8), None),
+        (b"3,1,8,100", (3, 1, 8), 1.0),
+        (b" 3, 1 ,8 , 250 ", (3, 1, 8), 2.5),
+        (b"3,1,8,0", (3, 1, 8), 0.0),
+        (b"3,1,8,1000000", (3, 1, 8), 10_000.0),
+        (b"3,1,8,90,7", (3, 1, 8), 0.9),
+        (b"3,1,8,90,later,-x,", (3, 1, 8), 0.9),
+    ],
+)
+def test_load_and_pace_are_parsed(value, work, pace):
+    assert read_load(value) == (work, pace, False)
+
+
+def test_missing_load_is_not_malformed():
+    assert read_load() == (None, None, False)
+
+
+@pytest.mark.parametrize(
+    "value",
+    [
+        *(b"", b"3", b"3,1", b"3,,8", b"3,1,8,", b"3,1,8,,7", b",,,"),
+        *(b"3,1,8,x", b"3,1,8,-1", b"3,1,8,1.5", b"3,1,8,1e2", b"-3,1,8,100"),
+        *(b"3,1,8,1000001", b"3,1,8," + b"9" * 5000, b"3;1;8;100", "3,1,8,²".encode()),
+    ],
+)
+def test_malformed_load_costs_the_report_only(value):
+    assert read_load(value) == (None, None, True)
+    parsed = dialect.read_response_head(
+        200,
+        [
+            (b"request-id", b"r"),
+            (b"keep-alive", b"timeout=5"),
+            (b"instance-load", value),
+        ],
+    )
+    assert parsed.request_id == "r" and parsed.idle_s == 5
+
+
+@given(st.lists(st.integers() | st.text("0123456789-+., x", max_size=9), max_size=6))
+def test_any_load_is_read_or_counted_as_malformed(items):
+    value = ",".join(map(str, items)).encode()
+    work, pace, is_malformed = read_load(value)
+    assert is_malformed == (work is None)
+    assert work is None or len(work) == 3 and min(work) >= 0
+    assert pace is None or work is not None and 0.0 <= pace <= 10_000.0
+
+
 def test_hop_by_hop_and_gateway_headers_are_not_forwarded():
     parsed = parse_head(
         ("connection", "x-hop, request-id, keep-alive"),
--- a/tests/serving/test_odd_heartbeats.py
+++ b/tests/serving/test_odd_heartbeats.py
@@ -20,6 +20,7 @@
     ConvictionEntry,
     CrashCandidate,
     CrashReport,
+    EndpointPace,
     EndpointWork,
     Frame,
     MemberNote,
@@ -53,6 +54,7 @@
         members=[MemberNote("h3", "127.0.0.3", "east-a", "east", "i3", 10, False)],
         demands=[TeamDemand(1, 100)],
         work=[EndpointWork(1, 2, 300)],
+        paces=[EndpointPace(1, 250, 40)],
         regions=[
             RegionSummary(
                 "west", 2, 10, 10, [TeamDemand(1, 5)], [ServiceWait("desk", 100)]
@@ -141,6 +143,10 @@
         (None, "members", None),
         (None, "revision", -1),
         (None, "configuration_version", None),
+        ("paces", "key", None),
+        ("paces", "percent", None),
+        ("paces", "percent", -1),
+        ("paces", "age_ms", -1),
         ("regions", "hosts", 0),
         ("regions", "hosts", -7),
         ("regions", "demands", None),
