--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -324,7 +324,14 @@
     def divided_services(self, now):
         """Return the services whose capacity is divided between regions."""
         configuration = self.catalog.configuration
-        return configuration.ranked_services if configuration else frozenset()
+        if configuration is None:
+            return frozenset()
+        paced = (
+            name
+            for name in configuration.services
+            if self.placement.is_paced(name, now)
+        )
+        return configuration.ranked_services.union(paced)
 
     def home_tokens_per_s(self, service_name, now):
         """Return what callers ask the region's hosts for, by what they ask this one."""
@@ -389,7 +396,9 @@
 
     def record_notices(self, endpoint, metadata):
         """Record what an endpoint says of itself in the head of a response."""
-        self.placement.notices.record(endpoint, metadata, self.now())
+        now = self.now()
+        self.placement.notices.record(endpoint, metadata, now)
+        self.placement.record_pace(endpoint, metadata, now)
         if metadata.is_leaving and not metadata.is_misdirected:
             self.pool.close_idle(endpoint.name)
 
@@ -602,6 +611,8 @@
             "endpoints_live": sum(e.endpoint.live for e in listed),
             "endpoints_leaving": leaving,
             "endpoints_paused": paused,
+            "endpoints_paced": self.placement.machine_pace.count_paced(now),
+            "malformed_load_reports": self.placement.machine_pace.malformed_reports,
             "endpoint_connections_opened": self.pool.opened,
             "caller_connections": len(self.caller_connections),
             "requests_running": len(self.busy_connections),
--- a/src/cactusmill/serving/heartbeat_checks.py
+++ b/src/cactusmill/serving/heartbeat_checks.py
@@ -45,6 +45,8 @@
         return "work"
     if not _are_rooms(beat.forwards or ()):
         return "forwards"
+    if not all(map(_is_pace, beat.paces or ())):
+        return "paces"
     if not all(map(_is_summary, beat.regions or ())):
         return "regions"
     if not all(map(_is_reopening, beat.reopened or ())):
@@ -82,6 +84,10 @@
     return all(r.tokens_per_s >= 0 and is_plain_text(r.serves) for r in rooms)
 
 
+def _is_pace(entry):
+    return entry.key is not None and _are_counts((entry.percent, entry.age_ms))
+
+
 def _is_summary(summary):
     return (
         is_plain_text(summary.region)
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -197,6 +197,8 @@
         Duration of a request that is not streamed, in seconds.
     slots : int
         Capacity published in the store.
+    load : str
+        Value of ``instance-load`` on its responses; empty for none.
     """
 
     name: str
@@ -211,6 +213,7 @@
     event_gap_s: float = 0.0
     work_s: float = 0.0
     slots: int = 8
+    load: str = ""
 
     def entry(self, **changes):
         """Return the endpoint's entry in the store, with some fields replaced."""
@@ -246,6 +249,10 @@
                 conn.h11.start_next_cycle()
         await trio.aclose_forcefully(stream)
 
+    def load_headers(self):
+        """Return the header that reports its load, or none."""
+        return [("instance-load", self.load)] if self.load else []
+
     def head(self, request, status=200, extra=()):
         """Return the head of the response to a request."""
         return h11.Response(
@@ -253,6 +260,7 @@
             headers=[
                 ("request-id", header(request.headers, b"request-id", "")),
                 ("response-signature", f"signed-by-{self.name}"),
+                *self.load_headers(),
                 *extra,
             ],
         )
@@ -318,6 +326,7 @@
         [
             ("request-id", header(request.headers, b"request-id")),
             ("not-executed", "1"),
+            *endpoint.load_headers(),
         ],
     )
     return True
