Admission control by rank: patient requests are admitted by a level

Cause: where requests of different rank and size compete for too little capacity, each is judged alone. Patient requests fill the queue up to their own longer limit, and large urgent ones are refused first.

Change: hosts count the prompt tokens asked for and refused by rank, report them in heartbeats of the region and compute from them the fraction of patient requests that they admit. Retry times of a ranked service are reserved by rank, the most urgent rank is free of the limit for heavy prompts, and that limit follows `gap_aim_ms` where it is above 0.4 s. Services without a patient route are decided as before.

--- a/src/cactusmill/platform/items.py
+++ b/src/cactusmill/platform/items.py
@@ -27,7 +27,6 @@
 EVACUATION_PREFIX = "op/evacuate/"
 ENDPOINT_PREFIX = "servers/"
 _MS_PER_S = 1000.0
-_STATES = ("ready", "draining")
 # It is sent in a header of each request.
 _ENDPOINT_NAME = re.compile(r"[!-~]+")
 _MAX_COUNT = 1_000_000
@@ -129,7 +128,7 @@
         address=address,
         serves=(fields.string("service"),),
         capacity=max(1, fields.integer("slots", high=_MAX_COUNT)),
-        live=fields.string("state", choices=_STATES) == "ready",
+        live=fields.string("state", choices=("ready", "draining")) == "ready",
         warmup_left_s=fields.number("cold_left_ms", 0) / _MS_PER_S,
         started_ms=fields.integer("born", 0),
         sequence=fields.integer("seq", 0),
@@ -178,6 +177,7 @@
         objective_s=fields.number("target_latency_ms", 2000, high=_MAX_MS) / _MS_PER_S,
         attempts=max(1, fields.integer("max_attempts", 1, high=_MAX_COUNT)),
         priority=_read_priority(fields, 0),
+        max_gap_s=fields.number("gap_aim_ms", 0, high=_MAX_MS) / _MS_PER_S,
     )
 
 
--- a/src/cactusmill/records.py
+++ b/src/cactusmill/records.py
@@ -142,6 +142,9 @@
         Latency objective for the response or a stream's first event, in seconds.
     priority : int
         Priority of the route's requests, 0 highest.
+    max_gap_s : float
+        Longest pause between two events of a stream that counts as on time, in
+        seconds; 0 if unknown.
     """
 
     name: str
@@ -164,6 +167,7 @@
     attempts: int = 2
     objective_s: float = 2.0
     priority: int = 0
+    max_gap_s: float = 0.0
 
 
 @attrs.frozen(kw_only=True)
--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -20,12 +20,13 @@
     EndpointFailed,
     NoEndpoint,
     Outcome,
+    Overloaded,
     Refusal,
     RequestSuspected,
 )
 from ..internal.containment.convictions import Verdict
 from ..internal.containment.evidence import Evidence
-from ..internal.request import is_permitted
+from ..internal.request import is_permitted, request_priority
 from ..internal.shedding import would_shed
 from .cross_region import run_in_other_region
 from .events import log_event
@@ -76,6 +77,8 @@
         account = host.forwards_account if is_forwarded else host.account
         sink = _lift_deadline(sink, scope, account)
         result = await _run_attempts(host, req, sink, progress, is_forwarded)
+        if isinstance(result, Overloaded):
+            _record_rank_refusal(host, req)
     if not scope.cancelled_caught:
         return result
     if progress.has_response_started:
@@ -106,6 +109,7 @@
 async def _run_attempts(host, req, sink, progress, is_forwarded):
     """Make attempts until one completes the response or none may follow."""
     await _wait_for_convictions(host, progress)
+    progress.is_admitted = _is_admitted_by_rank(host, req, progress)
 
     async def may_give_up(is_silent):
         return await _reserve_step(host, req, progress, is_forwarded, is_silent)
@@ -156,6 +160,33 @@
         await trio.sleep(_HOLD_POLL_S)
 
 
+def _is_admitted_by_rank(host, req, progress):
+    """Count a request in the demand of its rank; return whether that admits it.
+
+    Requests that may not run in this region do not compete for its capacity.
+    """
+    ranks, now = host.rank_levels_in_force(), host.now()
+    if req.service not in ranks.ranks or not is_permitted(
+        host.cfg.region, req.team, req.route
+    ):
+        return True
+    priority = request_priority(req)
+    ranks.record_asked(req.service, priority, req.prompt_tokens, now)
+    is_patient = req.route.name in host.catalog.configuration.patient_routes
+    # A stream that another host began has the identifier of its last event.
+    if not is_patient or progress.scanner.last_id:
+        return True
+    return ranks.admits(req.service, priority, host.rng.random(), now)
+
+
+def _record_rank_refusal(host, req):
+    """Count a request that was refused for lack of capacity."""
+    if is_permitted(host.cfg.region, req.team, req.route):
+        host.rank_levels_in_force().record_refused(
+            req.service, request_priority(req), req.prompt_tokens, host.now()
+        )
+
+
 def _held_back(host, progress):
     """Return what a request is refused for, or None; may begin a trial."""
     now = host.now()
@@ -249,6 +280,7 @@
     if progress.has_response_started:
         # A resumed stream has already met or missed its latency objective.
         objective_s = req.deadline - now
+    priority = request_priority(req)
     return decide(
         local=local,
         remote=remote,
@@ -256,9 +288,14 @@
         deadline_s=req.deadline - now,
         is_engine=service.is_engine,
         jitter=host.rng.random(),
-        retry_schedule=host.retry_schedule_for(req.service),
+        retry_schedule=host.retry_schedule_for(req.service, priority),
         endpoints_per_host=max(1.0, len(listed)) / host.count_region_hosts(now),
         now=now,
+        max_gap_s=req.route.max_gap_s,
+        is_most_urgent=host.rank_levels_in_force().is_most_urgent(
+            req.service, priority
+        ),
+        is_admitted=progress.is_admitted or progress.has_response_started,
     )
 
 
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -39,6 +39,7 @@
 from .positions import era_of, revision_of
 from .quota import Quotas, RateExcess
 from .retry_after import RetrySchedule
+from .scheduling.rank_levels import RankLevels
 from .source_sync import SourceHealth, sync_from_hosts, sync_from_source
 
 # A host that is shutting down accepts requests this long, and at most for this part of
@@ -150,6 +151,8 @@
         How long requests took lately.
     shed_average : ShedAverage
         Part of new requests that this host has refused lately.
+    rank_levels : RankLevels
+        Fractions of patient requests that are admitted.
     region_backoff_until : dict of (str, str) to float
         By region and service, the time until which nothing is forwarded there, in
         seconds. Past times have no effect.
@@ -182,6 +185,7 @@
     loop: LoopMonitor = attrs.field(init=False)
     shedder: Shedder = attrs.field(init=False)
     metrics: Metrics = attrs.field(factory=Metrics)
+    rank_levels: RankLevels = attrs.field(factory=RankLevels)
     buffers: BufferBudget = attrs.field(factory=BufferBudget)
     membership: Membership = attrs.field(init=False)
     placement: Placement = attrs.field(init=False)
@@ -351,8 +355,22 @@
         if req.team is not None:
             self.quotas.refund(req.team, req.cost_tokens, self.now())
 
-    def retry_schedule_for(self, service_name):
+    def rank_levels_in_force(self):
+        """Return the levels of patient requests, by the configuration in force."""
+        return self.rank_levels.follow(self.catalog.configuration)
+
+    def update_rank_levels(self, now):
+        """Update the levels of patient requests and log their changes."""
+        ranks = self.rank_levels_in_force()
+        ranks.update(now)
+        for fields in ranks.take_changes():
+            log_event("rank_level", **fields)
+
+    def retry_schedule_for(self, service_name, priority):
         """Return the schedule that assigns retry times when a service is overloaded."""
+        ranked = self.rank_levels_in_force().retry_schedule(service_name, priority)
+        if ranked is not None:
+            return ranked
         if service_name not in self._retry_schedules:
             self._retry_schedules[service_name] = RetrySchedule()
         return self._retry_schedules[service_name]
@@ -594,6 +612,7 @@
             "buffered_bytes": self.buffers.used_bytes,
             "event_loop_lag_seconds": self.loop.lag_s(now),
             "requests_shed": self.shedder.count,
+            **self.rank_levels_in_force().gauges(now),
             "task_failures": self.supervisor.failures.total(),
             **{
                 f"task_failures_{task}": count
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -6,6 +6,7 @@
 - the demand of each team, in tokens requested per second;
 - the sender's requests in flight at each endpoint and their prompt tokens;
 - the shortest predicted wait of each service in a region;
+- in a region, the demand of each rank and the level of its ranked services;
 - what crashes endpoints: reports of crashes, and what is held back for them;
 - zones whose evacuation ended recently, so that their endpoints may be cold.
 
@@ -33,6 +34,7 @@
     EndpointWork,
     Frame,
     MemberNote,
+    RankDemand,
     RegionSummary,
     ServiceWait,
     TeamDemand,
@@ -42,6 +44,7 @@
 from .heartbeat_checks import check_heartbeat
 from .heartbeats import MAX_REGION_RECEIVERS, REGION_HEARTBEAT_S
 from .membership import HostId, RegionTotals
+from .scheduling.rank_levels import RankReport
 
 # Interval of heartbeats to hosts of other regions. Traffic between regions is
 # expensive, and their waits change slowly.
@@ -122,6 +125,27 @@
     return [TeamDemand(key, min(_MAX_I32, demand)) for key, demand in largest]
 
 
+def _wire_ranks(reports):
+    """Return the reports of ranks in their wire form; None if there are none."""
+    return [
+        RankDemand(r.service, r.priority, r.asked, r.refused, r.admitted_permille)
+        for r in reports
+    ] or None
+
+
+def _read_ranks(ranks):
+    return [
+        RankReport(
+            service=r.serves,
+            priority=r.priority,
+            asked=r.asked_tokens_per_s,
+            refused=r.refused_tokens_per_s,
+            admitted_permille=r.admitted_permille,
+        )
+        for r in ranks
+    ]
+
+
 def _wire_summary(totals, now):
     waits = list(totals.waits.items())[:MAX_WAITS]
     return RegionSummary(
@@ -198,6 +222,7 @@
             now = self.host.now()
             self._log_responsiveness(now)
             for member in self.host.membership.remove_expired(now):
+                self.host.rank_levels.forget(member.id.name)
                 log_event(
                     "host_forgotten",
                     host=member.id.name,
@@ -228,6 +253,7 @@
                 self.host.quotas.snapshot_demands(now)
             self.host.shed_average.update(self.host.loop.lag_s(now), now)
             self.host.quotas.update_shares(self.host.membership, now)
+            self.host.update_rank_levels(now)
             heartbeat = self.build_heartbeat(
                 now, is_same_region=True, with_regions=is_snapshot_due
             )
@@ -342,7 +368,7 @@
         """
         host = self.host
         self._sequence += 1
-        demands = work = None
+        demands = work = ranks = None
         if is_same_region:
             demands = _wire_demands(host.quotas.reported_demands())
             local_load = list(host.placement.local_load().items())[:MAX_ENDPOINT_LOADS]
@@ -350,6 +376,7 @@
                 EndpointWork(key, in_flight, min(_MAX_I32, tokens))
                 for key, (in_flight, tokens) in local_load
             ]
+            ranks = _wire_ranks(host.rank_levels_in_force().reports(now))
             regions = host.membership.regions() if with_regions else []
         else:
             regions = [self._own_totals(now)]
@@ -379,6 +406,7 @@
             ][:MAX_REOPENINGS]
             or None,
             lag_ms=_to_ms(lag_s) if lag_s > MIN_LAG_S else None,
+            ranks=ranks,
             containment=build_news(
                 host.containment,
                 now < self._others_differ_until,
@@ -489,6 +517,8 @@
             return
         if is_new:
             log_event("host_met", host=sender.name, region=sender.region)
+            # A report of an earlier process of the host, if there is one.
+            host.rank_levels.forget(sender.name)
             self._new_member_ips.append(sender.ip)
         member.sequence = heartbeat.sequence
         member.reported_at = now
@@ -503,6 +533,10 @@
         if heartbeat.work is not None:
             work = {w.key: (w.in_flight, w.prompt_tokens) for w in heartbeat.work}
             host.membership.record_load(member, work, now)
+        if heartbeat.ranks is not None and sender.region == host.cfg.region:
+            host.rank_levels.apply_report(
+                sender.name, _read_ranks(heartbeat.ranks), now
+            )
         if heartbeat.source_age_ms is not None:
             member.source_responded_at = now - heartbeat.source_age_ms / 1000
         if heartbeat.source_failing and sender.region == host.cfg.region:
--- a/src/cactusmill/serving/heartbeat_checks.py
+++ b/src/cactusmill/serving/heartbeat_checks.py
@@ -12,6 +12,8 @@
 from ..fields import is_plain_text
 from .positions import MAX_POSITION
 
+_MAX_PERMILLE = 1000
+
 
 def check_heartbeat(beat):
     """Check the fields of a received heartbeat.
@@ -43,6 +45,8 @@
         return "demands"
     if not all(w.in_flight >= 0 <= w.prompt_tokens for w in beat.work or ()):
         return "work"
+    if not all(map(_is_rank, beat.ranks or ())):
+        return "ranks"
     if not all(map(_is_summary, beat.regions or ())):
         return "regions"
     if not all(map(_is_reopening, beat.reopened or ())):
@@ -76,6 +80,15 @@
     return all(d.key is not None and d.tokens_per_s >= 0 for d in demands)
 
 
+def _is_rank(entry):
+    return (
+        is_plain_text(entry.serves)
+        and entry.priority is not None
+        and _are_counts((entry.asked_tokens_per_s, entry.refused_tokens_per_s))
+        and 0 <= (entry.admitted_permille or 0) <= _MAX_PERMILLE
+    )
+
+
 def _is_summary(summary):
     return (
         is_plain_text(summary.region)
--- a/src/cactusmill/serving/overload.py
+++ b/src/cactusmill/serving/overload.py
@@ -21,6 +21,9 @@
 # With this time between events, streams of usual length still end in time. Endpoints
 # with slower streams accept fewer heavy prompts.
 EVENT_GAP_S = 0.15
+# The same as a fraction of the longest pause that counts as on time, where that gives
+# more: at 0.4 s both are equal.
+_EVENT_GAP_FRACTION = 0.375
 # Fraction of the time to the deadline that a response may take. Response lengths are
 # estimates (the median of the actual lengths).
 DEADLINE_FRACTION = 1.0
@@ -36,6 +39,8 @@
 # Random fraction that is added to a retry time, so that callers do not return
 # together.
 _RETRY_JITTER = 0.5
+# Least retry time of a request refused by its rank: the level does not change sooner.
+_MIN_RANK_RETRY_S = 0.6
 _NO_ENDPOINT_RETRY_S = 0.6
 # Largest random time added to the wait that a region reports.
 _CROSS_REGION_JITTER_S = 0.1
@@ -81,6 +86,9 @@
     retry_schedule,
     endpoints_per_host,
     now,
+    max_gap_s=0.0,
+    is_most_urgent=False,
+    is_admitted=True,
 ):
     """Decide what to do with a request now.
 
@@ -106,14 +114,27 @@
         second that this host may count on.
     now : float
         Current time, in seconds.
+    max_gap_s : float
+        Longest pause between events that counts as on time, in seconds; 0 if unknown.
+    is_most_urgent : bool
+        True for the most urgent rank of a ranked service, whose heavy prompts are
+        accepted also where streams are slow.
+    is_admitted : bool
+        False for a patient request beyond the level of its service (see
+        :mod:`.scheduling.rank_levels`), which is refused.
 
     Returns
     -------
     Send, ForwardTo or Refusal
     """
     ttft_limit_s = objective_s * OBJECTIVE_FRACTION
-    if local is not None and local.prefill_s > HEAVY_PREFILL_S:
-        ttft_limit_s *= min(1.0, EVENT_GAP_S / local.event_gap_s)
+    if local is not None and not is_admitted:
+        return _refuse_by_rank(
+            local, ttft_limit_s, jitter, retry_schedule, endpoints_per_host, now
+        )
+    is_heavy = local is not None and local.prefill_s > HEAVY_PREFILL_S
+    if is_heavy and not is_most_urgent:
+        ttft_limit_s *= min(1.0, _event_gap_limit_s(max_gap_s) / local.event_gap_s)
     is_on_time = local is not None and _is_on_time(local, ttft_limit_s, deadline_s)
     is_remote_better = _is_remote_better(
         local, remote, MIN_CROSS_REGION_GAIN_S if is_engine else 0.0
@@ -147,6 +168,26 @@
     )
 
 
+def _event_gap_limit_s(max_gap_s):
+    """Return the pause between events above which fewer heavy prompts are accepted."""
+    # Rounded, since 0.375 * 0.4 is more than 0.15 in floating point.
+    return max(EVENT_GAP_S, round(_EVENT_GAP_FRACTION * max_gap_s, 6))
+
+
+def _refuse_by_rank(
+    local, ttft_limit_s, jitter, retry_schedule, endpoints_per_host, now
+):
+    """Refuse a patient request; the parameters are those of :func:`decide`."""
+    excess_s = max(_MIN_RETRY_S, local.ttft_s - ttft_limit_s / 2)
+    wait_s = retry_schedule.reserve(local.prefill_s, excess_s, endpoints_per_host, now)
+    wait_s = max(_MIN_RANK_RETRY_S, wait_s)
+    return Overloaded(
+        detail="more urgent requests of the service are refused; this one may wait",
+        outcome=Outcome.NOT_RUN,
+        retry_after_s=min(_MAX_RETRY_S, wait_s * (1 + _RETRY_JITTER * jitter)),
+    )
+
+
 def _is_remote_better(local, remote, min_gain_s):
     """Return whether another region would respond sooner by more than the gain.
 
--- a/src/cactusmill/serving/progress.py
+++ b/src/cactusmill/serving/progress.py
@@ -66,6 +66,8 @@
     is_trial : bool
         True if something in it is held back, and it is sent to learn whether it still
         crashes endpoints.
+    is_admitted : bool
+        False if it is beyond the level of its service's patient requests.
     silence : (str, str) or None
         Silent endpoint or host that was logged last, and what followed.
     partial_event_bytes : int
@@ -96,6 +98,7 @@
     partial_event_bytes: int = 0
     reserved_step: object = None
     is_trial: bool = False
+    is_admitted: bool = True
     silence: tuple | None = None
 
     def body_fields(self):
--- a/src/cactusmill/serving/retry_after.py
+++ b/src/cactusmill/serving/retry_after.py
@@ -53,3 +53,64 @@
         if wait_s < _MAX_RESERVED_S:
             self.reserved += work
         return wait_s
+
+
+@attrs.define
+class RankedRetries:
+    """Capacity reserved for the retries of refused callers, by rank.
+
+    A retry waits for the reserved work of its own and all more urgent ranks, so that
+    the capacity for a refused urgent request is not promised to a patient one.
+
+    Attributes
+    ----------
+    reserved : dict of int to float
+        Reserved work that has not been processed, by priority, as of `updated_at`.
+    updated_at : float
+        Time of the last update, in seconds.
+    """
+
+    reserved: dict = attrs.field(factory=dict)
+    updated_at: float = 0.0
+
+    def for_priority(self, priority):
+        """Return the schedule of one priority, used as a :class:`RetrySchedule`."""
+        return _RankSchedule(self, priority)
+
+    def reserve(self, priority, work, shortfall, work_per_s, now):
+        """Reserve capacity for a refused caller's retry.
+
+        Parameters
+        ----------
+        priority : int
+            Priority of its request, 0 highest.
+        work, shortfall, work_per_s, now : float
+            As in :meth:`RetrySchedule.reserve`.
+
+        Returns
+        -------
+        float
+            Time until the retry, in seconds.
+        """
+        processed = (now - self.updated_at) * work_per_s
+        self.updated_at = now
+        # The most urgent work is processed first.
+        for rank in sorted(self.reserved):
+            done = min(self.reserved[rank], processed)
+            processed -= done
+            self.reserved[rank] -= done
+        ahead = sum(w for rank, w in self.reserved.items() if rank <= priority)
+        wait_s = (shortfall + ahead) / work_per_s
+        if wait_s < _MAX_RESERVED_S:
+            self.reserved[priority] = self.reserved.get(priority, 0.0) + work
+        return wait_s
+
+
+@attrs.frozen
+class _RankSchedule:
+    retries: RankedRetries
+    priority: int
+
+    def reserve(self, work, shortfall, work_per_s, now):
+        """Reserve capacity, as :meth:`RankedRetries.reserve`."""
+        return self.retries.reserve(self.priority, work, shortfall, work_per_s, now)
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -101,3 +101,13 @@
 def test_item_without_key_raises():
     with pytest.raises(RecordError):
         change_from_item({"value": "x"}, ZONES)
+
+
+def test_longest_pause_of_a_stream_is_read_and_may_be_missing():
+    published = configuration()
+    published["routes"][0]["gap_aim_ms"] = 600
+    change = change_from_item(item("op/config", published), ZONES)
+    assert [route.max_gap_s for route in change.configuration.routes[:2]] == [0.6, 0.0]
+    published["routes"][0]["gap_aim_ms"] = -1
+    change = change_from_item(item("op/config", published), ZONES)
+    assert isinstance(change, UnreadableItem) and "gap_aim_ms" in change.problem
--- a/tests/serving/test_odd_heartbeats.py
+++ b/tests/serving/test_odd_heartbeats.py
@@ -23,6 +23,7 @@
     EndpointWork,
     Frame,
     MemberNote,
+    RankDemand,
     RegionSummary,
     ServiceWait,
     TeamDemand,
@@ -68,6 +69,7 @@
             clearances=[Clearance(5, 10)],
             convictions=[ConvictionEntry(6, 1, True, 10, 20, 1, 2, [3])],
         ),
+        ranks=[RankDemand("engines", 2, 100, 50, 800)],
     )
 
 
@@ -101,6 +103,7 @@
     host.membership.oldest_last_seen()
     host.membership.estimate_hosts(3)
     host.hosts_for_callers("api.example", "east", now)
+    host.update_rank_levels(now)
     host.containment.review(now)
     host.containment.interruptions.expire(now)
     host.membership.remove_expired(now)
@@ -144,6 +147,12 @@
         ("regions", "hosts", 0),
         ("regions", "hosts", -7),
         ("regions", "demands", None),
+        ("ranks", "serves", None),
+        ("ranks", "priority", None),
+        ("ranks", "asked_tokens_per_s", -1),
+        ("ranks", "refused_tokens_per_s", None),
+        ("ranks", "admitted_permille", 1001),
+        ("ranks", "admitted_permille", -1),
     ],
 )
 def test_heartbeat_with_an_invalid_field_is_ignored(place, name, value):
--- a/tests/serving/test_overload.py
+++ b/tests/serving/test_overload.py
@@ -3,8 +3,10 @@
 import random
 
 import attrs
+import pytest
 
 from cactusmill.errors import NoEndpoint, Outcome, Overloaded
+from cactusmill.serving import overload
 from cactusmill.serving.membership import Member, RegionTotals
 from cactusmill.serving.overload import ForwardTo, Send, choose_remote_host, decide
 from cactusmill.serving.retry_after import RetrySchedule
@@ -42,7 +44,9 @@
 WAITS = [totals("west", 0.3), totals("north", 0.0)]
 
 
-def step(local=None, remote=None, objective_s=0.8, deadline_s=5.0, is_engine=True):
+def step(
+    local=None, remote=None, objective_s=0.8, deadline_s=5.0, is_engine=True, **ranked
+):
     return decide(
         local=local,
         remote=remote,
@@ -53,6 +57,7 @@
         retry_schedule=RetrySchedule(),
         endpoints_per_host=2.0,
         now=10.0,
+        **ranked,
     )
 
 
@@ -91,6 +96,53 @@
     assert isinstance(step(LocalChoice(0.5, event_gap_s=0.1)), Send)
 
 
+@pytest.mark.parametrize(
+    ("max_gap_s", "event_gap_s", "is_sent"),
+    [
+        (0.0, 0.15, True),
+        (0.0, 0.151, False),
+        (0.3, 0.15, True),
+        (0.3, 0.151, False),
+        (0.4, 0.15, True),
+        (0.4, 0.151, False),
+        (0.6, 0.225, True),
+        (0.6, 0.226, False),
+    ],
+)
+def test_slow_streams_are_those_near_the_longest_pause_on_time(
+    max_gap_s, event_gap_s, is_sent
+):
+    """Guards against a change where pauses of 0.3 and 0.4 s count as on time."""
+    local = LocalChoice(0.68, event_gap_s=event_gap_s)
+    assert isinstance(step(local, max_gap_s=max_gap_s), Send) is is_sent
+
+
+@pytest.mark.parametrize("max_gap_s", [0.0, 0.3, 0.4])
+def test_pause_limit_stays_exactly_as_it_was(max_gap_s):
+    assert overload._event_gap_limit_s(max_gap_s) == overload.EVENT_GAP_S == 0.15
+
+
+def test_most_urgent_prompts_are_sent_also_where_streams_are_slow():
+    """Guards against the refusal of large urgent prompts before small patient ones."""
+    slow = LocalChoice(0.5, event_gap_s=0.3)
+    assert isinstance(step(slow, is_most_urgent=True), Send)
+    assert isinstance(step(slow), Overloaded)
+    assert isinstance(step(LocalChoice(0.9), is_most_urgent=True), Overloaded)
+
+
+def test_request_beyond_the_level_is_refused_at_once():
+    """Also if this or another region would begin in time."""
+    refusal = step(LocalChoice(0.1), REMOTE, is_admitted=False)
+    assert isinstance(refusal, Overloaded)
+    assert refusal.outcome is Outcome.NOT_RUN
+    assert 0.6 <= refusal.retry_after_s <= 4.0
+
+
+def test_level_does_not_refuse_where_there_are_no_endpoints():
+    assert isinstance(step(None, REMOTE, is_admitted=False), ForwardTo)
+    assert isinstance(step(None, None, is_admitted=False), NoEndpoint)
+
+
 def test_plain_services_shed_load_themselves():
     assert isinstance(step(LocalChoice(0.9), is_engine=False), Send)
     assert isinstance(step(LocalChoice(0.9), (REMOTE[0], 0.9), is_engine=False), Send)
