--- a/benchmarks/goodput.py
+++ b/benchmarks/goodput.py
@@ -17,16 +17,18 @@
 
 import attrs
 
+from cactusmill.errors import Overloaded
 from cactusmill.internal.request import Request
 from cactusmill.records import Endpoint, Route, Service
 from cactusmill.serving import overload
-from cactusmill.serving.catalog import Catalog, EndpointChange
+from cactusmill.serving.catalog import Catalog, Configuration, EndpointChange
 from cactusmill.serving.gossip import MAX_REMOTE_RECEIVERS
 from cactusmill.serving.heartbeats import MAX_REGION_RECEIVERS, REGION_HEARTBEAT_S
 from cactusmill.serving.membership import HostId, Membership, RegionTotals
 from cactusmill.serving.overload import ForwardTo, Send, choose_remote_host, decide
 from cactusmill.serving.placement import Placement
 from cactusmill.serving.retry_after import RetrySchedule
+from cactusmill.serving.scheduling.rank_levels import RankLevels
 from standins.engine_model import Engine, EngineRequest, EngineSpec
 
 DURATION_S = 40.0
@@ -248,6 +250,7 @@
     catalog: Catalog
     retry_schedule: RetrySchedule
     region_backoff_until: dict
+    rank_levels: RankLevels = attrs.field(factory=RankLevels)
 
 
 @attrs.define(eq=False)
@@ -282,6 +285,7 @@
     hosts_by_name: dict = attrs.field(factory=dict)
     service: object = None
     routes: dict = attrs.field(factory=dict)
+    configuration: object = None
     requests: list = attrs.field(factory=list)
     events: list = attrs.field(factory=list)
     _count: object = attrs.field(factory=itertools.count)
@@ -308,11 +312,23 @@
                 name=kind.name,
                 prefix="/",
                 kind="model",
+                service="engines",
                 is_stream=True,
                 priority=kind.priority,
+                objective_s=self.deployment.ttft_objective_s,
             )
             for kind in self.deployment.kinds
         }
+        self.configuration = Configuration(
+            version=1,
+            routes=tuple(self.routes.values()),
+            teams={},
+            team_by_key={},
+            services={"engines": self.service},
+            limits=None,
+        )
+        for host in self.hosts:
+            host.rank_levels.follow(self.configuration)
 
     def _build_host(self, name, region):
         catalog = Catalog()
@@ -447,6 +463,9 @@
 
     def _decide(self, sim_req, host, is_forwarded):
         now, req = self.now, self._build_request(sim_req)
+        ranks, rank = host.rank_levels, ("engines", sim_req.kind.priority)
+        ranks.record_asked(*rank, req.prompt_tokens, now)
+        is_patient = req.route.name in self.configuration.patient_routes
         candidates = host.placement.eligible_endpoints(host.catalog, "engines", now)
         local = host.placement.choose(
             req, self.service, candidates, host.membership, now
@@ -473,9 +492,12 @@
             deadline_s=sim_req.arrived_at + sim_req.kind.deadline_s - now,
             is_engine=True,
             jitter=self.rng.random(),
-            retry_schedule=host.retry_schedule,
+            retry_schedule=ranks.retry_schedule(*rank) or host.retry_schedule,
             endpoints_per_host=len(candidates) / self.deployment.hosts_per_region,
             now=now,
+            max_gap_s=req.route.max_gap_s,
+            is_most_urgent=ranks.is_most_urgent(*rank),
+            is_admitted=not is_patient or ranks.admits(*rank, self.rng.random(), now),
         )
         if isinstance(decision, Send):
             self._send(sim_req, self.engines[local.endpoint.name], host, local)
@@ -485,6 +507,8 @@
                 now + CROSS_REGION_DELAY_S, self._decide, sim_req, target, True
             )
         else:
+            if isinstance(decision, Overloaded):
+                ranks.record_refused(*rank, req.prompt_tokens, now)
             self._schedule_retry(sim_req, decision.retry_after_s, host.region)
 
     def _send(self, sim_req, engine, host, choice):
@@ -556,11 +580,15 @@
         for hosts in self.hosts_of.values():
             for number, sender in enumerate(hosts):
                 load = dict(sender.placement.local_load())
+                sender.rank_levels.update(self.now)
+                ranks = sender.rank_levels.reports(self.now)
                 for receiver in _receivers(hosts, number, round_number):
                     member = receiver.membership.record_host(
                         sender.membership.own_id, False, 0.0, self.now
                     )
                     receiver.membership.record_load(member, load, self.now)
+                    if ranks:
+                        receiver.rank_levels.apply_report(sender.name, ranks, self.now)
             # One host at random, so that a round costs the same at any size.
             if round_number % cross_region_rounds == 0:
                 self._report_region(self.rng.choice(hosts))
