--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -8,6 +8,7 @@
 - paces of the endpoints' machines that changed lately;
 - the shortest predicted wait of each service in a region;
 - the room of regions for requests of others, and what is wanted to be forwarded;
+- in a region, the demand of each rank and the level of its ranked services;
 - what crashes endpoints: reports of crashes, and what is held back for them;
 - zones whose evacuation ended recently, so that their endpoints may be cold.
 
@@ -36,6 +37,7 @@
     EndpointWork,
     Frame,
     MemberNote,
+    RankDemand,
     RegionSummary,
     ServiceRoom,
     ServiceWait,
@@ -47,6 +49,7 @@
 from .heartbeats import MAX_REGION_RECEIVERS, REGION_HEARTBEAT_S
 from .membership import HostId, RegionTotals
 from .room_sharing import compute_rooms, region_wants, update_allowances
+from .scheduling.rank_levels import RankReport
 
 # Interval of heartbeats to hosts of other regions. Traffic between regions is
 # expensive, and their waits change slowly.
@@ -143,6 +146,27 @@
     return {room.serves: room.tokens_per_s for room in rooms or ()}
 
 
+def _wire_ranks(reports):
+    """Return the reports of ranks in their wire form; None if there are none."""
+    return [
+        RankDemand(r.service, r.priority, r.asked, r.refused, r.admitted_permille)
+        for r in reports
+    ] or None
+
+
+def _read_ranks(ranks):
+    return [
+        RankReport(
+            service=r.serves,
+            priority=r.priority,
+            asked=r.asked_tokens_per_s,
+            refused=r.refused_tokens_per_s,
+            admitted_permille=r.admitted_permille,
+        )
+        for r in ranks
+    ]
+
+
 def _wire_summary(totals, now):
     waits = list(totals.waits.items())[:MAX_WAITS]
     return RegionSummary(
@@ -223,6 +247,7 @@
             now = self.host.now()
             self._log_responsiveness(now)
             for member in self.host.membership.remove_expired(now):
+                self.host.rank_levels.forget(member.id.name)
                 log_event(
                     "host_forgotten",
                     host=member.id.name,
@@ -254,6 +279,7 @@
             self.host.shed_average.update(self.host.loop.lag_s(now), now)
             self.host.quotas.update_shares(self.host.membership, now)
             update_allowances(self.host, now)
+            self.host.update_rank_levels(now)
             heartbeat = self.build_heartbeat(
                 now, is_same_region=True, with_regions=is_snapshot_due
             )
@@ -368,7 +394,7 @@
         """
         host = self.host
         self._sequence += 1
-        demands = work = forwards = paces = None
+        demands = work = forwards = paces = ranks = None
         if is_same_region:
             demands = _wire_demands(host.quotas.reported_demands())
             local_load = list(host.placement.local_load().items())[:MAX_ENDPOINT_LOADS]
@@ -380,6 +406,7 @@
                 EndpointPace(key, percent, _to_ms(age_s))
                 for key, percent, age_s in host.placement.machine_pace.reports(now)
             ] or None
+            ranks = _wire_ranks(host.rank_levels_in_force().reports(now))
             regions = host.membership.regions() if with_regions else []
             services = host.divided_services(now)
             forwards = _wire_rooms(host.allowances.wanted(services, now))
@@ -413,6 +440,7 @@
             ][:MAX_REOPENINGS]
             or None,
             lag_ms=_to_ms(lag_s) if lag_s > MIN_LAG_S else None,
+            ranks=ranks,
             containment=build_news(
                 host.containment,
                 now < self._others_differ_until,
@@ -525,6 +553,8 @@
             return
         if is_new:
             log_event("host_met", host=sender.name, region=sender.region)
+            # A report of an earlier process of the host, if there is one.
+            host.rank_levels.forget(sender.name)
             self._new_member_ips.append(sender.ip)
         member.sequence = heartbeat.sequence
         member.reported_at = now
@@ -545,6 +575,10 @@
         if heartbeat.paces and sender.region == host.cfg.region:
             paces = [(p.key, p.percent, p.age_ms / 1000) for p in heartbeat.paces]
             host.placement.machine_pace.apply_reports(paces, now)
+        if heartbeat.ranks is not None and sender.region == host.cfg.region:
+            host.rank_levels.apply_report(
+                sender.name, _read_ranks(heartbeat.ranks), now
+            )
         if heartbeat.source_age_ms is not None:
             member.source_responded_at = now - heartbeat.source_age_ms / 1000
         if heartbeat.source_failing and sender.region == host.cfg.region:
--- a/src/cactusmill/serving/heartbeat_checks.py
+++ b/src/cactusmill/serving/heartbeat_checks.py
@@ -12,6 +12,8 @@
 from ..fields import is_plain_text
 from .positions import MAX_POSITION
 
+_MAX_PERMILLE = 1000
+
 
 def check_heartbeat(beat):
     """Check the fields of a received heartbeat.
@@ -47,6 +49,8 @@
         return "forwards"
     if not all(map(_is_pace, beat.paces or ())):
         return "paces"
+    if not all(map(_is_rank, beat.ranks or ())):
+        return "ranks"
     if not all(map(_is_summary, beat.regions or ())):
         return "regions"
     if not all(map(_is_reopening, beat.reopened or ())):
@@ -88,6 +92,15 @@
     return entry.key is not None and _are_counts((entry.percent, entry.age_ms))
 
 
+def _is_rank(entry):
+    return (
+        is_plain_text(entry.serves)
+        and entry.priority is not None
+        and _are_counts((entry.asked_tokens_per_s, entry.refused_tokens_per_s))
+        and 0 <= (entry.admitted_permille or 0) <= _MAX_PERMILLE
+    )
+
+
 def _is_summary(summary):
     return (
         is_plain_text(summary.region)
