Engine capacity: patient tokens and KV cache held, in predictions and heartbeats

Cause: the predicted wait of an urgent request counted the prompts of patient requests, which engines prefill after it, and the memory that requests hold at an engine was not known. Change: hosts count both per engine of a ranked service and report them in the optional fields of EndpointWork. Urgent requests leave out patient tokens, and engines without free memory take no patient request.

--- a/src/cactusmill/serving/dispatch.py
+++ b/src/cactusmill/serving/dispatch.py
@@ -31,6 +31,7 @@
 from .events import log_event
 from .overload import ForwardTo, Send, choose_remote_host, decide
 from .progress import deadline_exceeded, may_repeat, suspected
+from .scheduling.engine_room import find_need
 from .sending import send_to_endpoint
 
 # Fraction of the latency objective for which a request waits while no endpoint may
@@ -239,7 +240,13 @@
         )
         listed = host.with_connection_room(listed, service, now)
         local = host.placement.choose(
-            req, service, listed, host.membership, now, progress.tried.union(silent)
+            req,
+            service,
+            listed,
+            host.membership,
+            now,
+            progress.tried.union(silent),
+            find_need(req, service, host.catalog.configuration),
         )
     remote = None
     # The other host would refuse a trial: this one makes it.
--- a/src/cactusmill/serving/endpoint_view.py
+++ b/src/cactusmill/serving/endpoint_view.py
@@ -10,6 +10,7 @@
 
 from ..internal.endpoints import load_key
 from .budgets import WarmupPacer
+from .scheduling.engine_room import EngineRoom
 
 # Weight of a new sample in the moving averages of the bias and of the failure rate.
 _SMOOTHING = 0.15
@@ -53,6 +54,8 @@
         Revision of the entry at whose address another endpoint responded; -1 if none.
     pacer : WarmupPacer
         Limits this host's requests while the endpoint warms up.
+    room : EngineRoom
+        What this host's requests take of an engine of a ranked service.
     """
 
     name: str
@@ -62,6 +65,7 @@
     backoff_until: float = 0.0
     misdirected_revision: int = -1
     pacer: WarmupPacer = attrs.field(factory=WarmupPacer)
+    room: EngineRoom = attrs.field(factory=EngineRoom)
     _failures: int = 0
     _failure_rate: float = 0.0
     _failure_rate_at: float = 0.0
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -4,7 +4,8 @@
 state that hosts share:
 
 - the demand of each team, in tokens requested per second;
-- the sender's requests in flight at each endpoint and their prompt tokens;
+- the sender's requests in flight at each endpoint and their prompt tokens, and for
+  engines of ranked services those of patient requests and the KV cache held;
 - the shortest predicted wait of each service in a region;
 - what crashes endpoints: reports of crashes, and what is held back for them;
 - zones whose evacuation ended recently, so that their endpoints may be cold.
@@ -347,8 +348,14 @@
             demands = _wire_demands(host.quotas.reported_demands())
             local_load = list(host.placement.local_load().items())[:MAX_ENDPOINT_LOADS]
             work = [
-                EndpointWork(key, in_flight, min(_MAX_I32, tokens))
-                for key, (in_flight, tokens) in local_load
+                EndpointWork(
+                    key,
+                    in_flight,
+                    min(_MAX_I32, tokens),
+                    min(_MAX_I32, patient) or None,
+                    min(_MAX_I32, held) or None,
+                )
+                for key, (in_flight, tokens, patient, held) in local_load
             ]
             regions = host.membership.regions() if with_regions else []
         else:
@@ -501,7 +508,15 @@
         if heartbeat.demands is not None:
             member.demands = {d.key: d.tokens_per_s for d in heartbeat.demands}
         if heartbeat.work is not None:
-            work = {w.key: (w.in_flight, w.prompt_tokens) for w in heartbeat.work}
+            work = {
+                w.key: (
+                    w.in_flight,
+                    w.prompt_tokens,
+                    w.patient_tokens or 0,
+                    w.held_tokens or 0,
+                )
+                for w in heartbeat.work
+            }
             host.membership.record_load(member, work, now)
         if heartbeat.source_age_ms is not None:
             member.source_responded_at = now - heartbeat.source_age_ms / 1000
--- a/src/cactusmill/serving/heartbeat_checks.py
+++ b/src/cactusmill/serving/heartbeat_checks.py
@@ -41,7 +41,7 @@
         return "source_age_ms"
     if not _are_demands(beat.demands or ()):
         return "demands"
-    if not all(w.in_flight >= 0 <= w.prompt_tokens for w in beat.work or ()):
+    if not all(map(_is_work, beat.work or ())):
         return "work"
     if not all(map(_is_summary, beat.regions or ())):
         return "regions"
@@ -76,6 +76,14 @@
     return all(d.key is not None and d.tokens_per_s >= 0 for d in demands)
 
 
+def _is_work(work):
+    return (
+        work.in_flight >= 0
+        and 0 <= (work.patient_tokens or 0) <= work.prompt_tokens
+        and (work.held_tokens or 0) >= 0
+    )
+
+
 def _is_summary(summary):
     return (
         is_plain_text(summary.region)
--- a/src/cactusmill/serving/membership.py
+++ b/src/cactusmill/serving/membership.py
@@ -235,8 +235,8 @@
         ----------
         member : Member
             The member, a host of the local region.
-        work : dict of int to (int, int)
-            Its requests in flight and their uncached prompt tokens, by endpoint key.
+        work : dict of int to tuple of int
+            Its load by endpoint key, as in :meth:`.RegionLoad.record`.
         now : float
             Current time, in seconds.
         """
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -29,6 +29,12 @@
 from .endpoint_notices import EndpointNotices
 from .endpoint_view import DEFAULT_EVENT_GAP_S, EndpointView
 from .heartbeats import REGION_HEARTBEAT_S, count_rounds
+from .scheduling.engine_room import (
+    EngineRoom,
+    has_memory,
+    max_held_tokens,
+    tokens_ahead,
+)
 from .service_pace import ServicePace
 
 # Prefill rate of an engine at the start. The measured pace of the service and the bias
@@ -115,6 +121,8 @@
         the cost of a failure), as an equivalent wait in seconds.
     priority : int
         Priority of the request at the endpoint.
+    need : EngineNeed or None
+        What the request needs of an engine; None if the service is not ranked.
     """
 
     endpoint: object
@@ -131,6 +139,7 @@
     entry: object = None
     failure_cost_s: float = 0.0
     priority: int = 0
+    need: object = None
 
     def record_sent(self, now):
         """Count a request that is sent to the endpoint towards its warm-up rate."""
@@ -210,14 +219,17 @@
             entry.refused_at = now
 
     def update_endpoint(self, endpoint):
-        """Clear the cached segments of an endpoint whose entry has a new start time.
+        """Clear what is assumed in the memory of an endpoint with a new start time.
 
-        A restarted endpoint has an empty prefix cache.
+        A restarted endpoint has an empty prefix cache and runs none of the requests
+        that were sent before.
         """
         started = self._endpoint_started_ms.get(endpoint.name)
         self._endpoint_started_ms[endpoint.name] = endpoint.started_ms
         if started is not None and started != endpoint.started_ms:
-            self.view(endpoint.name).clear_segments()
+            view = self.view(endpoint.name)
+            view.clear_segments()
+            view.room = EngineRoom()
 
     def count_unreachable(self, now):
         """Return the number of endpoints in backoff after a failed connection."""
@@ -228,12 +240,19 @@
 
         Returns
         -------
-        dict of int to (int, int)
+        dict of int to (int, int, int, int)
             Requests in flight, and the uncached prompt tokens of those whose
-            response has not begun, by `load_key` of the endpoint.
+            response has not begun, by `load_key` of the endpoint; then the part of
+            these tokens that is of patient requests, and the tokens of KV cache that
+            the requests hold, both 0 if the service is not ranked.
         """
         return {
-            v.load_key: (v.in_flight, v.prompt_tokens)
+            v.load_key: (
+                v.in_flight,
+                v.prompt_tokens,
+                v.room.patient_tokens,
+                v.room.held_tokens,
+            )
             for v in self._views.values()
             if v.in_flight
         }
@@ -323,7 +342,7 @@
             found.append(listed)
         return found
 
-    def choose(self, req, service, listed, membership, now, tried=()):
+    def choose(self, req, service, listed, membership, now, tried=(), need=None):
         """Choose the endpoint with the lowest predicted cost among the candidates.
 
         The cost is a time in seconds: the time to first token, plus weighted costs
@@ -344,6 +363,8 @@
             Current time, in seconds.
         tried : collection of str
             Names of endpoints to skip, which an earlier attempt tried.
+        need : EngineNeed or None
+            What the request needs of an engine; None if the service is not ranked.
 
         Returns
         -------
@@ -370,8 +391,17 @@
                 not sharing_hosts or not view.pacer.may_send(now)
             ):
                 continue
+            room = None if need is None else self._room_at(view, membership, now)
             choice = self._predict(
-                req, service, endpoint, view, load, endpoint.name == preferred, now
+                req,
+                service,
+                endpoint,
+                view,
+                load,
+                endpoint.name == preferred,
+                now,
+                need,
+                room,
             )
             score = (
                 choice.ttft_s
@@ -490,6 +520,20 @@
         in_flight, tokens = load(view.load_key)
         return in_flight + view.in_flight, tokens + view.prompt_tokens
 
+    def _room_at(self, view, membership, now):
+        """Return what the requests of all hosts take of an engine, in tokens.
+
+        Returns
+        -------
+        patient_tokens : float
+            Uncached prompt tokens of patient requests whose response has not begun.
+        held_tokens : float
+            KV cache held by all requests in flight.
+        """
+        hosts = len(membership.serving(now, self.region))
+        patient, held = membership.load.room_at(view.load_key, hosts)
+        return patient + view.room.patient_tokens, held + view.room.held_tokens
+
     def _pace(self, service, priority=None):
         """Return the pace of a service for requests of a priority, or for all.
 
@@ -497,9 +541,30 @@
         """
         return self._paces.setdefault((service.name, priority), ServicePace())
 
-    def _predict(self, req, service, endpoint, view, load, is_preferred, now):
-        """Return the predictions for a request at an endpoint, as a `Choice`."""
+    def _predict(
+        self,
+        req,
+        service,
+        endpoint,
+        view,
+        load,
+        is_preferred,
+        now,
+        need=None,
+        room=None,
+    ):
+        """Return the predictions for a request at an endpoint, as a `Choice`.
+
+        `need` and `room` are what the request needs of an engine and what others take
+        of it, as returned by :meth:`_room_at`; None if the service is not ranked.
+        """
         in_flight, queued = self._load_at(view, load)
+        is_full = service.is_engine and in_flight >= endpoint.capacity
+        lacks_memory = False
+        if need is not None:
+            patient, held = room
+            queued = tokens_ahead(need, queued, patient)
+            lacks_memory = not has_memory(need, held)
         if service.is_engine:
             uncached = uncached_tokens(req, view, is_preferred)
             events = req.output_tokens / service.tokens_per_event
@@ -515,8 +580,11 @@
         if service.is_engine:
             pace = self._pace(service, priority).ratio(now)
         ttft_s = uncorrected_s * pace * view.bias(now)
-        if in_flight >= endpoint.capacity and service.is_engine:
+        if is_full or lacks_memory:
             ttft_s += _FULL_BATCH_COST_S
+        if lacks_memory and need.is_patient:
+            # Later than any limit, so that it goes elsewhere or is refused.
+            ttft_s = max(ttft_s, req.deadline - now)
         return Choice(
             endpoint=endpoint,
             view=view,
@@ -529,6 +597,7 @@
             stream_delay_s=stream_delay_s,
             failure_cost_s=_FAILURE_COST_S * view.failure_rate(now),
             priority=priority,
+            need=need,
         )
 
     def record_response_start(self, choice, service, took_s, now):
@@ -570,6 +639,32 @@
         unqueued_s = self._response_s.get(service.name, DEFAULT_RESPONSE_S)
         return unqueued_s * (1.0 + waiting / endpoint.capacity)
 
+    def count_room(self):
+        """Return the KV cache that this host's requests take of all engines.
+
+        Returns
+        -------
+        held_tokens : int
+            Of requests whose response has begun.
+        promised_tokens : int
+            Of requests whose response has not begun.
+        """
+        promised = sum(v.room.promised_tokens for v in self._views.values())
+        held = sum(v.room.held_tokens for v in self._views.values())
+        return held - promised, promised
+
+    def count_full(self, catalog, service, membership, now):
+        """Return how many engines of a ranked service have no memory left.
+
+        Parameters are those of :meth:`shortest_wait_s`.
+        """
+        membership.load.remove_older(now - _LOAD_REPORT_VALID_S)
+        most = max_held_tokens(service)
+        return sum(
+            self._room_at(self.view(entry.endpoint.name), membership, now)[1] >= most
+            for entry in self.eligible_endpoints(catalog, service.name, now)
+        )
+
     def shortest_wait_s(self, catalog, service, membership, now):
         """Return the shortest wait for a new request in this region.
 
--- a/src/cactusmill/serving/region_load.py
+++ b/src/cactusmill/serving/region_load.py
@@ -11,6 +11,7 @@
 import attrs
 
 _NO_LOAD = (0, 0)
+_NO_ROOM = (0, 0)
 
 
 @attrs.define(eq=False)
@@ -19,6 +20,7 @@
 
     _reports: dict = attrs.field(factory=dict)
     _totals: dict = attrs.field(factory=dict)
+    _rooms: dict = attrs.field(factory=dict)
 
     def record(self, host_name, work, now):
         """Replace a host's report.
@@ -27,9 +29,11 @@
         ----------
         host_name : str
             The host.
-        work : dict of int to (int, int)
+        work : dict of int to tuple of int
             Its requests in flight and their uncached prompt tokens, by `load_key` of
-            the endpoint.
+            the endpoint. For engines of ranked services two more numbers follow: the
+            part of the prompt tokens that is of patient requests, and the tokens of
+            KV cache that the requests hold.
         now : float
             Current time, in seconds.
         """
@@ -68,17 +72,40 @@
         in_flight : float
         tokens : float
         """
-        in_flight, tokens = self._totals.get(key, _NO_LOAD)
+        return self._scale(self._totals.get(key, _NO_LOAD), hosts)
+
+    def room_at(self, key, hosts=None):
+        """Return what requests of ranked services take of an engine.
+
+        Parameters are those of :meth:`at`.
+
+        Returns
+        -------
+        patient_tokens : float
+            Uncached prompt tokens of patient requests whose response has not begun.
+        held_tokens : float
+            Tokens of KV cache that all requests in flight hold.
+        """
+        return self._scale(self._rooms.get(key, _NO_ROOM), hosts)
+
+    def _scale(self, pair, hosts):
         if hosts is None or hosts <= len(self._reports):
-            return in_flight, tokens
+            return pair
         scale = hosts / max(1, len(self._reports))
-        return in_flight * scale, tokens * scale
+        return pair[0] * scale, pair[1] * scale
 
     def _add(self, work, sign):
-        for key, (in_flight, tokens) in work.items():
-            total = self._totals.get(key, _NO_LOAD)
-            total = (total[0] + sign * in_flight, total[1] + sign * tokens)
-            if total == _NO_LOAD:
-                self._totals.pop(key, None)
-            else:
-                self._totals[key] = total
+        for key, load in work.items():
+            _add_pair(self._totals, key, load[0], load[1], sign)
+            if len(load) > 2 and (load[2] or load[3]):
+                _add_pair(self._rooms, key, load[2], load[3], sign)
+
+
+def _add_pair(totals, key, first, second, sign):
+    """Add to two sums, or subtract; sums of 0 are removed."""
+    total = totals.get(key, _NO_LOAD)
+    total = (total[0] + sign * first, total[1] + sign * second)
+    if total == _NO_LOAD:
+        totals.pop(key, None)
+    else:
+        totals[key] = total
--- a/src/cactusmill/serving/sending.py
+++ b/src/cactusmill/serving/sending.py
@@ -27,6 +27,7 @@
     relay_body,
     relay_stream,
 )
+from .scheduling.engine_room import add_share
 
 # Another endpoint may take over a stream if the first event takes longer than this many
 # times the prediction, and longer than the minimum.
@@ -78,7 +79,7 @@
     progress.began_at = None
     progress.warmup_hosts = choice.sharing_hosts if choice.warmup_rate_per_s else 0
     choice.record_sent(sent_at)
-    load = InFlightLoad(view, choice.uncached_tokens)
+    load = InFlightLoad(view, choice.uncached_tokens, choice.need)
     try:
         try:
             # A new connection proves that the endpoint was alive when a suspect was
@@ -153,27 +154,36 @@
         The view that counts it.
     prompt_tokens : int
         Prompt tokens whose prefill is not known to have ended.
+    need : EngineNeed or None
+        What the request needs of an engine; None if its service is not ranked.
     is_complete : bool
         True once the response has been received completely.
     """
 
     view: object
     prompt_tokens: int
+    need: object = None
     is_complete: bool = False
+    _share: object = attrs.field(init=False)
 
     def __attrs_post_init__(self):
         self.view.in_flight += 1
         self.view.prompt_tokens += self.prompt_tokens
+        self._share = add_share(self.view.room, self.need, self.prompt_tokens)
 
     def mark_prompt_read(self):
         """Stop counting the prompt, once its prefill has ended."""
         self.view.prompt_tokens -= self.prompt_tokens
         self.prompt_tokens = 0
+        if self._share is not None:
+            self._share.mark_prompt_read()
 
     def end(self):
         """Stop counting the request."""
         self.mark_prompt_read()
         self.view.in_flight -= 1
+        if self._share is not None:
+            self._share.end()
 
 
 async def _exchange(host, req, progress, choice, conn, may_give_up):
