--- a/src/cactusmill/serving/heartbeat_checks.py
+++ b/src/cactusmill/serving/heartbeat_checks.py
@@ -43,7 +43,7 @@
         return "source_age_ms"
     if not _are_demands(beat.demands or ()):
         return "demands"
-    if not all(w.in_flight >= 0 <= w.prompt_tokens for w in beat.work or ()):
+    if not all(map(_is_work, beat.work or ())):
         return "work"
     if not _are_rooms(beat.forwards or ()):
         return "forwards"
@@ -101,6 +101,14 @@
     )
 
 
+def _is_work(work):
+    return (
+        work.in_flight >= 0
+        and 0 <= (work.patient_tokens or 0) <= work.prompt_tokens
+        and (work.held_tokens or 0) >= 0
+    )
+
+
 def _is_summary(summary):
     return (
         is_plain_text(summary.region)
--- a/tests/serving/test_odd_heartbeats.py
+++ b/tests/serving/test_odd_heartbeats.py
@@ -55,8 +55,8 @@
         revision=7,
         members=[MemberNote("h3", "127.0.0.3", "east-a", "east", "i3", 10, False)],
         demands=[TeamDemand(1, 100)],
-        work=[EndpointWork(1, 2, 300)],
         paces=[EndpointPace(1, 250, 40)],
+        work=[EndpointWork(1, 2, 300, 200, 400)],
         regions=[
             RegionSummary(
                 "west",
