Heartbeats to another zone carry what changed, and few member entries

Cause: half of a host's heartbeats pass between zones with the full state; of 442 bytes of an idle one, 309 are member entries and 77 the sender's own. Hosts of the receiver's own zone send it more entries instead. Processor time is not compared yet.

--- a/idl/wire.thrift
+++ b/idl/wire.thrift
@@ -294,6 +294,10 @@
   18: optional list<EndpointPace> paces
   // What the sender wants to forward to other regions. Absent if nothing.
   19: optional list<ServiceRoom> forwards
+  // True if `demands` and `work` hold only what changed since an earlier heartbeat, 0 if
+  // none is left, and false if they hold everything. Absent if the sender reads no such
+  // heartbeats, in which `sender` may name only the incarnation.
+  20: optional bool partial
 }
 
 union Frame {
--- a/src/cactusmill/internal/wire/ttypes.py
+++ b/src/cactusmill/internal/wire/ttypes.py
@@ -3527,6 +3527,7 @@
      - ranks
      - paces
      - forwards
+     - partial
 
     """
 
@@ -3548,10 +3549,11 @@
         'ranks',
         'paces',
         'forwards',
+        'partial',
     )
 
 
-    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, regions=None, source_age_ms=None, source_failing=None, reopened=None, lag_ms=None, containment=None, ranks=None, paces=None, forwards=None,):
+    def __init__(self, sender=None, sequence=None, ready=None, configuration_version=None, revision=None, members=None, demands=None, work=None, regions=None, source_age_ms=None, source_failing=None, reopened=None, lag_ms=None, containment=None, ranks=None, paces=None, forwards=None, partial=None,):
         self.sender = sender
         self.sequence = sequence
         self.ready = ready
@@ -3569,6 +3571,7 @@
         self.ranks = ranks
         self.paces = paces
         self.forwards = forwards
+        self.partial = partial
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -3714,6 +3717,11 @@
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
+            elif fid == 20:
+                if ftype == TType.BOOL:
+                    self.partial = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -3816,6 +3824,10 @@
                 iter181.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
+        if self.partial is not None:
+            oprot.writeFieldBegin('partial', TType.BOOL, 20)
+            oprot.writeBool(self.partial)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -4378,6 +4390,7 @@
     (17, TType.LIST, 'ranks', (TType.STRUCT, [RankDemand, None], False), None, ),  # 17
     (18, TType.LIST, 'paces', (TType.STRUCT, [EndpointPace, None], False), None, ),  # 18
     (19, TType.LIST, 'forwards', (TType.STRUCT, [ServiceRoom, None], False), None, ),  # 19
+    (20, TType.BOOL, 'partial', None, None, ),  # 20
 )
 all_structs.append(Frame)
 Frame.thrift_spec = (
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -10,8 +10,9 @@
 - zones whose evacuation ended recently, so that their endpoints may be cold.
 
 Hosts of one region exchange demands and loads individually, and pass on the totals of
-other regions. Hosts of other regions receive the totals of the sender's region. A
-lost datagram only makes this state older, since the next heartbeat replaces it.
+other regions. Between its zones they send less (:mod:`.heartbeat_contents`). Hosts of
+other regions receive the totals of the sender's region. A lost datagram only makes this
+state older, since a later heartbeat replaces it.
 
 All times are seconds of the process's monotonic clock. Datagrams carry ages instead
 of times, since the clocks of two hosts differ.
@@ -38,9 +39,10 @@
     TeamDemand,
     ZoneReopening,
 )
+from . import heartbeat_contents as contents
 from .events import log_event
 from .heartbeat_checks import check_heartbeat
-from .heartbeats import MAX_REGION_RECEIVERS, REGION_HEARTBEAT_S
+from .heartbeats import MAX_REGION_RECEIVERS, REGION_HEARTBEAT_S, count_rounds
 from .membership import HostId, RegionTotals
 
 # Interval of heartbeats to hosts of other regions. Traffic between regions is
@@ -174,6 +176,8 @@
     _unresponsive: set = attrs.field(factory=set)
     _others_differ_until: float = float("-inf")
     _told_news_at: float = float("-inf")
+    _told: dict = attrs.field(factory=dict)
+    _demands: tuple = (None, None)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Send and receive heartbeats until cancelled."""
@@ -197,6 +201,7 @@
             await trio.sleep(_MAINTENANCE_INTERVAL_S)
             now = self.host.now()
             self._log_responsiveness(now)
+            self._forget_told()
             for member in self.host.membership.remove_expired(now):
                 log_event(
                     "host_forgotten",
@@ -228,10 +233,7 @@
                 self.host.quotas.snapshot_demands(now)
             self.host.shed_average.update(self.host.loop.lag_s(now), now)
             self.host.quotas.update_shares(self.host.membership, now)
-            heartbeat = self.build_heartbeat(
-                now, is_same_region=True, with_regions=is_snapshot_due
-            )
-            self._send_all(self._region_receivers(), heartbeat)
+            self._send_region(now, with_regions=is_snapshot_due)
             if now >= next_remote_at:
                 next_remote_at = now + (
                     0.0 if is_starting else CROSS_REGION_HEARTBEAT_S
@@ -258,19 +260,75 @@
         if self._sock is None or now - self._told_news_at < _NEWS_INTERVAL_S:
             return
         self._told_news_at = now
-        self._send_all(
-            self._region_receivers(), self.build_heartbeat(now, is_same_region=True)
-        )
+        self._send_region(now)
         self._send_totals(self._remote_receivers(), now)
 
+    def _send_region(self, now, with_regions=False):
+        """Send heartbeats to the next receivers in the region."""
+        membership = self.host.membership
+        zones = membership.count_zone_hosts()
+        near, far = [], []
+        for member in self._region_receivers():
+            zone = member.id.zone
+            is_far = (
+                zone != membership.own_id.zone
+                and zones[zone] >= contents.MIN_ZONE_HOSTS
+                and member.reads_partial
+            )
+            (far if is_far else near).append(member)
+        region_hosts = sum(zones.values())
+        changed, others = self._split_members(now)
+        count = contents.count_near_entries(zones[membership.own_id.zone], region_hosts)
+        sample = self.host.rng.sample(others, min(count, len(others)))
+        heartbeat = self.build_heartbeat(
+            now,
+            is_same_region=True,
+            with_regions=with_regions,
+            entries=changed + sample,
+        )
+        self._send_all([m.id.ip for m in near], heartbeat)
+        if far:
+            self._send_far(far, heartbeat, len(changed), region_hosts, now)
+
+    def _send_far(self, members, heartbeat, changed_entries, region_hosts, now):
+        """Send what a heartbeat tells hosts of other zones of the region."""
+        interval_s = REGION_HEARTBEAT_S * count_rounds(region_hosts)
+        told = {
+            m.id: self._told.setdefault(m.id.incarnation, contents.Told())
+            for m in members
+        }
+        groups = contents.group_receivers(
+            [(m, contents.choose_content(told[m.id], interval_s, now)) for m in members]
+        )
+        baseline = None
+        for content, receivers in groups.items():
+            reduced = contents.reduce_heartbeat(heartbeat, content, changed_entries)
+            self._send_all([m.id.ip for m in receivers], reduced)
+            if content.baseline is None and baseline is None:
+                baseline = contents.make_baseline(heartbeat, now)
+            for member in receivers:
+                record = told[member.id]
+                record.heartbeats += 1
+                record.baseline = content.baseline or baseline
+
+    def _forget_told(self):
+        """Forget what was sent to processes that are no longer members."""
+        members = {m.id.incarnation for m in self.host.membership.region_members()}
+        for incarnation in self._told.keys() - members:
+            del self._told[incarnation]
+
     def _region_receivers(self):
-        """Return the IP addresses of the next receivers in the region, round robin."""
-        ips = sorted(m.id.ip for m in self.host.membership.region_members())
-        if len(ips) <= MAX_REGION_RECEIVERS:
-            return ips
-        start = self._next_receiver % len(ips)
+        """Return the next receivers in the region, round robin."""
+        members = self.host.membership.region_members()
+        members.sort(key=lambda m: m.id.ip)
+        if len(members) <= MAX_REGION_RECEIVERS:
+            return members
+        start = self._next_receiver % len(members)
         self._next_receiver += MAX_REGION_RECEIVERS
-        return [ips[(start + step) % len(ips)] for step in range(MAX_REGION_RECEIVERS)]
+        return [
+            members[(start + step) % len(members)]
+            for step in range(MAX_REGION_RECEIVERS)
+        ]
 
     def _remote_receivers(self):
         """Return the IP addresses of random hosts of each other region.
@@ -316,6 +374,7 @@
         with_regions=False,
         max_entries=MAX_ENTRIES,
         is_first=False,
+        entries=None,
     ):
         """Return this host's next heartbeat.
 
@@ -335,6 +394,8 @@
         is_first : bool
             True if the receivers may have started just now, and know nothing of what
             is held back.
+        entries : list of Member or None
+            Members to report instead of a selection.
 
         Returns
         -------
@@ -342,9 +403,11 @@
         """
         host = self.host
         self._sequence += 1
+        if entries is None:
+            entries = self._select_entries(now, max_entries)
         demands = work = None
         if is_same_region:
-            demands = _wire_demands(host.quotas.reported_demands())
+            demands = self._region_demands()
             local_load = list(host.placement.local_load().items())[:MAX_ENDPOINT_LOADS]
             work = [
                 EndpointWork(key, in_flight, min(_MAX_I32, tokens))
@@ -363,8 +426,7 @@
             else 0,
             revision=host.catalog.revision,
             members=[
-                _member_entry(m.id, m.is_leaving, now - m.last_seen_at)
-                for m in self._select_entries(now, max_entries)
+                _member_entry(m.id, m.is_leaving, now - m.last_seen_at) for m in entries
             ],
             demands=demands,
             work=work,
@@ -386,13 +448,34 @@
                 is_first,
                 with_hash=with_regions or not is_same_region,
             ),
+            partial=False if is_same_region and self._has_zones() else None,
         )
 
+    def _has_zones(self):
+        """Return whether the region has other zones than this host's."""
+        cfg = self.host.cfg
+        return any(
+            region == cfg.region and zone != cfg.zone
+            for zone, region in cfg.zones.items()
+        )
+
+    def _region_demands(self):
+        """Return this host's demands in their wire form, made once per snapshot."""
+        demands = self.host.quotas.reported_demands()
+        if self._demands[0] is not demands:
+            self._demands = demands, _wire_demands(demands)
+        return self._demands[1]
+
     def _select_entries(self, now, max_others):
         """Return the members to report: new and leaving ones, and random others.
 
         At most MAX_NEW_MEMBER_ENTRIES of the former and `max_others` of the latter.
         """
+        changed, others = self._split_members(now)
+        return changed + self.host.rng.sample(others, min(max_others, len(others)))
+
+    def _split_members(self, now):
+        """Return new and leaving members up to a limit, and all other live ones."""
         membership = self.host.membership
         changed, others = [], []
         for m in membership.live(now):
@@ -401,7 +484,7 @@
                 changed.append(m)
             else:
                 others.append(m)
-        return changed + self.host.rng.sample(others, min(max_others, len(others)))
+        return changed, others
 
     def _own_totals(self, now):
         """Return the totals of this host's region, for hosts of other regions."""
@@ -478,9 +561,13 @@
             Current time, in seconds.
         """
         host = self.host
-        sender = _host_id(heartbeat.sender)
-        is_new = not host.membership.knows(sender)
-        member = host.membership.record_host(sender, heartbeat.sender.leaving, 0.0, now)
+        sender = self._sender_of(heartbeat)
+        is_new = member = None
+        if sender is not None:
+            is_new = not host.membership.knows(sender)
+            member = host.membership.record_host(
+                sender, heartbeat.sender.leaving, 0.0, now
+            )
         for entry in heartbeat.members:
             host.membership.record_host(
                 _host_id(entry), entry.leaving, entry.age_ms / 1000, now
@@ -498,10 +585,18 @@
         member.lag_s = (heartbeat.lag_ms or 0) / 1000
         member.shed_average.update(member.lag_s, now)
         # Heartbeats to other regions, seeds and new members omit demands and loads.
+        if heartbeat.partial is not None:
+            member.reads_partial = True
         if heartbeat.demands is not None:
-            member.demands = {d.key: d.tokens_per_s for d in heartbeat.demands}
+            demands = {d.key: d.tokens_per_s for d in heartbeat.demands}
+            if heartbeat.partial:
+                demands = contents.merge_changes(member.demands, demands)
+            member.demands = demands
         if heartbeat.work is not None:
             work = {w.key: (w.in_flight, w.prompt_tokens) for w in heartbeat.work}
+            if heartbeat.partial:
+                work = contents.merge_changes(member.work, work)
+            member.work = work
             host.membership.record_load(member, work, now)
         if heartbeat.source_age_ms is not None:
             member.source_responded_at = now - heartbeat.source_age_ms / 1000
@@ -516,6 +611,12 @@
             host.catalog.merge_reopening(zone.zone, zone.revision, reopened_at)
         self._apply_news(heartbeat.containment, now)
 
+    def _sender_of(self, heartbeat):
+        """Return a heartbeat's sender; None if it is short and not a member."""
+        if not contents.is_short(heartbeat.sender):
+            return _host_id(heartbeat.sender)
+        return self.host.membership.find_id(heartbeat.sender.incarnation)
+
     def _apply_news(self, news, now):
         """Apply another host's news about what crashes endpoints."""
         host, self.has_heard = self.host, True
--- a/src/cactusmill/serving/heartbeat_checks.py
+++ b/src/cactusmill/serving/heartbeat_checks.py
@@ -10,6 +10,7 @@
 
 from ..errors import LinkClosedError
 from ..fields import is_plain_text
+from .heartbeat_contents import is_short
 from .positions import MAX_POSITION
 
 
@@ -32,7 +33,7 @@
 
 def _find_problem(beat):
     """Return which part of a heartbeat is invalid, or None."""
-    if not (_is_host(beat.sender) and all(map(_is_host, beat.members))):
+    if not (_is_sender(beat.sender) and all(map(_is_host, beat.members))):
         return "host"
     counts = (beat.sequence, beat.configuration_version, beat.lag_ms or 0)
     if not _are_counts(counts) or not 0 <= beat.revision <= MAX_POSITION:
@@ -63,6 +64,12 @@
     )
 
 
+def _is_sender(entry):
+    if is_short(entry):
+        return is_plain_text(entry.incarnation) and entry.age_ms >= 0
+    return _is_host(entry)
+
+
 @functools.lru_cache(maxsize=8192)
 def _is_identity(name, ip, zone, region, incarnation):
     try:
--- a/src/cactusmill/serving/membership.py
+++ b/src/cactusmill/serving/membership.py
@@ -81,6 +81,10 @@
         Configuration and revision of the source that it has applied.
     demands : dict of int to int
         Tokens per second requested from it, by team key.
+    work : dict of int to tuple of int
+        Its load at each endpoint as it last reported it, by `load_key`.
+    reads_partial : bool
+        Whether it reads heartbeats that tell only what changed.
     lag_s : float
         Lag of its event loop, in seconds; 0 if it is short.
     shed_average : ShedAverage
@@ -100,6 +104,8 @@
     configuration_version: int = 0
     revision: int = 0
     demands: dict = attrs.field(factory=dict)
+    work: dict = attrs.field(factory=dict)
+    reads_partial: bool = False
     lag_s: float = 0.0
     shed_average: ShedAverage = attrs.field(factory=ShedAverage)
     source_responded_at: float = float("-inf")
@@ -150,6 +156,7 @@
     load: RegionLoad = attrs.field(factory=RegionLoad)
     _members: dict = attrs.field(factory=dict)
     _members_by_region: dict = attrs.field(factory=dict)
+    _ids: dict = attrs.field(factory=dict)
     _regions: dict = attrs.field(factory=dict)
     _serving: dict = attrs.field(factory=dict)
     _serving_from: float = float("inf")
@@ -196,6 +203,7 @@
         self._forget(host_id.name)
         self._invalidate_serving()
         self._members[host_id.name] = member
+        self._ids[host_id.incarnation] = host_id
         by_name = self._members_by_region.setdefault(host_id.region, {})
         by_name[host_id.name] = member
         return member
@@ -204,6 +212,7 @@
         member = self._members.pop(name, None)
         if member is not None:
             del self._members_by_region[member.id.region][name]
+            self._ids.pop(member.id.incarnation, None)
             self.load.forget(name)
             self._invalidate_serving()
 
@@ -212,6 +221,10 @@
         member = self._members.get(host_id.name)
         return member is not None and member.id.incarnation == host_id.incarnation
 
+    def find_id(self, incarnation):
+        """Return the identity of a member by its incarnation, or None."""
+        return self._ids.get(incarnation)
+
     def has_newer_revision(self, revision):
         """Return whether a member has applied a later revision of the source."""
         return any(m.revision > revision for m in self._members.values())
@@ -311,6 +324,15 @@
         """Return the number of the local region's other hosts, live or not."""
         return len(self._members_by_region.get(self.own_id.region, ()))
 
+    def count_zone_hosts(self):
+        """Return the number of hosts of each zone of the region, including this one."""
+        zones = collections.Counter((self.own_id.zone,))
+        zones.update(
+            m.id.zone
+            for m in self._members_by_region.get(self.own_id.region, {}).values()
+        )
+        return zones
+
     def remote_members(self):
         """Return the hosts of each other region, including unresponsive ones.
 
