--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -14,8 +14,9 @@
 - zones whose evacuation ended recently, so that their endpoints may be cold.
 
 Hosts of one region exchange demands and loads individually, and pass on the totals of
-other regions. Hosts of other regions receive the totals of the sender's region. A
-lost datagram only makes this state older, since the next heartbeat replaces it.
+other regions. Between its zones they send less (:mod:`.heartbeat_contents`). Hosts of
+other regions receive the totals of the sender's region. A lost datagram only makes this
+state older, since a later heartbeat replaces it.
 
 All times are seconds of the process's monotonic clock. Datagrams carry ages instead
 of times, since the clocks of two hosts differ.
@@ -45,9 +46,10 @@
     TeamDemand,
     ZoneReopening,
 )
+from . import heartbeat_contents as contents
 from .events import log_event
 from .heartbeat_checks import check_heartbeat
-from .heartbeats import MAX_REGION_RECEIVERS, REGION_HEARTBEAT_S
+from .heartbeats import MAX_REGION_RECEIVERS, REGION_HEARTBEAT_S, count_rounds
 from .membership import HostId, RegionTotals
 from .room_sharing import compute_rooms, region_wants, update_allowances
 from .scheduling.rank_levels import RankReport
@@ -106,13 +108,13 @@
 
 def _member_entry(host_id, is_leaving, age_s):
     return MemberNote(
-        host=host_id.name,
-        ip=host_id.ip,
-        zone=host_id.zone,
-        region=host_id.region,
-        incarnation=host_id.incarnation,
-        age_ms=_to_ms(age_s),
-        leaving=is_leaving,
+        host_id.name,
+        host_id.ip,
+        host_id.zone,
+        host_id.region,
+        host_id.incarnation,
+        _to_ms(age_s),
+        is_leaving,
     )
 
 
@@ -224,6 +226,8 @@
     _unresponsive: set = attrs.field(factory=set)
     _others_differ_until: float = float("-inf")
     _told_news_at: float = float("-inf")
+    _told: dict = attrs.field(factory=dict)
+    _demands: tuple = (None, None)
 
     async def run(self, task_status=trio.TASK_STATUS_IGNORED):
         """Send and receive heartbeats until cancelled."""
@@ -247,6 +251,7 @@
             await trio.sleep(_MAINTENANCE_INTERVAL_S)
             now = self.host.now()
             self._log_responsiveness(now)
+            self._forget_told()
             for member in self.host.membership.remove_expired(now):
                 self.host.rank_levels.forget(member.id.name)
                 log_event(
@@ -281,10 +286,7 @@
             self.host.quotas.update_shares(self.host.membership, now)
             update_allowances(self.host, now)
             self.host.update_rank_levels(now)
-            heartbeat = self.build_heartbeat(
-                now, is_same_region=True, with_regions=is_snapshot_due
-            )
-            self._send_all(self._region_receivers(), heartbeat)
+            self._send_region(now, with_regions=is_snapshot_due)
             if now >= next_remote_at:
                 next_remote_at = now + (
                     0.0 if is_starting else CROSS_REGION_HEARTBEAT_S
@@ -311,19 +313,75 @@
         if self._sock is None or now - self._told_news_at < _NEWS_INTERVAL_S:
             return
         self._told_news_at = now
-        self._send_all(
-            self._region_receivers(), self.build_heartbeat(now, is_same_region=True)
-        )
+        self._send_region(now)
         self._send_totals(self._remote_receivers(), now)
 
+    def _send_region(self, now, with_regions=False):
+        """Send heartbeats to the next receivers in the region."""
+        membership = self.host.membership
+        own_zone = membership.own_id.zone
+        far_zones, near, far = {}, [], []
+        for member in self._region_receivers():
+            zone = member.id.zone
+            if zone not in far_zones:
+                far_zones[zone] = (
+                    zone != own_zone
+                    and membership.count_zone_hosts(zone) >= contents.MIN_ZONE_HOSTS
+                )
+            is_far = far_zones[zone] and member.reads_partial
+            (far if is_far else near).append(member)
+        region_hosts = 1 + membership.count_region_members()
+        changed, others = self._split_members(now)
+        count = contents.count_near_entries(
+            membership.count_zone_hosts(own_zone), region_hosts
+        )
+        sample = self.host.rng.sample(others, min(count, len(others)))
+        heartbeat = self.build_heartbeat(
+            now,
+            is_same_region=True,
+            with_regions=with_regions,
+            entries=changed + sample,
+        )
+        self._send_all([m.id.ip for m in near], heartbeat)
+        if far:
+            self._send_far(far, heartbeat, len(changed), region_hosts, now)
+
+    def _send_far(self, members, heartbeat, changed_entries, region_hosts, now):
+        """Send what a heartbeat tells hosts of other zones of the region."""
+        interval_s = REGION_HEARTBEAT_S * count_rounds(region_hosts)
+        chosen = []
+        for member in members:
+            told = self._told.get(member.id.incarnation)
+            if told is None:
+                told = self._told[member.id.incarnation] = contents.Told()
+            content = contents.choose_content(told, interval_s, now)
+            chosen.append(((member.id.ip, told), content))
+        baseline = contents.make_baseline(heartbeat, now)
+        for content, receivers in contents.group_receivers(chosen).items():
+            reduced = contents.reduce_heartbeat(heartbeat, content, changed_entries)
+            self._send_all([ip for ip, _ in receivers], reduced)
+            is_whole = content in (contents.NAMED, contents.WHOLE)
+            for _, told in receivers:
+                told.record(content, baseline if is_whole else content)
+
+    def _forget_told(self):
+        """Forget what was sent to processes that are no longer members."""
+        members = {m.id.incarnation for m in self.host.membership.region_members()}
+        for incarnation in self._told.keys() - members:
+            del self._told[incarnation]
+
     def _region_receivers(self):
-        """Return the IP addresses of the next receivers in the region, round robin."""
-        ips = sorted(m.id.ip for m in self.host.membership.region_members())
-        if len(ips) <= MAX_REGION_RECEIVERS:
-            return ips
-        start = self._next_receiver % len(ips)
+        """Return the next receivers in the region, round robin."""
+        members = self.host.membership.region_members()
+        members.sort(key=lambda m: m.id.ip)
+        if len(members) <= MAX_REGION_RECEIVERS:
+            return members
+        start = self._next_receiver % len(members)
         self._next_receiver += MAX_REGION_RECEIVERS
-        return [ips[(start + step) % len(ips)] for step in range(MAX_REGION_RECEIVERS)]
+        return [
+            members[(start + step) % len(members)]
+            for step in range(MAX_REGION_RECEIVERS)
+        ]
 
     def _remote_receivers(self):
         """Return the IP addresses of random hosts of each other region.
@@ -369,6 +427,7 @@
         with_regions=False,
         max_entries=MAX_ENTRIES,
         is_first=False,
+        entries=None,
     ):
         """Return this host's next heartbeat.
 
@@ -388,6 +447,8 @@
         is_first : bool
             True if the receivers may have started just now, and know nothing of what
             is held back.
+        entries : list of Member or None
+            Members to report instead of a selection.
 
         Returns
         -------
@@ -395,9 +456,11 @@
         """
         host = self.host
         self._sequence += 1
+        if entries is None:
+            entries = self._select_entries(now, max_entries)
         demands = work = forwards = paces = ranks = None
         if is_same_region:
-            demands = _wire_demands(host.quotas.reported_demands())
+            demands = self._region_demands()
             local_load = list(host.placement.local_load().items())[:MAX_ENDPOINT_LOADS]
             work = [
                 EndpointWork(
@@ -429,8 +492,7 @@
             else 0,
             revision=host.catalog.revision,
             members=[
-                _member_entry(m.id, m.is_leaving, now - m.last_seen_at)
-                for m in self._select_entries(now, max_entries)
+                _member_entry(m.id, m.is_leaving, now - m.last_seen_at) for m in entries
             ],
             demands=demands,
             work=work,
@@ -455,23 +517,44 @@
                 is_first,
                 with_hash=with_regions or not is_same_region,
             ),
+            partial=False if is_same_region and self._has_zones() else None,
+        )
+
+    def _has_zones(self):
+        """Return whether the region has other zones than this host's."""
+        cfg = self.host.cfg
+        return any(
+            region == cfg.region and zone != cfg.zone
+            for zone, region in cfg.zones.items()
         )
 
+    def _region_demands(self):
+        """Return this host's demands in their wire form, made once per snapshot."""
+        demands = self.host.quotas.reported_demands()
+        if self._demands[0] is not demands:
+            self._demands = demands, _wire_demands(demands)
+        return self._demands[1]
+
     def _select_entries(self, now, max_others):
         """Return the members to report: new and leaving ones, and random others.
 
         At most MAX_NEW_MEMBER_ENTRIES of the former and `max_others` of the latter.
         """
-        membership = self.host.membership
-        changed, others = [], []
-        for m in membership.live(now):
-            is_changed = m.is_leaving or now - m.first_seen_at < _NEW_MEMBER_PERIOD_S
-            if is_changed and len(changed) < MAX_NEW_MEMBER_ENTRIES:
-                changed.append(m)
-            else:
-                others.append(m)
+        changed, others = self._split_members(now)
         return changed + self.host.rng.sample(others, min(max_others, len(others)))
 
+    def _split_members(self, now):
+        """Return new and leaving members up to a limit, and all other live ones."""
+        live = self.host.membership.live(now)
+        new_since = now - _NEW_MEMBER_PERIOD_S
+        changed = [m for m in live if m.is_leaving or m.first_seen_at > new_since]
+        if not changed:
+            return changed, live
+        changed = changed[:MAX_NEW_MEMBER_ENTRIES]
+        chosen = set(changed)
+        others = [m for m in live if m not in chosen]
+        return changed, others
+
     def _own_totals(self, now):
         """Return the totals of this host's region, for hosts of other regions."""
         host, membership = self.host, self.host.membership
@@ -549,12 +632,16 @@
             Current time, in seconds.
         """
         host = self.host
-        sender = _host_id(heartbeat.sender)
-        is_new = not host.membership.knows(sender)
-        member = host.membership.record_host(sender, heartbeat.sender.leaving, 0.0, now)
+        sender = self._sender_of(heartbeat)
+        is_new = member = None
+        if sender is not None:
+            is_new = not host.membership.knows(sender)
+            member = host.membership.record_host(
+                sender, heartbeat.sender.leaving, 0.0, now
+            )
         for entry in heartbeat.members:
             host.membership.record_host(
-                _host_id(entry), entry.leaving, entry.age_ms / 1000, now
+                self._id_of(entry), entry.leaving, entry.age_ms / 1000, now
             )
         if member is None or heartbeat.sequence <= member.sequence:
             return
@@ -571,8 +658,13 @@
         member.lag_s = (heartbeat.lag_ms or 0) / 1000
         member.shed_average.update(member.lag_s, now)
         # Heartbeats to other regions, seeds and new members omit demands and loads.
+        if heartbeat.partial is not None:
+            member.reads_partial = True
         if heartbeat.demands is not None:
-            member.demands = {d.key: d.tokens_per_s for d in heartbeat.demands}
+            demands = {d.key: d.tokens_per_s for d in heartbeat.demands}
+            if heartbeat.partial:
+                demands = contents.merge_changes(member.demands, demands)
+            member.demands = demands
         if heartbeat.work is not None:
             work = {
                 w.key: (
@@ -583,6 +675,9 @@
                 )
                 for w in heartbeat.work
             }
+            if heartbeat.partial:
+                work = contents.merge_changes(member.work, work)
+            member.work = work
             host.membership.record_load(member, work, now)
             if host.divided_services(now):
                 wants = _read_rooms(heartbeat.forwards)
@@ -607,6 +702,18 @@
             host.catalog.merge_reopening(zone.zone, zone.revision, reopened_at)
         self._apply_news(heartbeat.containment, now)
 
+    def _sender_of(self, heartbeat):
+        """Return a heartbeat's sender; None if it is short and not a member."""
+        if contents.is_short(heartbeat.sender):
+            return self.host.membership.find_id(heartbeat.sender.incarnation)
+        return self._id_of(heartbeat.sender)
+
+    def _id_of(self, entry):
+        """Return the identity in an entry, that of the member if it is one."""
+        known = self.host.membership.find_id(entry.incarnation)
+        is_known = known is not None and known.name == entry.host
+        return known if is_known else _host_id(entry)
+
     def _apply_news(self, news, now):
         """Apply another host's news about what crashes endpoints."""
         host, self.has_heard = self.host, True
--- a/src/cactusmill/serving/membership.py
+++ b/src/cactusmill/serving/membership.py
@@ -81,6 +81,10 @@
         Configuration and revision of the source that it has applied.
     demands : dict of int to int
         Tokens per second requested from it, by team key.
+    work : dict of int to tuple of int
+        Its load at each endpoint as it last reported it, by `load_key`.
+    reads_partial : bool
+        Whether it reads heartbeats that tell only what changed.
     lag_s : float
         Lag of its event loop, in seconds; 0 if it is short.
     shed_average : ShedAverage
@@ -100,6 +104,8 @@
     configuration_version: int = 0
     revision: int = 0
     demands: dict = attrs.field(factory=dict)
+    work: dict = attrs.field(factory=dict)
+    reads_partial: bool = False
     lag_s: float = 0.0
     shed_average: ShedAverage = attrs.field(factory=ShedAverage)
     source_responded_at: float = float("-inf")
@@ -160,6 +166,8 @@
     wants: RegionLoad = attrs.field(factory=RegionLoad)
     _members: dict = attrs.field(factory=dict)
     _members_by_region: dict = attrs.field(factory=dict)
+    _ids: dict = attrs.field(factory=dict)
+    _zone_hosts: dict = attrs.field(factory=collections.Counter)
     _regions: dict = attrs.field(factory=dict)
     _serving: dict = attrs.field(factory=dict)
     _serving_from: float = float("inf")
@@ -206,6 +214,8 @@
         self._forget(host_id.name)
         self._invalidate_serving()
         self._members[host_id.name] = member
+        self._ids[host_id.incarnation] = host_id
+        self._zone_hosts[host_id.region, host_id.zone] += 1
         by_name = self._members_by_region.setdefault(host_id.region, {})
         by_name[host_id.name] = member
         return member
@@ -214,6 +224,8 @@
         member = self._members.pop(name, None)
         if member is not None:
             del self._members_by_region[member.id.region][name]
+            self._ids.pop(member.id.incarnation, None)
+            self._zone_hosts[member.id.region, member.id.zone] -= 1
             self.load.forget(name)
             self.wants.forget(name)
             self._invalidate_serving()
@@ -223,6 +235,10 @@
         member = self._members.get(host_id.name)
         return member is not None and member.id.incarnation == host_id.incarnation
 
+    def find_id(self, incarnation):
+        """Return the identity of a member by its incarnation, or None."""
+        return self._ids.get(incarnation)
+
     def has_newer_revision(self, revision):
         """Return whether a member has applied a later revision of the source."""
         return any(m.revision > revision for m in self._members.values())
@@ -237,7 +253,15 @@
 
     def live(self, now):
         """Return the members seen within their failure timeouts."""
-        return [m for m in self._members.values() if self.is_live(m, now)]
+        # Each round of heartbeats asks for them, and a call of is_live() for each
+        # member would take most of its time.
+        return [
+            m
+            for region, members in self._members_by_region.items()
+            for timeout_s in (self._failure_timeout_s(region),)
+            for m in members.values()
+            if now - m.last_seen_at <= timeout_s
+        ]
 
     def record_load(self, member, work, now):
         """Store a member's own report of its load at endpoints.
@@ -337,6 +361,11 @@
         """Return the number of the local region's other hosts, live or not."""
         return len(self._members_by_region.get(self.own_id.region, ()))
 
+    def count_zone_hosts(self, zone):
+        """Return the number of hosts in a zone of the region, including this one."""
+        count = self._zone_hosts[self.own_id.region, zone]
+        return count + (zone == self.own_id.zone)
+
     def remote_members(self):
         """Return the hosts of each other region, including unresponsive ones.
 
