--- a/src/cactusmill/serving/scheduling/patience.py
+++ b/src/cactusmill/serving/scheduling/patience.py
@@ -50,11 +50,15 @@
     )
 
 
+def services_of(route):
+    """Return the names of the services to which a route sends requests."""
+    return [name for name, _ in route.split] or [route.service]
+
+
 def _streams_by_service(routes, services):
     found = {}
     for route in routes:
-        names = [name for name, _ in route.split] or [route.service]
-        for name in names:
+        for name in services_of(route):
             if route.is_stream and name in services and services[name].is_engine:
                 found.setdefault(name, {})[route.name] = route
     return found
--- a/src/cactusmill/serving/scheduling/rank_levels.py
+++ b/src/cactusmill/serving/scheduling/rank_levels.py
@@ -17,6 +17,7 @@
 import attrs
 
 from ..retry_after import RankedRetries
+from .patience import services_of
 
 # Time constant of the sums: the last second or so. A level cannot follow changes that
 # are faster, and shorter sums hold few requests of a small host.
@@ -121,8 +122,7 @@
         routes = [
             route
             for route in configuration.routes
-            if route.is_stream
-            and service in ([name for name, _ in route.split] or [route.service])
+            if route.is_stream and service in services_of(route)
         ]
         patient = [r for r in routes if r.name in configuration.patient_routes]
         ranks[service] = (
