--- a/tests/serving/scheduling/test_machine_pace.py
+++ b/tests/serving/scheduling/test_machine_pace.py
@@ -4,7 +4,6 @@
 
 import attrs
 import pytest
-import trio
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -390,16 +389,21 @@
 
     monkeypatch.setattr("cactusmill.serving.edge.log_event", log)
 
-    def request_lines():
-        return [fields for event, fields in lines if event == "request"]
+    def lines_of(request_id):
+        return [f for e, f in lines if e == "request" and f["request_id"] == request_id]
 
     async def scenario(deployment):
+        async def line_of(request_id):
+            # A host logs a request after its response has left.
+            await deployment.wait_until(lambda: lines_of(request_id))
+            return lines_of(request_id)[-1]
+
         desk, other = deployment.endpoints["desk-1"], deployment.hosts["e2"]
         desk.load = "1,0,8"
         await deployment.send_request("e1", "/look/1", request_id="r-1")
         host = deployment.hosts["e1"]
         assert host.gauges(host.now())["endpoints_paced"] == 0
-        assert "machine_pace" not in request_lines()[-1]
+        assert "machine_pace" not in await line_of("r-1")
         desk.load = "1,0,8,x"
         await deployment.send_request("e1", "/look/1", request_id="r-2")
         gauges = host.gauges(host.now())
@@ -409,8 +413,7 @@
         desk.handler = None
         assert host.gauges(host.now())["endpoints_paced"] == 1
         await deployment.send_request("e1", "/look/1", request_id="r-4")
-        await trio.sleep(0)
-        fields = request_lines()[-1]
+        fields = await line_of("r-4")
         assert 1.0 < fields["machine_pace"] <= 2.5 and fields["machine_pace_age_s"] < 3
         key = load_key("desk-1")
         await deployment.wait_until(
