Requests of a ranked service follow their route's priority where all teams have one

Cause: a team's priority takes precedence over its route's. Change: where the teams' priorities order nothing, the route's decides, for ranked services only.

--- a/src/cactusmill/internal/request.py
+++ b/src/cactusmill/internal/request.py
@@ -48,6 +48,9 @@
     prompt_segments : tuple of (str, int)
         Identifier and token count of each prompt segment, in order. Prompts with
         a common prefix begin with the same segments.
+    priority : int or None
+        Priority where that of the team does not decide, 0 highest; see
+        :func:`request_priority`.
     """
 
     request_id: str
@@ -68,6 +71,7 @@
     identifier: object = None
     objective_at: float = 0.0
     prompt_segments: tuple = ()
+    priority: int | None = None
 
     @property
     def team_name(self):
@@ -125,7 +129,9 @@
 
 
 def request_priority(req):
-    """Return the priority of a request: its team's, or else its route's."""
+    """Return the priority of a request: its own, its team's, or else its route's."""
+    if req.priority is not None:
+        return req.priority
     if req.team is not None and req.team.priority is not None:
         return req.team.priority
     return req.route.priority
--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -47,6 +47,8 @@
     patient_routes, ranked_services : frozenset of str
         Routes whose requests may wait longer than more urgent ones, and the services
         that have such routes; see :mod:`.scheduling.patience`.
+    team_priorities : frozenset of (int or None)
+        Priorities of the teams.
     """
 
     version: int
@@ -57,11 +59,16 @@
     limits: CallerLimits
     patient_routes: frozenset = attrs.field(init=False)
     ranked_services: frozenset = attrs.field(init=False)
+    team_priorities: frozenset = attrs.field(init=False)
 
     @patient_routes.default
     def _find_patient_routes(self):
         return find_patient_routes(self.routes, self.services)
 
+    @team_priorities.default
+    def _find_team_priorities(self):
+        return frozenset(team.priority for team in self.teams.values())
+
     @ranked_services.default
     def _find_ranked_services(self):
         return find_ranked_services(self.routes, self.services)
--- a/src/cactusmill/serving/edge.py
+++ b/src/cactusmill/serving/edge.py
@@ -419,6 +419,7 @@
     size = head.size_tokens
     if size is None:
         size = team.default_cost_tokens if team else 0.0
+    service = choose_service(route, host.rng)
     return Request(
         request_id=head.request_id,
         route=route,
@@ -429,13 +430,14 @@
         headers=head.forwardable_headers,
         body=body,
         deadline=caller.arrived_at + _time_limit_s(head, route),
-        service=choose_service(route, host.rng),
+        service=service,
         cost_tokens=size,
         prompt_tokens=head.prompt_tokens,
         output_tokens=head.output_tokens,
         is_stream=route.is_stream,
         objective_at=caller.arrived_at + route.objective_s,
         prompt_segments=head.prompt_segments,
+        priority=host.find_priority(team, route, service),
     )
 
 
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -41,6 +41,7 @@
 from .retry_after import RetrySchedule
 from .room_sharing import gauges as room_gauges
 from .room_sharing import log_rooms
+from .scheduling.patience import find_priority
 from .scheduling.rank_levels import RankLevels
 from .scheduling.region_room import RegionAllowances, RegionRooms
 from .source_sync import SourceHealth, sync_from_hosts, sync_from_source
@@ -388,6 +389,10 @@
         """Return the levels of patient requests, by the configuration in force."""
         return self.rank_levels.follow(self.catalog.configuration)
 
+    def find_priority(self, team, route, service_name):
+        """Return the priority of requests of a ranked service, or None."""
+        return find_priority(team, route, service_name, self.catalog.configuration)
+
     def update_rank_levels(self, now):
         """Update the levels of patient requests and log their changes."""
         ranks = self.rank_levels_in_force()
@@ -822,7 +827,9 @@
     parameters.
     """
     # A forwarded request carries its route but no service.
-    req = attrs.evolve(req, service=choose_service(req.route, host.rng))
+    service = choose_service(req.route, host.rng)
+    priority = host.find_priority(req.team, req.route, service)
+    req = attrs.evolve(req, service=service, priority=priority)
     host.forwards_running += 1
     try:
         return await run_request(host, req, sink, progress, is_forwarded=True)
--- a/src/cactusmill/serving/scheduling/patience.py
+++ b/src/cactusmill/serving/scheduling/patience.py
@@ -50,6 +50,34 @@
     )
 
 
+def find_priority(team, route, service, configuration):
+    """Return the priority of requests of a ranked service, or None to leave it as it is.
+
+    A team's priority takes precedence over its route's. Where all teams have the same
+    one, it orders nothing, and taken for the request's own it would hide that of the
+    route.
+
+    Parameters
+    ----------
+    team : Team or None
+        Team of the request.
+    route : Route
+        Its route.
+    service : str
+        Its service.
+    configuration : Configuration
+        The configuration in force.
+
+    Returns
+    -------
+    int or None
+    """
+    if service not in configuration.ranked_services or team is None:
+        return None
+    priorities = configuration.team_priorities
+    return route.priority if priorities == {team.priority} else None
+
+
 def services_of(route):
     """Return the names of the services to which a route sends requests."""
     return [name for name, _ in route.split] or [route.service]
