--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -328,16 +328,14 @@
         return 1 + len(self.membership.serving(now, self.cfg.region))
 
     def divided_services(self, now):
-        """Return the services whose capacity is divided between regions."""
+        """Return the services whose capacity is divided between regions.
+
+        Those whose endpoints report a pace. On a deployment with ranked services of
+        few hosts a region, the division refused more urgent requests than it saved.
+        """
         configuration = self.catalog.configuration
-        if configuration is None:
-            return frozenset()
-        paced = (
-            name
-            for name in configuration.services
-            if self.placement.is_paced(name, now)
-        )
-        return configuration.ranked_services.union(paced)
+        services = configuration.services if configuration else ()
+        return frozenset(s for s in services if self.placement.is_paced(s, now))
 
     def home_tokens_per_s(self, service_name, now):
         """Return what callers ask the region's hosts for, by what they ask this one."""
--- a/src/cactusmill/serving/placement.py
+++ b/src/cactusmill/serving/placement.py
@@ -267,7 +267,12 @@
         if metadata.pace is not None and not is_other:
             key = self.view(endpoint.name).load_key
             self.machine_pace.record(key, metadata.pace, now)
-            self._paced_at.update(dict.fromkeys(endpoint.serves, now))
+            for service_name in endpoint.serves:
+                self.record_paced(service_name, now)
+
+    def record_paced(self, service_name, now):
+        """Record that an endpoint of a service has reported a pace."""
+        self._paced_at[service_name] = now
 
     def count_unreachable(self, now):
         """Return the number of endpoints in backoff after a failed connection."""
--- a/src/cactusmill/serving/scheduling/patience.py
+++ b/src/cactusmill/serving/scheduling/patience.py
@@ -51,7 +51,7 @@
 
 
 def find_priority(team, route, service, configuration):
-    """Return the priority of requests of a ranked service, or None to leave it as it is.
+    """Return the priority of requests of a ranked service, or None to keep the usual.
 
     A team's priority takes precedence over its route's. Where all teams have the same
     one, it orders nothing, and taken for the request's own it would hide that of the
