--- a/src/cactusmill/platform/dialect.py
+++ b/src/cactusmill/platform/dialect.py
@@ -225,8 +225,7 @@
     ResponseMetadata
     """
     is_misdirected = status == 421
-    load_text = header(headers, b"instance-load")
-    load = _parse_load(load_text) or ()
+    load = _parse_load(load_text := header(headers, b"instance-load")) or ()
     return ResponseMetadata(
         request_id=header(headers, b"request-id"),
         is_not_run=header(headers, b"not-executed") is not None,
--- a/src/cactusmill/platform/items.py
+++ b/src/cactusmill/platform/items.py
@@ -140,11 +140,11 @@
     for route in fields.objects("routes"):
         routes.append(_parse_route(route))
         await steps.pause()
-    services = [_parse_service(service) for service in fields.objects("services")]
-    teams, team_by_key = {}, {}
+    teams, team_by_key, priorities = {}, {}, set()
     for tenant in fields.objects("tenants", ()):
         team = _parse_team(tenant)
         teams[team.name] = team
+        priorities.add(team.priority)
         for key in tenant.names("api_keys"):
             team_by_key[key_digest(key.encode("latin-1"))] = team.name
         await steps.pause()
@@ -153,7 +153,8 @@
         routes=tuple(routes),
         teams=teams,
         team_by_key=team_by_key,
-        services={s.name: s for s in services},
+        services={s.name: s for s in map(_parse_service, fields.objects("services"))},
+        team_priorities=frozenset(priorities),
         limits=_parse_limits(fields.object("limits")),
     )
 
--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -48,7 +48,7 @@
         Routes whose requests may wait longer than more urgent ones, and the services
         that have such routes; see :mod:`.scheduling.patience`.
     team_priorities : frozenset of (int or None)
-        Priorities of the teams.
+        Priorities of the teams. Collected where the teams are read, in bounded steps.
     """
 
     version: int
@@ -57,18 +57,14 @@
     team_by_key: dict
     services: dict
     limits: CallerLimits
+    team_priorities: frozenset = frozenset()
     patient_routes: frozenset = attrs.field(init=False)
     ranked_services: frozenset = attrs.field(init=False)
-    team_priorities: frozenset = attrs.field(init=False)
 
     @patient_routes.default
     def _find_patient_routes(self):
         return find_patient_routes(self.routes, self.services)
 
-    @team_priorities.default
-    def _find_team_priorities(self):
-        return frozenset(team.priority for team in self.teams.values())
-
     @ranked_services.default
     def _find_ranked_services(self):
         return find_ranked_services(self.routes, self.services)
--- a/src/cactusmill/serving/scheduling/patience.py
+++ b/src/cactusmill/serving/scheduling/patience.py
@@ -6,6 +6,9 @@
 patient routes only.
 """
 
+import itertools
+import operator
+
 # A route is patient if its objective is at least this many times that of a more urgent
 # route of the same engine service. Smaller ratios are common between routes that
 # compete on equal terms.
@@ -27,10 +30,9 @@
     frozenset of str
     """
     return frozenset(
-        name
-        for by_name in _streams_by_service(routes, services).values()
-        for name, route in by_name.items()
-        if _is_patient(route, by_name.values())
+        route.name
+        for streams in _streams_by_service(routes, services).values()
+        for route in _find_patient(streams)
     )
 
 
@@ -45,8 +47,8 @@
     """
     return frozenset(
         service
-        for service, by_name in _streams_by_service(routes, services).items()
-        if any(_is_patient(route, by_name.values()) for route in by_name.values())
+        for service, streams in _streams_by_service(routes, services).items()
+        if _find_patient(streams)
     )
 
 
@@ -88,13 +90,16 @@
     for route in routes:
         for name in services_of(route):
             if route.is_stream and name in services and services[name].is_engine:
-                found.setdefault(name, {})[route.name] = route
+                found.setdefault(name, []).append(route)
     return found
 
 
-def _is_patient(route, others):
-    return any(
-        other.priority < route.priority
-        and route.objective_s >= PATIENCE_RATIO * other.objective_s
-        for other in others
-    )
+def _find_patient(streams):
+    """Return the patient ones of the streams of a service."""
+    patient, shortest_s = [], float("inf")
+    priority_of = operator.attrgetter("priority")
+    for _, group in itertools.groupby(sorted(streams, key=priority_of), priority_of):
+        equal = list(group)
+        patient += [r for r in equal if r.objective_s >= PATIENCE_RATIO * shortest_s]
+        shortest_s = min(shortest_s, *(r.objective_s for r in equal))
+    return patient
--- a/tests/platform/test_items.py
+++ b/tests/platform/test_items.py
@@ -111,3 +111,12 @@
     published["routes"][0]["gap_aim_ms"] = -1
     change = change_from_item(item("op/config", published), ZONES)
     assert isinstance(change, UnreadableItem) and "gap_aim_ms" in change.problem
+
+
+def test_priorities_of_teams_are_collected():
+    """Without them requests of ranked services follow their team's priority."""
+    published = configuration()
+    red = published["tenants"][0]
+    published["tenants"] = [{**red, "priority": 1}, {**red, "name": "blue"}]
+    change = change_from_item(item("op/config", published), ZONES)
+    assert change.configuration.team_priorities == {1, None}
--- a/tests/serving/scheduling/test_patience.py
+++ b/tests/serving/scheduling/test_patience.py
@@ -72,6 +72,7 @@
         team_by_key={},
         services=SERVICES,
         limits=None,
+        team_priorities=frozenset(t.priority for t in teams),
     )
     return [
         [find_priority(t, r, "engines", configuration) for r in routes] for t in teams
