Comments give the reason of a constant; one constant follows its schedule

Change: comments state the reason; the limit is 3.1 rounds, the same 0.465 s. Measured: 61 tests of the division, forwarding and the border pass.

--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -63,8 +63,8 @@
 # The other host enforces the deadline; this covers the round trip and its delays.
 _RESPONSE_MARGIN_S = 0.3
 _ITEMS_TIMEOUT_S = 1.0
-# How long a forwarded request waits for the configuration by which its sender handled
-# it: most configurations reach all hosts within this time of the first one.
+# How long a forwarded request waits for the configuration that its sender used. It is
+# refused as not run after that, so that a longer propagation costs a retry only.
 _CONFIGURATION_WAIT_S = 0.3
 _CONFIGURATION_POLL_S = 0.02
 _ITEMS = "items"
--- a/src/cactusmill/serving/heartbeat_contents.py
+++ b/src/cactusmill/serving/heartbeat_contents.py
@@ -29,7 +29,8 @@
 # later than permitted and be whole in place of the next one.
 _MARGIN_S = REGION_HEARTBEAT_S / 2
 # Every how many heartbeats to a receiver name the sender in full and carry member
-# entries. The first ones do as well, so that a lost one does not delay the meeting.
+# entries. The first two do as well: a receiver ignores short ones of senders that it
+# does not know, so that the loss of a single first one would leave it without any.
 NAMED_EVERY = 4
 _NAMED_FIRST = 2
 # Member entries of such a heartbeat, besides new and leaving members.
--- a/src/cactusmill/serving/room_sharing.py
+++ b/src/cactusmill/serving/room_sharing.py
@@ -8,12 +8,13 @@
 
 from ..internal.request import is_permitted
 from .events import log_event
+from .heartbeats import REGION_HEARTBEAT_S
 from .overload import Send
 from .scheduling.region_room import OwnRegion, compute_room
 
-# Maximum age of another host's report of what it wants to forward: as old as its
-# reports of load may become.
-_WANTS_VALID_S = 0.465
+# Maximum age of another host's report of what it wants to forward: three rounds of
+# heartbeats, as for reports of load.
+_WANTS_VALID_S = 3.1 * REGION_HEARTBEAT_S
 
 
 def compute_rooms(host, now):
--- a/src/cactusmill/serving/scheduling/engine_room.py
+++ b/src/cactusmill/serving/scheduling/engine_room.py
@@ -17,10 +17,9 @@
 # Fraction of an engine's KV cache that requests in flight may hold. The rest covers
 # responses that are longer than expected.
 MEMORY_FRACTION = 0.95
-# Time until a stream of a full batch ends and the most urgent queued request starts. In
-# the replay of `benchmarks.goodput --deployment depot` the cost of a full batch (1.0 s)
-# had urgent requests refused wherever patient ones filled the batches; with 0.1 s so
-# many started that streams became too slow.
+# Time until a stream of a full batch ends and the most urgent queued request starts. At
+# 1.0 s, the cost for others, urgent requests are refused wherever patient ones fill the
+# batches; at 0.1 s so many start that streams become too slow.
 URGENT_SLOT_WAIT_S = 0.3
 
 
--- a/src/cactusmill/serving/scheduling/rank_levels.py
+++ b/src/cactusmill/serving/scheduling/rank_levels.py
@@ -28,13 +28,13 @@
 URGENT_REFUSED = 0.03
 # Patient requests are always admitted at this fraction at least.
 MIN_LEVEL = 0.3
-# Largest change of a level in a round (0.15 s). In replays of 1.2 times the capacity, a
-# faster rise went too far before the refusals that it caused were reported.
+# Largest change of a level in a round (0.15 s). A faster rise overshoots before the
+# refusals that it causes are reported.
 MAX_FALL = 0.05
 MAX_RISE = 0.02
 # Change of the level in a round, as a multiple of the difference between the refused
-# fractions of urgent and patient tokens. In replays, 0.1 followed a surge of 5 s too
-# late, and at 0.2 the levels of 400 hosts with few requests each differed more.
+# fractions of urgent and patient tokens. A lower gain follows a surge of 5 s too late;
+# with a higher one the levels of hosts with few requests each diverge.
 _GAIN = 0.15
 # Part of the mean difference to the other hosts' levels that a round removes. The
 # differences are up to ten rounds old, so that much larger parts overshoot.
--- a/src/cactusmill/serving/scheduling/region_room.py
+++ b/src/cactusmill/serving/scheduling/region_room.py
@@ -354,7 +354,7 @@
             for service in own.services:
                 self._update_bucket(report, service, now)
         for key, bucket in list(self._buckets.items()):
-            # The bucket of a lost region stays, and its report expires.
+            # Regions without a report are included, since their allowance must expire.
             region, service = key
             if service not in own.services:
                 del self._buckets[key]
