Show that a host goes back to its older configuration

Cause: a host that is ahead runs what a host that is behind forwards by its own version and tells the sender nothing of it, so that the sender goes on running the rest by the old one.

--- a/review/lib-2/stage.py
+++ b/review/lib-2/stage.py
@@ -135,6 +135,8 @@
         self.items = {}
         self.events = []
         self.cut = set()
+        self.silent = set()
+        self.answered_at = {}
         self._changed = asyncio.Event()
         self._writers = {}
 
@@ -175,6 +177,11 @@
         for writer in self._writers.pop(ip, ()):
             reset(writer)
 
+    def silence(self, ip):
+        """Answer one host nothing from now on, on any connection."""
+        self.silent.add(ip)
+        self.record.add("store_silent", host=ip)
+
     def heal(self, ip):
         """Serve a host again."""
         self.cut.discard(ip)
@@ -192,11 +199,14 @@
                 page = await self._respond(ip, target)
                 if ip in self.cut:
                     return
+                if ip in self.silent:
+                    await asyncio.Event().wait()
                 status, body = page
                 data = json.dumps(body).encode()
                 kind = [("content-type", "application/json")]
                 writer.write(render(status, kind, data))
                 await writer.drain()
+                self.answered_at[ip] = self.record.now()
         self._writers.get(ip, set()).discard(writer)
         writer.close()
 
@@ -242,10 +252,22 @@
     connection is reset instead of answered.
     """
 
-    def __init__(self, record, name, zone, service, address, work_s=0.01, loses=None):
+    def __init__(
+        self,
+        record,
+        name,
+        zone,
+        service,
+        address,
+        work_s=0.01,
+        loses=None,
+        slots=16,
+    ):
         self.record = record
         self.name, self.zone, self.service = name, zone, service
         self.address, self.work_s, self.loses = address, work_s, loses
+        self.slots = slots
+        self._places = asyncio.Semaphore(slots)
         self.born = int(time.time() * 1000)
         self.seq = 1
         self.runs = []
@@ -259,7 +281,7 @@
             "address": self.address,
             "zone": self.zone,
             "version": "v1",
-            "slots": 16,
+            "slots": self.slots,
             "state": "ready",
             "cold_left_ms": 0,
             "seq": self.seq,
@@ -295,9 +317,10 @@
         if headers.get("expect-instance", self.name) != self.name:
             writer.write(render(421, [*base, ("not-executed", "1")]))
             return True
-        self.runs.append((self.record.now(), request_id))
-        self.record.add("run", worker=self.name, request=request_id)
-        await asyncio.sleep(self.work_s)
+        async with self._places:
+            self.runs.append((self.record.now(), request_id))
+            self.record.add("run", worker=self.name, request=request_id)
+            await asyncio.sleep(self.work_s)
         if self.loses is not None and self.loses():
             self.record.add("answer_lost", worker=self.name, request=request_id)
             reset(writer)
@@ -320,6 +343,7 @@
         self.number = self._find_network()
         self._folder = tempfile.TemporaryDirectory()
         self._servers = []
+        self.sent_at = {}
         self._ids = 0
 
     @staticmethod
@@ -463,7 +487,10 @@
                 writer.transport.abort()
 
     async def ask(self, host, path, budget_ms=2500):
-        """Send a consumer's request to a host; return its id and the response."""
+        """Send a consumer's request to a host; return its id and the response.
+
+        `sent_at` keeps when each request was sent, in seconds.
+        """
         self._ids += 1
         request_id = f"{self.number:02x}{self._ids:014x}"
         lines = [
@@ -474,6 +501,7 @@
             "Authorization: Token key-of-red",
         ]
         self.record.add("sent", request=request_id, host=host)
+        self.sent_at[request_id] = self.record.now()
         data = ("\r\n".join(lines) + "\r\n\r\n").encode()
         address = f"{self.ip(host)}:{PORTS['front']}"
         reply = await self.exchange(address, data, budget_ms / 1000 + 1)
@@ -494,10 +522,10 @@
         self.record.close()
 
 
-def configuration(routes, services):
+def configuration(routes, services, version=1):
     """Return a configuration with one tenant without a limit."""
     return {
-        "version": 1,
+        "version": version,
         "routes": routes,
         "services": services,
         "limits": {
