Count a host as up to date only by copies that have all removals

Cause: a follower marked itself as synced to the revision of whichever host it fetched from. A host that started after a removal has no tombstone of it, so that its revision covers the removal and its export lacks it.

Change: a host knows after which revisions its changes are complete, and its exports say so. An export that is not complete for the one who asked is empty; another host is tried, then the source, and a host that cannot watch that copies all items of another one as a listing and lists the source as soon as it can. keep_only marks what a listing lacks as removed at the listing's revision. The end of an evacuation was lost in the same way.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -348,9 +348,9 @@
     entries = [platform_endpoint(n, 10 + n) for n in range(endpoints)]
 
     def read(name, items):
-        page = json.dumps({"items": items, "revision": 10**6}).encode()
-        changes, _ = measure_turns(name, store.read_export, zlib.compress(page, 1))
-        return changes
+        page = json.dumps({"items": items, "since": 1, "revision": 10**6}).encode()
+        data = zlib.compress(page, 1)
+        return measure_turns(name, store.read_export, data, 1).changes
 
     changes = read("read a configuration", [configuration])
     measure_turns("apply a configuration", apply_changes, host, changes)
--- a/src/cactusmill/platform/store.py
+++ b/src/cactusmill/platform/store.py
@@ -1,7 +1,8 @@
 """Client of the platform's key-value store: listings, watches, exports.
 
-An export contains items in the store's format, from which a host that cannot reach the
-store updates its configuration and endpoints.
+An export contains items in the store's format, from which a host that follows others or
+cannot reach the store updates its configuration and endpoints. It says after which
+revision its changes are complete (:mod:`..serving.history`).
 """
 
 import functools
@@ -19,6 +20,7 @@
 from ..internal.steps import Steps, parse_json
 from ..serving.catalog import UnreadableItem
 from ..serving.connections import IDLE_SILENCE_MS, enable_dead_peer_detection
+from ..serving.history import ChangeHistory
 from ..serving.positions import (
     MAX_ERA,
     MAX_POSITION,
@@ -27,8 +29,13 @@
     position,
     revision_of,
 )
-from ..serving.source_sync import HistoryLostError, Source
-from .items import change_from_item
+from ..serving.source_sync import (
+    Export,
+    HistoryLostError,
+    IncompleteExportError,
+    Source,
+)
+from .items import CONFIGURATION_KEY, change_from_item
 
 # Responses normally take milliseconds, and up to 60 times that when the store is slow.
 _RESPONSE_TIMEOUT_S = 1.5
@@ -65,6 +72,7 @@
     _listed_era: int = -1
     _items: dict = attrs.field(factory=dict)
     _tombstones: dict = attrs.field(factory=dict)
+    _history: ChangeHistory = attrs.field(factory=ChangeHistory)
     _last_export: tuple | None = None
     _export_lock: trio.Lock = attrs.field(factory=trio.Lock)
     _client: ServiceClient = attrs.field(init=False)
@@ -91,22 +99,43 @@
 
         Items keep the store's own format. They are compressed because links
         between hosts carry a few Mbit/s. The last export is cached, since several
-        hosts request the same revisions after a change.
+        hosts request the same revisions after a change. If a change after `since` may
+        be missing here, the export is empty and has the revision from which none is.
+
+        Parameters
+        ----------
+        since : int
+            Revision that the other host has; 0 for a copy of all items.
+        revision : int
+            Revision up to which this host has applied all changes.
+
+        Returns
+        -------
+        bytes
         """
+        complete_after = self._history.complete_after(since)
+        if since and complete_after > since:
+            return await self._pack_export(complete_after, since, ())
+        if not since:
+            revision = min(revision, self._history.synced_to)
         key = (since, revision)
         async with self._export_lock:
             if self._last_export is None or self._last_export[0] != key:
-                self._last_export = (key, await self._pack_export(since, revision))
+                items = list(self._items.values())
+                export = await self._pack_export(since, revision, items)
+                self._last_export = (key, export)
             return self._last_export[1]
 
-    async def _pack_export(self, since, revision):
+    async def _pack_export(self, since, revision, items):
         steps = Steps()
         packer = zlib.compressobj(_COMPRESSION_LEVEL)
-        parts = [packer.compress(f'{{"revision": {revision}, "items": ['.encode())]
+        head = f'{{"since": {since}, "revision": {revision}, "items": ['
+        parts = [packer.compress(head.encode())]
         separator = ""
-        for item in list(self._items.values()):
+        for item in items:
             await steps.pause()
-            if item["revision"] <= since:
+            is_obsolete = since == 0 and item.get("tombstone")
+            if item["revision"] <= since or is_obsolete:
                 continue
             text = separator + json.dumps(item)
             separator = ", "
@@ -117,11 +146,24 @@
         parts += [packer.compress(b"]}"), packer.flush()]
         return b"".join(parts)
 
-    async def read_export(self, data):
-        """Decode another host's export into its changes and the revision it is up to.
+    async def read_export(self, data, since):
+        """Decode another host's export.
+
+        Parameters
+        ----------
+        data : bytes
+            The export.
+        since : int
+            Revision for which it was requested; 0 for a copy of all items.
+
+        Returns
+        -------
+        Export
 
         Raises
         ------
+        IncompleteExportError
+            If a change after `since` may be missing.
         PlatformError
             If the export is malformed.
         """
@@ -133,7 +175,21 @@
             raise PlatformError("export is not a JSON object")
         items = _get_field(export, "items", list)
         revision = _get_revision(export, "revision", MAX_POSITION)
-        return await self._decode_items(items), revision
+        complete_after = _get_revision(export, "since", MAX_POSITION)
+        if complete_after > since:
+            raise IncompleteExportError(complete_after)
+        is_copy = since == 0 and revision > self._history.synced_to
+        if since == 0 and not is_copy:
+            # What this host lacks of an older copy has been removed since, but for a
+            # configuration that it could not read.
+            items = [i for i in items if _has_key(i, CONFIGURATION_KEY)]
+        changes = await self._decode_items(items)
+        if is_copy:
+            self._record_removed({item["key"] for item in items}, revision)
+            self._history.replace(revision)
+        elif since:
+            self._history.extend(since, revision)
+        return Export(changes, revision, is_copy)
 
     async def list_all(self):
         """Return all items as changes, and the revision to watch from."""
@@ -154,6 +210,7 @@
             keys.update(item["key"] for item in items)
             if not page.get("has_more") or not items:
                 self._record_removed(keys, start)
+                self._history.replace(start)
                 self._listed_era = era
                 return changes, start
             after = items[-1].get("key", "")
@@ -187,9 +244,9 @@
             raise PlatformError(f"the response is of era {era}, which has ended")
         events = _locate_items(_get_field(page, "events", list), era)
         changes = await self._decode_items(events)
-        return changes, max(
-            revision, position(era, _get_revision(page, "store_revision"))
-        )
+        newest = max(revision, position(era, _get_revision(page, "store_revision")))
+        self._history.extend(revision, newest)
+        return changes, newest
 
     async def _decode_items(self, items):
         changes, steps = [], Steps()
@@ -229,7 +286,8 @@
             self._tombstones[key] = None
             if len(self._tombstones) > _MAX_TOMBSTONES:
                 oldest = next(iter(self._tombstones))
-                del self._tombstones[oldest], self._items[oldest]
+                self._history.discard(self._items.pop(oldest)["revision"])
+                del self._tombstones[oldest]
 
     async def _get(self, name, query, timeout_s):
         """Return the decoded body of a response, and its era."""
@@ -267,6 +325,10 @@
     ]
 
 
+def _has_key(item, key):
+    return isinstance(item, dict) and item.get("key") == key
+
+
 def _get_revision(data, name, high=MAX_REVISION):
     revision = _get_field(data, name, int)
     if not 0 <= revision <= high:
--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -474,6 +474,8 @@
         for name, listed in list(self._endpoints.items()):
             is_absent = name not in names and is_outdated(listed)
             if is_absent and listed.removed_at is None:
+                # An older entry from another host does not restore it.
+                listed.revision = revision
                 self._mark_removed(name, now)
         ended = [
             EvacuationChange(revision=revision, zone=zone, is_evacuated=False)
--- a/src/cactusmill/serving/membership.py
+++ b/src/cactusmill/serving/membership.py
@@ -79,6 +79,8 @@
         Whether it is shutting down, and whether it serves callers.
     configuration_version, revision : int
         Configuration and revision of the source that it has applied.
+    history_since : int
+        Revision before which it is known to lack changes of the source.
     demands : dict of int to int
         Tokens per second requested from it, by team key.
     work : dict of int to tuple of int
@@ -103,6 +105,7 @@
     is_ready: bool = True
     configuration_version: int = 0
     revision: int = 0
+    history_since: int = 0
     demands: dict = attrs.field(factory=dict)
     work: dict = attrs.field(factory=dict)
     reads_partial: bool = False
--- a/src/cactusmill/serving/source_sync.py
+++ b/src/cactusmill/serving/source_sync.py
@@ -5,7 +5,8 @@
 
 The source may be slow, down, unresponsive or without the history that was asked
 for, possibly for some hosts only. What a host has applied stays in force
-meanwhile. Hosts that are behind their peers fetch the changes from one of them.
+meanwhile. Hosts that are behind their peers fetch the changes from one of them, which
+must have seen all changes since, removals included (:mod:`.history`).
 """
 
 import math
@@ -44,6 +45,9 @@
 REMOVAL_GRACE_S = SETTLE_S
 # Hosts list again spread over this time once an era has settled.
 _SETTLE_SPREAD_S = 0.3
+# How long a host that started lately may be the only one known with a newer revision;
+# the others' heartbeats arrive within this time.
+_HISTORY_WAIT_S = 0.5
 # Removed endpoints are kept this long, so that late entries do not restore them.
 _KEEP_REMOVED_S = 30.0
 
@@ -52,6 +56,39 @@
     """The source no longer holds the requested changes; a new listing is needed."""
 
 
+class IncompleteExportError(PlatformError):
+    """Another host may not have seen all requested changes.
+
+    Attributes
+    ----------
+    complete_after : int
+        Revision from which on it has.
+    """
+
+    def __init__(self, complete_after):
+        super().__init__(f"changes are complete after {complete_after} only")
+        self.complete_after = complete_after
+
+
+@attrs.frozen
+class Export:
+    """What another host sent of the source's items.
+
+    Attributes
+    ----------
+    changes : list
+        Changes as published.
+    revision : int
+        Revision up to which they are complete.
+    is_copy : bool
+        Whether these are all items, so that any other one has been removed.
+    """
+
+    changes: list
+    revision: int
+    is_copy: bool
+
+
 @attrs.frozen(kw_only=True)
 class Source:
     """Functions that read published items from the source.
@@ -66,10 +103,10 @@
         :class:`HistoryLostError` if the source no longer holds them.
     export : callable
         ``await export(since, revision)`` returns the items after a revision as bytes
-        for another host, complete up to the later revision.
+        for another host, complete up to the later revision; all items for 0.
     read_export : callable
-        ``await read_export(data)`` returns ``(changes, revision)`` of another host's
-        export.
+        ``await read_export(data, since)`` returns an :class:`Export`, raising
+        :class:`IncompleteExportError` if it may lack changes after `since`.
     count_calls : callable
         ``count_calls()`` returns the calls made so far.
     """
@@ -100,6 +137,12 @@
         changes from them instead of watching the source, in seconds.
     is_configuration_unreadable : bool
         Whether the source has had a configuration that could not be decoded.
+    lacks_history_since : float or None
+        Since when no host from which this one may fetch has all the changes that it
+        needs, in seconds; None if one may.
+    copied_at : float
+        When this host last copied all items of another one, in seconds. Such a copy is
+        as good as its sender's; a listing of the source replaces it.
     """
 
     failing_since: float | None = None
@@ -108,6 +151,8 @@
     remote_failure_at: float = float("-inf")
     follow_after: float = float("-inf")
     is_configuration_unreadable: bool = False
+    lacks_history_since: float | None = None
+    copied_at: float = float("-inf")
 
     def record_failure(self, now):
         """Record a failed call; return True if it is the first in a row."""
@@ -166,9 +211,14 @@
     """
     revision, retry_s = None, _FIRST_RETRY_S
     is_following = False
-    list_again_at = math.inf
+    listed_at, spread = -math.inf, host.rng.random()
     while True:
-        should_follow = revision is not None and _is_follower(host, host.now())
+        list_again_at = _listing_due_at(host, listed_at, spread)
+        should_follow = (
+            revision is not None
+            and host.now() < list_again_at
+            and _is_follower(host, host.now())
+        )
         if should_follow != is_following:
             is_following = should_follow
             if should_follow:
@@ -186,15 +236,13 @@
                 or host.now() >= list_again_at
                 or era_of(revision) < era_of(host.catalog.revision)
             ):
-                list_again_at = math.inf
+                began_at = host.now()
                 changes, revision = await source.list_all()
                 if era_of(revision) < era_of(host.catalog.revision):
                     raise PlatformError("the listing is of an era that has ended")
                 enter_era(host, revision)
-                if not host.catalog.is_settled(host.now()):
-                    spread_s = _SETTLE_SPREAD_S * host.rng.random()
-                    list_again_at = host.catalog.settles_at + spread_s
                 await _apply_listing(host, changes, revision)
+                listed_at = began_at
             else:
                 # Other hosts may have supplied later changes meanwhile.
                 revision = max(revision, host.catalog.revision)
@@ -218,6 +266,31 @@
             log_event("platform_regained", revision=revision)
 
 
+def _listing_due_at(host, listed_at, spread):
+    """Return when this host is to list the source again.
+
+    Parameters
+    ----------
+    host : GatewayHost
+        This process.
+    listed_at : float
+        When its last listing began, in seconds.
+    spread : float
+        Place of this host among those that list, from 0 to 1.
+
+    Returns
+    -------
+    float
+        Time in seconds; infinite if no listing is due.
+    """
+    if host.source_health.copied_at >= listed_at > -math.inf:
+        return listed_at
+    settles_at = host.catalog.settles_at
+    if listed_at >= settles_at or _is_follower(host, host.now()):
+        return math.inf
+    return settles_at + _SETTLE_SPREAD_S * spread
+
+
 async def sync_from_hosts(host, source):
     """Fetch changes from other hosts while the source does not supply them.
 
@@ -233,20 +306,55 @@
         for change in host.catalog.settle(host.now()):
             _log_change(change)
         member = choose_sync_peer(host, host.now())
-        if member is None:
-            continue
-        try:
-            since = 0 if is_unconfigured(host) else host.catalog.revision
-            data = await fetch_items(host, member, since)
-            changes, revision = await source.read_export(data)
-        except (ConnectError, LinkClosedError, PlatformError) as exc:
-            log_event("catch_up_failed", host=member.id.name, reason=repr(exc))
-            host.source_health.follow_after = host.now() + _WATCH_AFTER_PEER_FAILURE_S
-            continue
-        log_event("caught_up", host=member.id.name, revision=revision)
-        enter_era(host, revision)
-        await apply_changes(host, changes)
-        host.catalog.mark_synced_to(revision)
+        while member is not None and await _fetch_lacks_history(host, member, source):
+            member = choose_sync_peer(host, host.now())
+        _watch_if_history_is_lacking(host, host.now())
+
+
+async def _fetch_lacks_history(host, member, source):
+    """Fetch changes from another host; return whether it has not seen all of them."""
+    health, since = host.source_health, host.catalog.revision
+    if is_unconfigured(host) or member.history_since > since:
+        since = 0
+    try:
+        data = await fetch_items(host, member, since)
+        export = await source.read_export(data, since)
+    except IncompleteExportError as exc:
+        member.history_since = exc.complete_after
+        if health.lacks_history_since is None:
+            health.lacks_history_since = host.now()
+        log_event(
+            "history_incomplete",
+            host=member.id.name,
+            since=since,
+            complete_after=exc.complete_after,
+        )
+        return True
+    except (ConnectError, LinkClosedError, PlatformError) as exc:
+        log_event("catch_up_failed", host=member.id.name, reason=repr(exc))
+        health.follow_after = host.now() + _WATCH_AFTER_PEER_FAILURE_S
+        return False
+    revision = export.revision
+    log_event("caught_up", host=member.id.name, since=since, revision=revision)
+    enter_era(host, revision)
+    if export.is_copy:
+        health.copied_at = host.now()
+        await _apply_listing(host, export.changes, revision)
+    else:
+        await apply_changes(host, export.changes)
+    host.catalog.mark_synced_to(revision)
+    health.lacks_history_since = None
+    return False
+
+
+def _watch_if_history_is_lacking(host, now):
+    """Let a follower watch the source if no other host has what it lacks."""
+    health = host.source_health
+    if not host.membership.has_newer_revision(host.catalog.revision):
+        health.lacks_history_since = None
+    elif _lacks_history(host, now) and _is_follower(host, now):
+        health.follow_after = now + _WATCH_AFTER_PEER_FAILURE_S
+        health.lacks_history_since = None
 
 
 def enter_era(host, revision):
@@ -281,6 +389,10 @@
     not respond fetches from any host, and one for which the source has no readable
     configuration from any that has one; all others from none.
 
+    Members are preferred that may have seen all changes that this host lacks. If
+    there has been none for a while, a host that cannot watch the source copies all
+    items of any newer one.
+
     Parameters
     ----------
     host : GatewayHost
@@ -304,7 +416,16 @@
     newer = [m for m in membership.live(now) if m.revision > host.catalog.revision]
     in_region = [m for m in newer if m.id.region == membership.own_id.region]
     candidates = in_region if is_following else newer
-    return host.rng.choice(candidates) if candidates else None
+    complete = [m for m in candidates if m.history_since <= host.catalog.revision]
+    if not (complete or is_following) and _lacks_history(host, now):
+        complete = candidates
+    return host.rng.choice(complete) if complete else None
+
+
+def _lacks_history(host, now):
+    """Return whether no host has had the changes that this one lacks for a while."""
+    lacking_since = host.source_health.lacks_history_since
+    return lacking_since is not None and now - lacking_since >= _HISTORY_WAIT_S
 
 
 async def _apply_listing(host, changes, revision):
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,10 +10,11 @@
 from cactusmill.errors import PlatformError
 from cactusmill.platform.store import StoreClient
 from cactusmill.serving.positions import MAX_POSITION
+from cactusmill.serving.source_sync import Export, IncompleteExportError
 
 
-def read_export(data):
-    return trio.run(StoreClient("127.0.0.1:1", None, {}).read_export, data)
+def read_export(data, since=7):
+    return trio.run(StoreClient("127.0.0.1:1", None, {}).read_export, data, since)
 
 
 def test_export_that_unpacks_without_end_is_refused():
@@ -23,8 +24,9 @@
 
 
 def test_cut_export_is_refused():
-    data = zlib.compress(json.dumps({"revision": 7, "items": []}).encode())
-    assert read_export(data) == ([], 7)
+    export = {"since": 7, "revision": 7, "items": []}
+    data = zlib.compress(json.dumps(export).encode())
+    assert read_export(data) == Export([], 7, is_copy=False)
     for size in range(len(data)):
         with pytest.raises(PlatformError):
             read_export(data[:size])
@@ -34,8 +36,13 @@
 def test_export_with_a_revision_that_no_heartbeat_can_tell_is_refused(revision):
     """Guards against the end of a host that tells the others its revision."""
     for export in (
-        {"revision": revision, "items": []},
-        {"revision": 7, "items": [{"key": "servers/e", "revision": revision}]},
+        {"since": 7, "revision": revision, "items": []},
+        {"since": revision, "revision": 7, "items": []},
+        {
+            "since": 7,
+            "revision": 7,
+            "items": [{"key": "servers/e", "revision": revision}],
+        },
     ):
         with pytest.raises(PlatformError, match="revision"):
             read_export(zlib.compress(json.dumps(export).encode()))
@@ -107,3 +114,60 @@
     assert [change.key for change in list_all(service)[0]] == ["k\ud800"]
     query = urllib.parse.parse_qs(service.targets[1], errors="surrogatepass")
     assert query["after"] == ["k\ud800"]
+
+
+ITEM = {"key": "op/evacuate/east-a", "revision": 5, "value": "e30="}
+
+
+def client_that_listed(page):
+    client = StoreClient("127.0.0.1:1", None, {})
+    client._client = ServiceStub(page, era=b"0")
+    trio.run(client.list_all)
+    return client
+
+
+def export_of(client, since, revision):
+    data = trio.run(client.export, since, revision)
+    return trio.run(StoreClient("127.0.0.1:1", None, {}).read_export, data, since)
+
+
+def test_host_that_listed_later_says_that_removals_before_are_missing():
+    """Guards against requests to endpoints that have left, as in review/6."""
+    client = client_that_listed({"items": [], "store_revision": 6})
+    assert export_of(client, 6, 6) == Export([], 6, is_copy=False)
+    for since in (1, 5):
+        with pytest.raises(IncompleteExportError, match="after 6") as caught:
+            export_of(client, since, 6)
+        assert caught.value.complete_after == 6
+
+
+def test_copy_of_all_items_tells_the_receiver_that_others_were_removed():
+    client = client_that_listed({"items": [ITEM], "store_revision": 6})
+    copy = trio.run(client.export, 0, 6)
+    receiver = client_that_listed(
+        {"items": [{**ITEM, "key": "op/evacuate/west-a"}], "store_revision": 5}
+    )
+    export = trio.run(receiver.read_export, copy, 0)
+    assert export.is_copy and export.revision == 6
+    # What the copy lacks is passed on as removed in turn.
+    changes = export_of(receiver, 5, 6).changes
+    assert [(c.zone, c.is_evacuated) for c in changes] == [("west-a", False)]
+
+
+def test_older_copy_removes_and_restores_nothing():
+    client = client_that_listed({"items": [ITEM], "store_revision": 6})
+    receiver = client_that_listed({"items": [], "store_revision": 9})
+    export = trio.run(receiver.read_export, trio.run(client.export, 0, 6), 0)
+    assert export == Export([], 6, is_copy=False)
+    assert ITEM["key"] not in receiver._items
+
+
+def test_export_of_a_build_that_does_not_say_from_where_it_is_complete_is_refused():
+    with pytest.raises(PlatformError, match="since"):
+        read_export(zlib.compress(b'{"revision": 9, "items": []}'))
+
+
+def test_refusal_does_not_advance_a_build_that_reads_only_the_revision():
+    client = client_that_listed({"items": [], "store_revision": 6})
+    refusal = json.loads(zlib.decompress(trio.run(client.export, 5, 6)))
+    assert refusal == {"since": 6, "revision": 5, "items": []}
--- a/tests/serving/test_bounded_turns.py
+++ b/tests/serving/test_bounded_turns.py
@@ -57,7 +57,8 @@
 
 
 def packed(items):
-    return zlib.compress(json.dumps({"revision": 9, "items": items}).encode())
+    export = {"since": 1, "revision": 9, "items": items}
+    return zlib.compress(json.dumps(export).encode())
 
 
 def new_store():
@@ -121,10 +122,10 @@
     ]
     update = json.dumps({"version": size, "changes": rows}).encode()
     sizes = {}
-    sizes["read teams"], (changes, _) = largest_piece(store.read_export, teams)
-    sizes["apply teams"], _ = largest_piece(apply_changes, host, changes)
-    sizes["read endpoints"], (changes, _) = largest_piece(store.read_export, entries)
-    sizes["apply endpoints"], _ = largest_piece(apply_changes, host, changes)
+    sizes["read teams"], export = largest_piece(store.read_export, teams, 1)
+    sizes["apply teams"], _ = largest_piece(apply_changes, host, export.changes)
+    sizes["read endpoints"], export = largest_piece(store.read_export, entries, 1)
+    sizes["apply endpoints"], _ = largest_piece(apply_changes, host, export.changes)
     sizes["export"], _ = largest_piece(store.export, 0, 9)
     sizes["read records"], update = largest_piece(parse_update, update)
     records = RecordStore()
@@ -177,12 +178,12 @@
 def test_request_sees_one_version_and_the_newest_wins(pause_number, is_newer):
     host, store = new_host("h0", Clock()), new_store()
     other = 4 if is_newer else 2
-    _, (first, _) = largest_piece(store.read_export, packed([configuration_item(1)]))
+    first = packed([configuration_item(1)])
+    _, export = largest_piece(store.read_export, first, 1)
     host.catalog.configuration = None
-    host.catalog.apply(first[0], 0.0)
-    _, (meanwhile, _) = largest_piece(
-        store.read_export, packed([configuration_item(other)])
-    )
+    host.catalog.apply(export.changes[0], 0.0)
+    _, export = largest_piece(store.read_export, packed([configuration_item(other)]), 1)
+    meanwhile = export.changes
     seen, pauses = [], 0
 
     def on_pause():
@@ -194,8 +195,8 @@
         seen.append(versions_seen(host))
 
     async def read_and_apply():
-        changes, _ = await store.read_export(packed([configuration_item(3)]))
-        await apply_changes(host, changes)
+        export = await store.read_export(packed([configuration_item(3)]), 1)
+        await apply_changes(host, export.changes)
 
     run_with_pauses(read_and_apply, on_pause=on_pause)
     assert all(len(versions) == 1 for versions in seen)
@@ -209,7 +210,8 @@
     host, store = new_host("h0", Clock()), new_store()
     host.catalog.configuration = None
     page = packed([configuration_item(1)] + [endpoint_item(n, 2 + n) for n in range(5)])
-    _, (changes, _) = largest_piece(store.read_export, page)
+    _, export = largest_piece(store.read_export, page, 1)
+    changes = export.changes
     assert not isinstance(changes[0], EndpointChange)
     counts = []
 
--- a/tests/serving/test_eras.py
+++ b/tests/serving/test_eras.py
@@ -166,15 +166,20 @@
         await trio.sleep(0.01)
         return await other.source.export(since, other.catalog.revision)
 
+    peers = {(h, o): Peer(o) for h in running for o in running if o is not h}
+
     def choose_sync_peer(host, now):
         newer = [
-            h
-            for h in running
-            if h is not host and h.catalog.revision > host.catalog.revision
+            peer
+            for (h, other), peer in peers.items()
+            if h is host and other.catalog.revision > host.catalog.revision
         ]
-        if host.source_health.is_responding(now) or not newer:
+        if host.source_health.is_responding(now):
             return None
-        return Peer(rng.choice(newer))
+        complete = [p for p in newer if p.history_since <= host.catalog.revision]
+        if not complete and source_sync._lacks_history(host, now):
+            complete = newer
+        return rng.choice(complete) if complete else None
 
     def check(host):
         known = host.catalog.configuration
@@ -252,11 +257,12 @@
     return broken
 
 
-@attrs.frozen
+@attrs.define
 class Peer:
     """Stands for the member that is the host to fetch from."""
 
     host: object
+    history_since: int = 0
 
     @property
     def id(self):
--- a/tests/serving/test_watchers.py
+++ b/tests/serving/test_watchers.py
@@ -9,6 +9,7 @@
 from cactusmill.platform.store import StoreClient
 from cactusmill.serving import source_sync
 from cactusmill.serving.membership import DEAD_AFTER_S, Membership
+from cactusmill.serving.source_sync import Export
 from cactusmill.serving.watchers import (
     MAX_RESPONSE_AGE_S,
     WATCHERS_PER_REGION,
@@ -177,9 +178,11 @@
     routes = [{"name": f"r-{n}", "path_prefix": f"/p{n}/"} for n in range(2000)]
     value = base64.b64encode(json.dumps({"routes": routes}).encode()).decode()
     client._cache_item({"key": "k", "revision": 7, "value": value})
+    assert len(trio.run(client.export, 1, 7)) < len(value) / 4
     assert len(trio.run(client.export, 0, 7)) < len(value) / 4
     empty = trio.run(client.export, 7, 7)
-    assert trio.run(client.read_export, empty) == ([], 7)
+    export = Export([], 7, is_copy=False)
+    assert trio.run(client.read_export, empty, 7) == export
 
 
 def test_new_followers_stop_reporting_that_the_store_fails():
