Let followers list the source once an era has settled

After the source came back from an older copy, followers kept an endpoint and an evacuation that were not published again.

Cause: only hosts that watch list again after an era has settled, and what they remove then has a revision that followers have already reached.

Change: followers list too, spread over 0.1 s for each host of the region.

--- a/src/cactusmill/serving/source_sync.py
+++ b/src/cactusmill/serving/source_sync.py
@@ -27,7 +27,7 @@
 from .events import log_event
 from .forwarding import fetch_items
 from .positions import era_of, revision_of
-from .watchers import WATCH_TIMEOUT_S, may_follow
+from .watchers import WATCH_TIMEOUT_S, WATCHERS_PER_REGION, may_follow
 
 # Interval at which a host checks for peers with newer revisions: shorter than the
 # interval of heartbeats.
@@ -43,7 +43,8 @@
 # Entries of endpoints that expired while the source was unavailable are published
 # again this soon after it recovers; until then they count as listed.
 REMOVAL_GRACE_S = SETTLE_S
-# Hosts list again spread over this time once an era has settled.
+# Hosts list again spread over this time once an era has settled, and over more time in
+# larger regions.
 _SETTLE_SPREAD_S = 0.3
 # How long a host that started lately may be the only one known with a newer revision;
 # the others' heartbeats arrive within this time.
@@ -286,9 +287,14 @@
     if host.source_health.copied_at >= listed_at > -math.inf:
         return listed_at
     settles_at = host.catalog.settles_at
-    if listed_at >= settles_at or _is_follower(host, host.now()):
+    if listed_at >= settles_at:
         return math.inf
-    return settles_at + _SETTLE_SPREAD_S * spread
+    # Followers list too: what the source lost and nobody published again leaves no
+    # change that they could fetch.
+    spread_s = _SETTLE_SPREAD_S * spread
+    if _is_follower(host, host.now()):
+        spread_s *= (1 + host.membership.count_region_members()) / WATCHERS_PER_REGION
+    return settles_at + spread_s
 
 
 async def sync_from_hosts(host, source):
--- a/tests/serving/test_followers.py
+++ b/tests/serving/test_followers.py
@@ -1,14 +1,26 @@
 """What a host may conclude from another host's copy of the source."""
 
 import functools
+import math
 
+import pytest
 import trio
 import trio.testing
-
-from cactusmill.serving import history
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    initialize,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from cactusmill.serving import catalog, history, source_sync
 from cactusmill.serving.watchers import choose_watchers
 from standins.followers import FollowerFleet
 from standins.loopback import Store, configuration
+from standins.stepped_run import SteppedRun
 
 ZONES = {"east-a": "east", "west-a": "west"}
 EAST = [f"h{n}" for n in range(8)]
@@ -107,6 +119,22 @@
     assert run_scenario(scenario) == []
 
 
+async def restore_without_publishing_again(fleet):
+    await trio.sleep(IN_TOUCH_S)
+    copy = fleet.store.copy()
+    fleet.store.put("servers/x", entry(100, 1))
+    fleet.store.put("op/evacuate/east-a", {})
+    await trio.sleep(1.0)
+    fleet.store.restore(copy)
+    await trio.sleep(catalog.SETTLE_S + IN_TOUCH_S)
+    return all_problems(fleet)
+
+
+def test_follower_takes_what_an_older_copy_of_the_source_lost_as_gone():
+    """Guards against endpoints that followers list for ever after an era began."""
+    assert run_scenario(restore_without_publishing_again) == []
+
+
 def test_follower_watches_if_nobody_else_has_what_it_lacks():
     async def scenario(fleet):
         follower = next(n for n in EAST if n not in choose_watchers(EAST))
@@ -132,9 +160,164 @@
     assert run_scenario(scenario) == []
 
 
+class Followers(RuleBasedStateMachine):
+    """Hosts that list, follow, restart, are cut off and rejoin."""
+
+    @initialize(seed=st.integers(0, 99))
+    def start(self, seed):
+        self.fleet = new_fleet(seed)
+        self.run = SteppedRun(self.main)
+        self.evacuated, self.entries = set(), {f"e{n}": (n + 1, 1) for n in range(4)}
+        self.version, self.starts = 1, 100
+        # Time from which nothing has struck a host, and the last change of an era.
+        self.calm_since = dict.fromkeys(PLACES, 0.0)
+        self.era_at = self.cut_in_era = 0.0
+        self.now = 0.0
+        self.wait(STARTED_S)
+
+    async def main(self, task_status):
+        async with self.fleet.run():
+            task_status.started()
+            await trio.sleep_forever()
+
+    def teardown(self):
+        if hasattr(self, "run"):
+            self.run.close()
+
+    @rule(wait_s=st.sampled_from([0.01, 0.05, 0.1, 0.2, 0.5, 2.0]))
+    def wait(self, wait_s):
+        self.run.step(trio.sleep, wait_s)
+        self.now += wait_s
+
+    @rule(number=st.integers(0, 7))
+    def publish(self, number):
+        name = f"e{number}"
+        self.starts += 1
+        started_ms, sequence = self.entries.get(name, (self.starts, 0))
+        self.entries[name] = started_ms, sequence + 1
+        self.fleet.store.put(f"servers/{name}", entry(*self.entries[name]))
+
+    @rule(number=st.integers(0, 7))
+    def remove(self, number):
+        if self.entries.pop(f"e{number}", None):
+            self.fleet.store.remove(f"servers/e{number}")
+
+    @rule(number=st.integers(0, 7), names=st.sets(st.sampled_from(EAST), min_size=3))
+    def remove_while_hosts_restart(self, number, names):
+        self.remove(number)
+        self.restart(names)
+
+    @rule(zone=st.sampled_from(sorted(ZONES)))
+    def evacuate(self, zone):
+        key = f"op/evacuate/{zone}"
+        if zone in self.evacuated:
+            self.evacuated.discard(zone)
+            self.fleet.store.remove(key)
+        else:
+            self.evacuated.add(zone)
+            self.fleet.store.put(key, {})
+
+    @rule()
+    def configure(self):
+        self.version += 1
+        self.fleet.store.put("op/config", configuration(self.version))
+
+    @rule(names=st.sets(st.sampled_from(sorted(PLACES)), min_size=1, max_size=5))
+    def restart(self, names):
+        for name in sorted(names):
+            self.fleet.start(name)
+            self.calm_since[name] = self.now
+
+    @rule(name=st.sampled_from(sorted(PLACES)), is_cut=st.booleans())
+    def cut_from_source(self, name, is_cut):
+        self.fleet.running[name].link.is_cut = is_cut
+        self.calm_since[name] = self.now
+
+    @rule(name=st.sampled_from(sorted(PLACES)), is_isolated=st.booleans())
+    def isolate(self, name, is_isolated):
+        self.fleet.running[name].is_isolated = is_isolated
+        self.calm_since[name] = self.now
+
+    @rule()
+    def forget_history(self):
+        self.fleet.store.compact_history()
+
+    @rule(age=st.integers(0, 2))
+    def restore_older_copy(self, age):
+        if not hasattr(self, "copies"):
+            self.copies = []
+        self.copies.append(self.fleet.store.copy())
+        self.fleet.store.restore(self.copies[-1 - min(age, len(self.copies) - 1)])
+        self.wait(0.5)
+        self.publish_again()
+        self.era_at = self.now
+
+    def publish_again(self):
+        """Let the writers publish what is true, and remove what is not."""
+        store = self.fleet.store
+        for name in sorted(self.entries):
+            self.publish(int(name[1:]))
+        self.fleet.store.put("op/config", configuration(self.version))
+        for zone in sorted(ZONES):
+            key = f"op/evacuate/{zone}"
+            if zone in self.evacuated:
+                store.put(key, {})
+            elif key in store.items:
+                store.remove(key)
+        for key in sorted(store.items):
+            kind, _, name = key.partition("/")
+            if kind == "servers" and name not in self.entries:
+                store.remove(key)
+
+    @precondition(lambda self: self.now - self.era_at > IN_TOUCH_S)
+    @rule()
+    def compare_after_quiet(self):
+        """Compare the hosts that are in touch after a time without any change."""
+        self.wait(IN_TOUCH_S)
+        for name, follower in self.fleet.running.items():
+            if not (follower.link.is_cut or follower.is_isolated):
+                self.check(name)
+
+    @rule()
+    def rejoin(self):
+        """End all cuts, and compare all hosts once they are in touch."""
+        for follower in self.fleet.running.values():
+            follower.link.is_cut = follower.is_isolated = False
+        self.wait(catalog.SETTLE_S + IN_TOUCH_S)
+        for name in PLACES:
+            self.check(name)
+
+    def check(self, name):
+        assert self.fleet.problems(name) == []
+        known = self.fleet.running[name].host.catalog.configuration
+        assert known.version == self.version
+
+
+def play_followers(max_examples):
+    run_state_machine_as_test(
+        Followers,
+        settings=settings(
+            max_examples=max_examples,
+            stateful_step_count=30,
+            deadline=None,
+            derandomize=True,
+        ),
+    )
+
+
+@pytest.mark.histories
+def test_catalogs_agree_with_the_source_whatever_hosts_copy_from_each_other():
+    play_followers(60)
+
+
 def test_without_gaps_in_the_history_removals_are_lost(monkeypatch):
     monkeypatch.setattr(
         history.ChangeHistory, "complete_after", lambda self, since: since
     )
     scenario = functools.partial(copy_from_restarted_hosts, key="servers/e1")
     assert run_scenario(scenario) != []
+
+
+def test_without_a_listing_after_it_settled_an_era_leaves_endpoints_behind(monkeypatch):
+    monkeypatch.setattr(source_sync, "_listing_due_at", lambda *_: math.inf)
+    assert run_scenario(restore_without_publishing_again) != []
