Take an answer with a status that HTTP does not define for broken

Here 000 was refused, and 600 to 999 were relayed by both interfaces; the head of another host was taken with any status or none.

Cause: h11 takes 200 to 999 for final statuses, and no reader looked.

Change: framing.check_status, called where heads are read: once for HTTP and by both readers of another host's head.

--- a/src/cactusmill/errors.py
+++ b/src/cactusmill/errors.py
@@ -91,6 +91,10 @@
     """A response ended before it was complete according to its framing."""
 
 
+class UndefinedStatusError(ExchangeError):
+    """A response has a status that HTTP does not define, or an interim one."""
+
+
 class OversizedAnswerError(ExchangeError):
     """A response goes on beyond the size of any that is relayed."""
 
--- a/src/cactusmill/internal/forward_client.py
+++ b/src/cactusmill/internal/forward_client.py
@@ -14,9 +14,10 @@
     LinkClosedError,
     NoEndpoint,
     Overloaded,
+    UndefinedStatusError,
 )
 from .answer_frames import MAX_DATA_BYTES, read_body_frame
-from .framing import Framing, new_received_body
+from .framing import Framing, check_status, new_received_body
 from .peers import next_frame
 from .wire.ttypes import Cancel, Forward, Header
 
@@ -60,6 +61,7 @@
             head = (await next_frame(frames)).answer_head
             if head is None or head.request_id != req.request_id:
                 raise LinkClosedError("the peer responded to another request")
+            _check_status(head)
             if req.route.repeatable and head.refusal in _RETRIABLE_REFUSALS:
                 is_complete = True
                 raise ForwardRefusedError(f"{peer.host.name}: {head.refusal}")
@@ -81,6 +83,13 @@
     return Success(None)
 
 
+def _check_status(head):
+    try:
+        check_status(head.status)
+    except UndefinedStatusError as exc:
+        raise LinkClosedError(f"the peer sent {exc}") from exc
+
+
 def _read_arrived(frames, received):
     """Return the data of the frames that have arrived, and whether they are all.
 
--- a/src/cactusmill/internal/framing.py
+++ b/src/cactusmill/internal/framing.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from ..errors import OversizedAnswerError
+from ..errors import OversizedAnswerError, UndefinedStatusError
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 # Each piece of a body costs processor time, however small it is. Beyond the first ones
@@ -16,6 +16,8 @@
 _MAX_PIECES_PER_TOKEN = 4
 
 _STATUSES_WITHOUT_BODY = frozenset({204, 304})
+# Final ones (RFC 9110, section 15).
+_STATUSES = range(200, 600)
 
 
 class Framing(enum.Enum):
@@ -29,6 +31,18 @@
     LINK = "link"
 
 
+def check_status(status):
+    """Check the status of a final response.
+
+    Raises
+    ------
+    UndefinedStatusError
+        If HTTP does not define its class, so that the response says nothing.
+    """
+    if status not in _STATUSES:
+        raise UndefinedStatusError(f"a response with the status {status}")
+
+
 def response_framing(method, status, headers):
     """Return the framing of a response's body.
 
--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -23,7 +23,12 @@
     TruncatedAnswerError,
 )
 from .delivery import MAX_BLOCKED_S, deliver, receive_some
-from .framing import ReceivedBody, are_pieces_too_small, response_framing
+from .framing import (
+    ReceivedBody,
+    are_pieces_too_small,
+    check_status,
+    response_framing,
+)
 
 RECEIVE_BYTES = 64 * 1024
 # Bytes of a body after which no further piece of it is joined to those that arrived
@@ -167,13 +172,14 @@
         Raises
         ------
         ExchangeError
-            If the connection fails or ends before it.
+            If the connection fails or ends before it, or its status is undefined.
         h11.RemoteProtocolError
             If the other end violates the protocol.
         """
         for _ in range(_MAX_INTERIM_RESPONSES):
             event = await self.next_event()
             if isinstance(event, h11.Response):
+                check_status(event.status_code)
                 return event
             if not isinstance(event, h11.InformationalResponse):
                 raise TruncatedAnswerError("the connection ended before an answer")
--- a/src/cactusmill/serving/forwarding.py
+++ b/src/cactusmill/serving/forwarding.py
@@ -32,7 +32,7 @@
 )
 from ..internal.account import cut_reason
 from ..internal.answer_frames import answer_sink, read_body_frame
-from ..internal.framing import Framing, ReceivedBody
+from ..internal.framing import Framing, ReceivedBody, check_status
 from ..internal.http import MAX_JOINED_BYTES, is_idle_and_open
 from ..internal.link import FRAME_TIMEOUT_S, Link
 from ..internal.patience import give_up_always, receive_patiently
@@ -262,6 +262,7 @@
         raise HostLeavingError("the other host is leaving")
     if head is None or head.request_id != message.request_id:
         raise ExchangeError("the other host answered another request")
+    check_status(head.status)
     return head
 
 
--- a/standins/raw_responses.py
+++ b/standins/raw_responses.py
@@ -58,3 +58,19 @@
     if ending is Ending.RESET:
         stream.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER.pack(1, 0))
     await trio.aclose_forcefully(stream)
+
+
+async def end_during_request(stream, ending):
+    """End a connection whose request has not been read to its end.
+
+    Parameters
+    ----------
+    stream : trio.SocketStream
+        The connection.
+    ending : Ending or None
+        None for a half close: FIN without a reset, though bytes are unread.
+    """
+    if ending is None:
+        await stream.send_eof()
+    else:
+        await end_connection(stream, ending)
--- a/tests/internal/test_late_deliveries.py
+++ b/tests/internal/test_late_deliveries.py
@@ -239,6 +239,14 @@
         forwarded(frames)
 
 
+@pytest.mark.parametrize("status", [None, 0, 99, 101, 600, -200])
+def test_forwarded_response_with_an_undefined_status_is_none(status):
+    """Guards against another host's answer that no caller can be sent."""
+    head = AnswerHead(1, "q", status, [])
+    with pytest.raises(LinkClosedError):
+        forwarded(whole_answer(1, head, b"body"))
+
+
 def answer_at_once(sock):
     """Stand for an endpoint that answers at once, its head apart from its body."""
     sock.recv(65536)
--- a/tests/serving/test_answer_ends.py
+++ b/tests/serving/test_answer_ends.py
@@ -240,6 +240,35 @@
     on_deployment(scenario, endpoints=ENGINE)
 
 
+@pytest.mark.parametrize("status", [b"000", b"099", b"20", b"2000", b"600", b"999"])
+@pytest.mark.parametrize("host", ["e1", "w1"])
+@pytest.mark.parametrize("path", ["/order/1", "/look/1", "/draft/1"])
+def test_status_that_http_does_not_define_reaches_no_caller(path, host, status):
+    """Guards against a status of an endpoint in trouble; w1 forwards to e1."""
+
+    async def handle(endpoint, conn, request):
+        await read_body(conn, 10**7)
+        head, body = encode_response(
+            Framing.LENGTH, BODY, endpoint.head(request).headers
+        )
+        await conn.stream.send_all(head.replace(b"200", status, 1) + body)
+        return False
+
+    async def scenario(deployment):
+        for endpoint in deployment.endpoints.values():
+            endpoint.handler = handle
+        model = "m" if path == "/draft/1" else ""
+        reply = await deployment.send_request(host, path, model=model)
+        assert 500 <= reply.status < 600
+        assert BODY[0] not in reply.body
+
+    on_deployment(
+        scenario,
+        hosts=(("e1", "east-a"), ("w1", "west-a")),
+        endpoints=(*ENGINE, ("desk-1", "east-a", "desk")),
+    )
+
+
 def test_check_detects_streams_that_end_inside_an_event(monkeypatch):
     monkeypatch.setattr(response_relay, "check_last_event", lambda tail, framing: None)
     with pytest.raises(BaseExceptionGroup):
--- a/tests/serving/test_connections.py
+++ b/tests/serving/test_connections.py
@@ -12,7 +12,11 @@
 from cactusmill.internal.http import client_connection
 from cactusmill.platform.dialect import DIALECT
 from cactusmill.serving.connections import ConnectionPool, exchange
-from standins.raw_responses import Ending, encode_response, end_connection
+from standins.raw_responses import (
+    Ending,
+    encode_response,
+    end_connection,
+)
 
 CHUNKS = [b"enrolled in ", b"the circle of 12 readers"]
 SIGNED = [(b"response-signature", b"s"), (b"request-id", b"r-1")]
@@ -142,3 +146,16 @@
 
     for _ in range(50):
         assert not receive_answer(reset_early, b"x" * 1_000_000)[1]
+
+
+@pytest.mark.parametrize("status", [b"000", b"099", b"42", b"-20", b"2000", b"600"])
+def test_answer_with_a_status_that_http_does_not_define_is_none(status):
+    """Guards against an answer of an endpoint in trouble that reaches a caller."""
+
+    async def answer(stream):
+        await stream.receive_some(1000)
+        head, body = encode_response(Framing.LENGTH, CHUNKS, SIGNED)
+        await stream.send_all(head.replace(b"200", status, 1) + body)
+        await trio.sleep_forever()
+
+    assert receive_answer(answer, b"x") == (b"", False)
--- a/tests/serving/test_forwarding.py
+++ b/tests/serving/test_forwarding.py
@@ -20,6 +20,7 @@
 from cactusmill.internal.link import Link
 from cactusmill.internal.net import TCP
 from cactusmill.internal.request import Sink
+from cactusmill.internal.wire.ttypes import AnswerHead
 from cactusmill.platform.dialect import DIALECT
 from cactusmill.serving import forwarding, gateway_host
 from cactusmill.serving.forwarding import LinkPool, forward, serve_link
@@ -345,6 +346,26 @@
     assert reply.outcome is Outcome.NOT_RUN
 
 
+@pytest.mark.parametrize("status", [None, 0, 99, 101, 600, -200])
+def test_forwarded_response_with_an_undefined_status_is_none(status):
+    """Guards against another host's answer that no caller can be sent."""
+
+    async def main():
+        near, far = trio.testing.memory_stream_pair()
+        other = Link(far)
+        async with trio.open_nursery() as nursery:
+
+            async def answer():
+                request_id = (await other.receive()).forward.request_id
+                await other.send(answer_head=AnswerHead(0, request_id, status, []))
+
+            nursery.start_soon(answer)
+            with pytest.raises(ExchangeError):
+                await forward_on(near)
+
+    trio.run(main)
+
+
 def test_link_that_closes_without_a_word_leaves_open_whether_the_request_ran():
     async def main():
         near, far = trio.testing.memory_stream_pair()
