Take no answer without a length as whole that ends during its request

Here resets were seen as such; an endpoint that closed its side in order while the request was still being sent had the part of its answer relayed as a whole one, on both interfaces.

Cause: without framing an orderly close ends an answer, and that the request was not sent whole was not looked at.

Change: such an end breaks the answer off if the request was not written whole or not acknowledged to its end.

One test switches off the look at the socket and sees the part taken for whole.

--- a/src/cactusmill/internal/http.py
+++ b/src/cactusmill/internal/http.py
@@ -5,11 +5,13 @@
 """
 
 import contextlib
+import fcntl
 import functools
 import re
 import select
 import socket
 import struct
+import termios
 
 import attrs
 import h11
@@ -24,6 +26,7 @@
 )
 from .delivery import MAX_BLOCKED_S, deliver, receive_some
 from .framing import (
+    Framing,
     ReceivedBody,
     are_pieces_too_small,
     check_status,
@@ -46,6 +49,7 @@
 # Events of received bytes that are handled before other tasks get a turn.
 _EVENTS_PER_TURN = 64
 _LINGER = struct.Struct("ii")
+_COUNT = struct.Struct("i")
 # A time in seconds. Longer texts are no time that anyone waits.
 # Floats represent each whole number up to this one exactly.
 MAX_COUNT = 2**53 - 1
@@ -206,6 +210,7 @@
         """
         event = await self.next_event()
         if isinstance(event, h11.EndOfMessage):
+            self._check_end(received)
             return None
         if not isinstance(event, h11.Data):
             raise TruncatedAnswerError(f"{type(event).__name__} inside a body")
@@ -227,6 +232,8 @@
                     break
                 self._events_in_turn += 1
                 if not isinstance(event, h11.Data):
+                    if isinstance(event, h11.EndOfMessage):
+                        self._check_end(received)
                     self._held = event
                     break
                 if received is not None:
@@ -238,6 +245,19 @@
             size += len(event.data)
         return pieces[0] if len(pieces) == 1 else b"".join(pieces)
 
+    def _check_end(self, received):
+        """Check that a close which ends a body came after the whole request.
+
+        Raises
+        ------
+        TruncatedAnswerError
+            If the request was not sent whole: whoever breaks off the request has
+            broken off the response as well.
+        """
+        is_unframed = received is not None and received.framing is Framing.CLOSE
+        if is_unframed and (self.is_partly_sent or has_unsent_bytes(self.stream)):
+            raise TruncatedAnswerError("the connection closed during the request")
+
     async def send(self, *events):
         """Send events with one write.
 
@@ -369,6 +389,21 @@
     return not poller.poll(0)
 
 
+def has_unsent_bytes(stream):
+    """Return whether the other end has not acknowledged all that was sent to it.
+
+    Parameters
+    ----------
+    stream : trio.abc.Stream
+        The transport. One without a socket, as in tests, counts as acknowledged.
+    """
+    sock = getattr(stream, "socket", None)
+    if sock is None or sock.fileno() < 0:
+        return False
+    count = fcntl.ioctl(sock.fileno(), termios.TIOCOUTQ, bytes(_COUNT.size))
+    return _COUNT.unpack(count)[0] > 0
+
+
 async def wait_other_end_closed(stream):
     """Wait until the other end has closed a connection, without reading from it."""
     while not has_other_end_closed(stream):
--- a/tests/internal/test_answer_ends.py
+++ b/tests/internal/test_answer_ends.py
@@ -11,7 +11,7 @@
 from cactusmill.internal.endpoints import Exchange, receive_data
 from cactusmill.internal.framing import Framing
 from cactusmill.internal.http import client_connection, collect_body
-from standins.raw_responses import encode_response, end_during_request
+from standins.raw_responses import Ending, encode_response, end_during_request
 
 from .test_attempts import ENDPOINT, request
 from .test_relay import tcp_pair
@@ -77,6 +77,23 @@
     return trio.run(main)
 
 
+@pytest.mark.parametrize("ending", [*Ending, None])
+@pytest.mark.parametrize("chunks", [CHUNKS[:1], CHUNKS])
+def test_answer_without_length_that_ends_during_the_request_is_not_complete(
+    chunks, ending
+):
+    """Guards against a part of an answer that its caller takes for all of it."""
+    head, body = encode_response(Framing.CLOSE, chunks, HEADERS)
+    answer = receive_early_answer(head + body, ending)
+    assert isinstance(answer, EndpointFailed | ExchangeError)
+
+
+@pytest.mark.parametrize("framing", [Framing.CHUNKED, Framing.LENGTH])
+def test_framed_answer_during_the_request_is_complete(framing):
+    head, body = encode_response(framing, CHUNKS, HEADERS)
+    assert receive_early_answer(head + body, None) == b"".join(CHUNKS)
+
+
 @pytest.mark.parametrize("status", [b"000", b"099", b"20", b"2000", b"600", b"999"])
 def test_answer_with_a_status_that_http_does_not_define_is_none(status):
     """Guards against an answer of an endpoint in trouble that reaches a caller."""
--- a/tests/serving/test_answer_ends.py
+++ b/tests/serving/test_answer_ends.py
@@ -6,12 +6,13 @@
 from cactusmill.internal.framing import Framing
 from cactusmill.internal.http import header, read_body
 from cactusmill.serving import response_relay
-from standins.loopback import event, running_deployment
+from standins.loopback import configuration, event, running_deployment
 from standins.raw_responses import (
     EVENT_STREAM,
     Ending,
     encode_response,
     end_connection,
+    end_during_request,
 )
 
 ENGINE = (("engine-1", "east-a", "engines"),)
@@ -240,6 +241,51 @@
     on_deployment(scenario, endpoints=ENGINE)
 
 
+UPLOAD = b"x" * 8_000_000
+LARGE_REQUESTS = configuration(
+    limits={"max_header_bytes": 16384, "max_body_bytes": 10_000_000}
+)
+
+
+def answer_early_with(chunks, ending, headers=()):
+    """Return a handler that answers without a length before it has read a request."""
+
+    async def handle(endpoint, conn, request):
+        head, body = encode_response(
+            Framing.CLOSE, chunks, [*endpoint.head(request).headers, *headers]
+        )
+        await conn.stream.send_all(head + body)
+        await end_during_request(conn.stream, ending)
+        await trio.sleep(1.0)
+        return False
+
+    return handle
+
+
+@pytest.mark.parametrize("ending", [*Ending, None])
+@pytest.mark.parametrize("path", ["/order/1", "/look/1", "/draft/1", "/chat/1"])
+def test_caller_of_a_long_request_gets_no_part_of_an_answer_as_whole(path, ending):
+    """Guards against the answer of an endpoint that broke off during an upload."""
+
+    async def scenario(deployment):
+        for endpoint in deployment.endpoints.values():
+            is_engine = endpoint.name == "engine-1"
+            endpoint.handler = answer_early_with(
+                EVENTS[:2] if is_engine else BODY[:1],
+                ending,
+                [(b"content-type", EVENT_STREAM)] if is_engine else (),
+            )
+        model = "m" if path in ("/draft/1", "/chat/1") else ""
+        reply = await deployment.send_request("e1", path, body=UPLOAD, model=model)
+        assert not (reply.status == 200 and reply.is_complete)
+
+    on_deployment(
+        scenario,
+        endpoints=(*ENGINE, ("desk-1", "east-a", "desk")),
+        published=LARGE_REQUESTS,
+    )
+
+
 @pytest.mark.parametrize("status", [b"000", b"099", b"20", b"2000", b"600", b"999"])
 @pytest.mark.parametrize("host", ["e1", "w1"])
 @pytest.mark.parametrize("path", ["/order/1", "/look/1", "/draft/1"])
--- a/tests/serving/test_connections.py
+++ b/tests/serving/test_connections.py
@@ -8,6 +8,7 @@
 import trio
 
 from cactusmill.errors import ExchangeError
+from cactusmill.internal import http
 from cactusmill.internal.framing import Framing
 from cactusmill.internal.http import client_connection
 from cactusmill.platform.dialect import DIALECT
@@ -16,6 +17,7 @@
     Ending,
     encode_response,
     end_connection,
+    end_during_request,
 )
 
 CHUNKS = [b"enrolled in ", b"the circle of 12 readers"]
@@ -148,6 +150,55 @@
         assert not receive_answer(reset_early, b"x" * 1_000_000)[1]
 
 
+def answer_early(framing, size, ending, pause_s):
+    """Return an endpoint that answers a long request before it has read it."""
+
+    async def answer(stream):
+        await stream.receive_some(100)
+        head, body = encode_response(framing, CHUNKS, SIGNED)
+        await stream.send_all(head + body[:size])
+        await trio.sleep(pause_s)
+        await end_during_request(stream, ending)
+        await trio.sleep_forever()
+
+    return answer
+
+
+@pytest.mark.parametrize("pause_s", [0.0, 0.05])
+@pytest.mark.parametrize("size", [12, None])
+@pytest.mark.parametrize("ending", [*Ending, None])
+def test_answer_without_length_that_ends_during_the_request_is_not_complete(
+    ending, size, pause_s
+):
+    """Guards against a part of an answer that its caller takes for all of it."""
+    answer = answer_early(Framing.CLOSE, size, ending, pause_s)
+    assert not receive_answer(answer, b"x" * 1_000_000)[1]
+
+
+async def answer_without_reading(stream):
+    head, body = encode_response(Framing.CLOSE, CHUNKS, SIGNED)
+    await stream.send_all(head + body[:12])
+    await trio.sleep(0.05)
+    await end_during_request(stream, None)
+    await trio.sleep_forever()
+
+
+def test_request_that_still_lies_in_the_socket_has_not_been_sent(monkeypatch):
+    body = b"x" * 6000
+    assert not receive_answer(answer_without_reading, body)[1]
+    monkeypatch.setattr(http, "has_unsent_bytes", lambda stream: False)
+    assert receive_answer(answer_without_reading, body)[1]
+
+
+@pytest.mark.parametrize("framing", [Framing.CHUNKED, Framing.LENGTH])
+def test_framed_answer_during_the_request_is_complete_with_its_last_byte(framing):
+    whole = answer_early(framing, None, None, 0.0)
+    assert receive_answer(whole, b"x" * 1_000_000) == (b"".join(CHUNKS), True)
+    for ending in [*Ending, None]:
+        cut = answer_early(framing, -1, ending, 0.0)
+        assert not receive_answer(cut, b"x" * 1_000_000)[1]
+
+
 @pytest.mark.parametrize("status", [b"000", b"099", b"42", b"-20", b"2000", b"600"])
 def test_answer_with_a_status_that_http_does_not_define_is_none(status):
     """Guards against an answer of an endpoint in trouble that reaches a caller."""
