Move the cache of the source's items from the adapter to the product

Change: serving/item_cache.py has the cache and its exports; the store's client decodes. No behaviour changes. Tests name the new places.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -356,7 +356,7 @@
     measure_turns("apply a configuration", apply_changes, host, changes)
     changes = read("read a listing of endpoints", entries)
     measure_turns("apply a listing of endpoints", apply_changes, host, changes)
-    measure_turns("export everything", store.export, 0, 10**6)
+    measure_turns("export everything", store.cache.export, 0, 10**6)
     gc.freeze()
     for version in (2, 3):
         configuration = platform_configuration(version, teams, keys, 300, 9)
--- a/src/cactusmill/platform/store.py
+++ b/src/cactusmill/platform/store.py
@@ -1,40 +1,24 @@
-"""Client of the platform's key-value store: listings, watches, exports.
-
-An export contains items in the store's format, from which a host that follows others or
-cannot reach the store updates its configuration and endpoints. It says after which
-revision its changes are complete (:mod:`..serving.history`).
-"""
+"""Client of the platform's key-value store: listings, watches, exports of hosts."""
 
 import functools
-import json
 import urllib.parse
-import zlib
 
 import attrs
-import trio
 
 from ..errors import PlatformError, RecordError
-from ..fields import describe
 from ..internal.http import header, parse_count
 from ..internal.service_client import ServiceClient
 from ..internal.steps import Steps, parse_json
 from ..serving.catalog import UnreadableItem
 from ..serving.connections import IDLE_SILENCE_MS, enable_dead_peer_detection
-from ..serving.history import ChangeHistory
+from ..serving.item_cache import ItemCache, get_field, get_revision, unpack_export
 from ..serving.positions import (
     MAX_ERA,
-    MAX_POSITION,
-    MAX_REVISION,
     era_of,
     position,
     revision_of,
 )
-from ..serving.source_sync import (
-    Export,
-    HistoryLostError,
-    IncompleteExportError,
-    Source,
-)
+from ..serving.source_sync import Export, HistoryLostError, Source
 from .items import CONFIGURATION_KEY, change_from_item
 
 # Responses normally take milliseconds, and up to 60 times that when the store is slow.
@@ -43,13 +27,6 @@
 # Rises when the store comes back from an older copy.
 _ERA_HEADER = b"store-era"
 _MAX_PAGES = 100
-# Configurations are repetitive: the fastest level shrinks them to about a tenth.
-_COMPRESSION_LEVEL = 1
-# Cached tombstones of removed items; above this number the oldest is dropped.
-_MAX_TOMBSTONES = 4096
-# Exports are packed and unpacked this many bytes at a time.
-_PART_BYTES = 64 * 1024
-_MAX_EXPORT_BYTES = 32 * 1024 * 1024
 
 
 @attrs.define(eq=False)
@@ -64,17 +41,14 @@
         Network used to connect to the store.
     zones : dict of str to str
         Region of each availability zone.
+    cache : ItemCache
+        What other hosts may fetch.
     """
 
     address: str
     net: object
     zones: dict
-    _listed_era: int = -1
-    _items: dict = attrs.field(factory=dict)
-    _tombstones: dict = attrs.field(factory=dict)
-    _history: ChangeHistory = attrs.field(factory=ChangeHistory)
-    _last_export: tuple | None = None
-    _export_lock: trio.Lock = attrs.field(factory=trio.Lock)
+    cache: ItemCache = attrs.field(factory=ItemCache)
     _client: ServiceClient = attrs.field(init=False)
 
     def __attrs_post_init__(self):
@@ -89,63 +63,11 @@
         return Source(
             list_all=self.list_all,
             wait_for_changes=self.wait_for_changes,
-            export=self.export,
+            export=self.cache.export,
             read_export=self.read_export,
             count_calls=lambda: self._client.request_count,
         )
 
-    async def export(self, since, revision):
-        """Return the items newer than a revision, as compressed JSON.
-
-        Items keep the store's own format. They are compressed because links
-        between hosts carry a few Mbit/s. The last export is cached, since several
-        hosts request the same revisions after a change. If a change after `since` may
-        be missing here, the export is empty and has the revision from which none is.
-
-        Parameters
-        ----------
-        since : int
-            Revision that the other host has; 0 for a copy of all items.
-        revision : int
-            Revision up to which this host has applied all changes.
-
-        Returns
-        -------
-        bytes
-        """
-        complete_after = self._history.complete_after(since)
-        if since and complete_after > since:
-            return await self._pack_export(complete_after, since, ())
-        if not since:
-            revision = min(revision, self._history.synced_to)
-        key = (since, revision)
-        async with self._export_lock:
-            if self._last_export is None or self._last_export[0] != key:
-                items = list(self._items.values())
-                export = await self._pack_export(since, revision, items)
-                self._last_export = (key, export)
-            return self._last_export[1]
-
-    async def _pack_export(self, since, revision, items):
-        steps = Steps()
-        packer = zlib.compressobj(_COMPRESSION_LEVEL)
-        head = f'{{"since": {since}, "revision": {revision}, "items": ['
-        parts = [packer.compress(head.encode())]
-        separator = ""
-        for item in items:
-            await steps.pause()
-            is_obsolete = since == 0 and item.get("tombstone")
-            if item["revision"] <= since or is_obsolete:
-                continue
-            text = separator + json.dumps(item)
-            separator = ", "
-            for start in range(0, len(text), _PART_BYTES):
-                part = text[start : start + _PART_BYTES]
-                parts.append(packer.compress(part.encode()))
-                await steps.pause()
-        parts += [packer.compress(b"]}"), packer.flush()]
-        return b"".join(parts)
-
     async def read_export(self, data, since):
         """Decode another host's export.
 
@@ -167,28 +89,17 @@
         PlatformError
             If the export is malformed.
         """
-        try:
-            export = await _unpack(data, Steps())
-        except (ValueError, zlib.error) as exc:
-            raise PlatformError("export is not valid JSON") from exc
-        if not isinstance(export, dict):
-            raise PlatformError("export is not a JSON object")
-        items = _get_field(export, "items", list)
-        revision = _get_revision(export, "revision", MAX_POSITION)
-        complete_after = _get_revision(export, "since", MAX_POSITION)
-        if complete_after > since:
-            raise IncompleteExportError(complete_after)
-        is_copy = since == 0 and revision > self._history.synced_to
+        items, revision = await unpack_export(data, since)
+        is_copy = since == 0 and revision > self.cache.history.synced_to
         if since == 0 and not is_copy:
             # What this host lacks of an older copy has been removed since, but for a
             # configuration that it could not read.
             items = [i for i in items if _has_key(i, CONFIGURATION_KEY)]
         changes = await self._decode_items(items)
         if is_copy:
-            self._record_removed({item["key"] for item in items}, revision)
-            self._history.replace(revision)
+            self.cache.record_copy({item["key"] for item in items}, revision)
         elif since:
-            self._history.extend(since, revision)
+            self.cache.history.extend(since, revision)
         return Export(changes, revision, is_copy)
 
     async def list_all(self):
@@ -200,18 +111,16 @@
             if after:
                 query["after"] = after
             page, era = await self._get("kv-range", query, _RESPONSE_TIMEOUT_S)
-            items = _get_field(page, "items", list)
+            items = get_field(page, "items", list)
             # Pages are not a consistent snapshot: watch from the first page's revision.
             if start is None:
-                start = position(era, _get_revision(page, "store_revision"))
+                start = position(era, get_revision(page, "store_revision"))
             if era != era_of(start):
                 raise PlatformError(f"era {era} began during the listing")
             changes += await self._decode_items(_locate_items(items, era))
             keys.update(item["key"] for item in items)
             if not page.get("has_more") or not items:
-                self._record_removed(keys, start)
-                self._history.replace(start)
-                self._listed_era = era
+                self.cache.record_listing(keys, start)
                 return changes, start
             after = items[-1].get("key", "")
         raise PlatformError(f"listing has more than {_MAX_PAGES} pages")
@@ -242,10 +151,10 @@
             raise HistoryLostError(f"era {era} has begun")
         if era < era_of(revision):
             raise PlatformError(f"the response is of era {era}, which has ended")
-        events = _locate_items(_get_field(page, "events", list), era)
+        events = _locate_items(get_field(page, "events", list), era)
         changes = await self._decode_items(events)
-        newest = max(revision, position(era, _get_revision(page, "store_revision")))
-        self._history.extend(revision, newest)
+        newest = max(revision, position(era, get_revision(page, "store_revision")))
+        self.cache.history.extend(revision, newest)
         return changes, newest
 
     async def _decode_items(self, items):
@@ -260,35 +169,10 @@
                 changes.append(change)
                 # Other hosts may still need what an unreadable item has replaced.
                 if not isinstance(change, UnreadableItem):
-                    self._cache_item(item)
+                    self.cache.add(item)
             await steps.pause()
         return changes
 
-    def _record_removed(self, keys, revision):
-        """Record cached items missing from a listing as removed, for exports.
-
-        The first listing of an era may lack items that are about to be published again.
-        """
-        era = era_of(revision)
-        first = 0 if era == self._listed_era else position(era, 0)
-        for key, item in list(self._items.items()):
-            if key not in keys and first <= item["revision"] <= revision:
-                self._cache_item({"key": key, "revision": revision, "tombstone": True})
-
-    def _cache_item(self, item):
-        """Cache an item for export to hosts that cannot reach the store."""
-        key = item["key"]
-        cached = self._items.pop(key, None)
-        newest = max(cached or item, item, key=lambda i: i["revision"])
-        self._items[key] = newest
-        self._tombstones.pop(key, None)
-        if newest.get("tombstone"):
-            self._tombstones[key] = None
-            if len(self._tombstones) > _MAX_TOMBSTONES:
-                oldest = next(iter(self._tombstones))
-                self._history.discard(self._items.pop(oldest)["revision"])
-                del self._tombstones[oldest]
-
     async def _get(self, name, query, timeout_s):
         """Return the decoded body of a response, and its era."""
         # A key may hold lone surrogates.
@@ -318,7 +202,7 @@
 def _locate_items(items, era):
     """Return items of the store with the positions of their revisions."""
     return [
-        {**item, "revision": position(era, _get_revision(item, "revision"))}
+        {**item, "revision": position(era, get_revision(item, "revision"))}
         if isinstance(item, dict)
         else item
         for item in items
@@ -327,31 +211,3 @@
 
 def _has_key(item, key):
     return isinstance(item, dict) and item.get("key") == key
-
-
-def _get_revision(data, name, high=MAX_REVISION):
-    revision = _get_field(data, name, int)
-    if not 0 <= revision <= high:
-        raise PlatformError(f"{name}: {describe(revision)} is no revision")
-    return revision
-
-
-async def _unpack(data, steps):
-    unpacker, parts, size = zlib.decompressobj(), [], 0
-    while not unpacker.eof and size <= _MAX_EXPORT_BYTES:
-        parts.append(unpacker.decompress(data, _PART_BYTES))
-        size += len(parts[-1])
-        data = unpacker.unconsumed_tail
-        if not (parts[-1] or data):
-            break
-        await steps.pause()
-    if not unpacker.eof or size > _MAX_EXPORT_BYTES:
-        raise PlatformError(f"export is cut or over {_MAX_EXPORT_BYTES} bytes unpacked")
-    return await parse_json(b"".join(parts), steps)
-
-
-def _get_field(page, name, kind):
-    value = page.get(name)
-    if not isinstance(value, kind):
-        raise PlatformError(f"missing or invalid field {name}")
-    return value
--- a/src/cactusmill/serving/history.py
+++ b/src/cactusmill/serving/history.py
@@ -8,10 +8,26 @@
 
 import attrs
 
+from ..errors import PlatformError
+
 # Above this number the oldest two gaps count as one.
 _MAX_GAPS = 16
 
 
+class IncompleteExportError(PlatformError):
+    """Another host may not have seen all requested changes.
+
+    Attributes
+    ----------
+    complete_after : int
+        Revision from which on it has.
+    """
+
+    def __init__(self, complete_after):
+        super().__init__(f"changes are complete after {complete_after} only")
+        self.complete_after = complete_after
+
+
 @attrs.define(eq=False)
 class ChangeHistory:
     """The changes that a host holds of the source.
--- a/src/cactusmill/serving/source_sync.py
+++ b/src/cactusmill/serving/source_sync.py
@@ -26,6 +26,7 @@
 )
 from .events import log_event
 from .forwarding import fetch_items
+from .history import IncompleteExportError
 from .positions import era_of, revision_of
 from .watchers import WATCH_TIMEOUT_S, WATCHERS_PER_REGION, may_follow
 
@@ -57,20 +58,6 @@
     """The source no longer holds the requested changes; a new listing is needed."""
 
 
-class IncompleteExportError(PlatformError):
-    """Another host may not have seen all requested changes.
-
-    Attributes
-    ----------
-    complete_after : int
-        Revision from which on it has.
-    """
-
-    def __init__(self, complete_after):
-        super().__init__(f"changes are complete after {complete_after} only")
-        self.complete_after = complete_after
-
-
 @attrs.frozen
 class Export:
     """What another host sent of the source's items.
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -9,8 +9,9 @@
 
 from cactusmill.errors import PlatformError
 from cactusmill.platform.store import StoreClient
+from cactusmill.serving.history import IncompleteExportError
 from cactusmill.serving.positions import MAX_POSITION
-from cactusmill.serving.source_sync import Export, IncompleteExportError
+from cactusmill.serving.source_sync import Export
 
 
 def read_export(data, since=7):
@@ -127,7 +128,7 @@
 
 
 def export_of(client, since, revision):
-    data = trio.run(client.export, since, revision)
+    data = trio.run(client.cache.export, since, revision)
     return trio.run(StoreClient("127.0.0.1:1", None, {}).read_export, data, since)
 
 
@@ -143,7 +144,7 @@
 
 def test_copy_of_all_items_tells_the_receiver_that_others_were_removed():
     client = client_that_listed({"items": [ITEM], "store_revision": 6})
-    copy = trio.run(client.export, 0, 6)
+    copy = trio.run(client.cache.export, 0, 6)
     receiver = client_that_listed(
         {"items": [{**ITEM, "key": "op/evacuate/west-a"}], "store_revision": 5}
     )
@@ -157,9 +158,9 @@
 def test_older_copy_removes_and_restores_nothing():
     client = client_that_listed({"items": [ITEM], "store_revision": 6})
     receiver = client_that_listed({"items": [], "store_revision": 9})
-    export = trio.run(receiver.read_export, trio.run(client.export, 0, 6), 0)
+    export = trio.run(receiver.read_export, trio.run(client.cache.export, 0, 6), 0)
     assert export == Export([], 6, is_copy=False)
-    assert ITEM["key"] not in receiver._items
+    assert ITEM["key"] not in receiver.cache.items
 
 
 def test_export_of_a_build_that_does_not_say_from_where_it_is_complete_is_refused():
@@ -169,5 +170,5 @@
 
 def test_refusal_does_not_advance_a_build_that_reads_only_the_revision():
     client = client_that_listed({"items": [], "store_revision": 6})
-    refusal = json.loads(zlib.decompress(trio.run(client.export, 5, 6)))
+    refusal = json.loads(zlib.decompress(trio.run(client.cache.export, 5, 6)))
     assert refusal == {"since": 6, "revision": 5, "items": []}
--- a/tests/serving/test_bounded_turns.py
+++ b/tests/serving/test_bounded_turns.py
@@ -126,7 +126,7 @@
     sizes["apply teams"], _ = largest_piece(apply_changes, host, export.changes)
     sizes["read endpoints"], export = largest_piece(store.read_export, entries, 1)
     sizes["apply endpoints"], _ = largest_piece(apply_changes, host, export.changes)
-    sizes["export"], _ = largest_piece(store.export, 0, 9)
+    sizes["export"], _ = largest_piece(store.cache.export, 0, 9)
     sizes["read records"], update = largest_piece(parse_update, update)
     records = RecordStore()
     records.apply(update.changes, update.version, update.checked)
--- a/tests/serving/test_followers.py
+++ b/tests/serving/test_followers.py
@@ -140,8 +140,8 @@
         follower = next(n for n in EAST if n not in choose_watchers(EAST))
         host = fleet.running[follower].host
         for other in fleet.running.values():
-            client = other.host.source.export.__self__
-            client._history.discard(host.catalog.revision + 1)
+            cache = other.host.source.export.__self__
+            cache.history.discard(host.catalog.revision + 1)
         fleet.store.remove("servers/e1")
         await trio.sleep(2.0)
         assert host.source_health.follow_after > host.now()
--- a/tests/serving/test_watchers.py
+++ b/tests/serving/test_watchers.py
@@ -177,10 +177,10 @@
     client = StoreClient("127.0.0.1:1", None, {})
     routes = [{"name": f"r-{n}", "path_prefix": f"/p{n}/"} for n in range(2000)]
     value = base64.b64encode(json.dumps({"routes": routes}).encode()).decode()
-    client._cache_item({"key": "k", "revision": 7, "value": value})
-    assert len(trio.run(client.export, 1, 7)) < len(value) / 4
-    assert len(trio.run(client.export, 0, 7)) < len(value) / 4
-    empty = trio.run(client.export, 7, 7)
+    client.cache.add({"key": "k", "revision": 7, "value": value})
+    assert len(trio.run(client.cache.export, 1, 7)) < len(value) / 4
+    assert len(trio.run(client.cache.export, 0, 7)) < len(value) / 4
+    empty = trio.run(client.cache.export, 7, 7)
     export = Export([], 7, is_copy=False)
     assert trio.run(client.read_export, empty, 7) == export
 
