Leave out what another host sent before the last listing of the source

An export that arrives after a listing restored an endpoint that it lacks.

Cause: a listing leaves nothing of an endpoint that the host never knew.

Change: items of other hosts that are unknown and no newer than the last listing of the source are outdated, in the catalog and for exports.

Tests: test_export_that_arrives_after_a_listing_restores_no_removed_endpoint failed before (w0 still lists x). The state machine draws slow links too.

--- a/src/cactusmill/platform/store.py
+++ b/src/cactusmill/platform/store.py
@@ -95,7 +95,7 @@
             # What this host lacks of an older copy has been removed since, but for a
             # configuration that it could not read.
             items = [i for i in items if _has_key(i, CONFIGURATION_KEY)]
-        changes = await self._decode_items(items)
+        changes = await self._decode_items(items, is_from_host=True)
         if is_copy:
             self.cache.record_copy({item["key"] for item in items}, revision)
         elif since:
@@ -157,7 +157,7 @@
         self.cache.history.extend(revision, newest)
         return changes, newest
 
-    async def _decode_items(self, items):
+    async def _decode_items(self, items, is_from_host=False):
         changes, steps = [], Steps()
         for item in items:
             try:
@@ -168,8 +168,9 @@
             if change is not None:
                 changes.append(change)
                 # Other hosts may still need what an unreadable item has replaced.
+                is_configuration = item["key"] == CONFIGURATION_KEY
                 if not isinstance(change, UnreadableItem):
-                    self.cache.add(item)
+                    self.cache.add(item, is_from_host and not is_configuration)
             await steps.pause()
         return changes
 
--- a/src/cactusmill/serving/catalog.py
+++ b/src/cactusmill/serving/catalog.py
@@ -221,11 +221,14 @@
     settles_at : float
         When what the source shows counts as complete again after the start of an era,
         in seconds; minus infinity if none has started.
+    listed_to : int
+        Revision of the newest listing of the source that was applied.
     """
 
     configuration: Configuration | None = None
     revision: int = 0
     settles_at: float = float("-inf")
+    listed_to: int = 0
     _endpoints: dict = attrs.field(factory=dict)
     _removed: dict = attrs.field(factory=dict)
     _withdrawn: set = attrs.field(factory=set)
@@ -258,6 +261,23 @@
                 return self._apply_evacuation(change, now)
         return False
 
+    def is_outdated(self, change):
+        """Return whether an item that another host sent is gone by an own listing.
+
+        Parameters
+        ----------
+        change : ConfigurationChange, EndpointChange or EvacuationChange
+            What the other host sent, maybe before that listing.
+        """
+        match change:
+            case EndpointChange():
+                is_known = change.name in self._endpoints
+            case EvacuationChange():
+                is_known = change.zone in self._evacuations
+            case _:
+                return False
+        return not is_known and change.revision <= self.listed_to
+
     def enter_era(self, revision, now):
         """Begin the era of a revision if it is newer; return whether one begins.
 
--- a/src/cactusmill/serving/item_cache.py
+++ b/src/cactusmill/serving/item_cache.py
@@ -48,9 +48,21 @@
     _last_export: tuple | None = None
     _export_lock: trio.Lock = attrs.field(factory=trio.Lock)
 
-    def add(self, item):
-        """Add an item if it is newer than the cached one of its key."""
+    def add(self, item, may_be_outdated=False):
+        """Add an item if it is newer than the cached one of its key.
+
+        Parameters
+        ----------
+        item : dict
+            As received.
+        may_be_outdated : bool
+            True if it comes from another host and may have been removed before the
+            listing of this one, which then says so.
+        """
         key = item["key"]
+        if may_be_outdated and key not in self.items:
+            if item["revision"] <= self.listed_to:
+                return
         cached = self.items.pop(key, None)
         newest = max(cached or item, item, key=lambda i: i["revision"])
         self.items[key] = newest
--- a/src/cactusmill/serving/source_sync.py
+++ b/src/cactusmill/serving/source_sync.py
@@ -230,6 +230,7 @@
                     raise PlatformError("the listing is of an era that has ended")
                 enter_era(host, revision)
                 await _apply_listing(host, changes, revision)
+                host.catalog.listed_to = revision
                 listed_at = began_at
             else:
                 # Other hosts may have supplied later changes meanwhile.
@@ -330,11 +331,12 @@
     revision = export.revision
     log_event("caught_up", host=member.id.name, since=since, revision=revision)
     enter_era(host, revision)
+    is_outdated = host.catalog.is_outdated
     if export.is_copy:
         health.copied_at = host.now()
-        await _apply_listing(host, export.changes, revision)
+        await _apply_listing(host, export.changes, revision, is_outdated)
     else:
-        await apply_changes(host, export.changes)
+        await apply_changes(host, export.changes, is_outdated)
     host.catalog.mark_synced_to(revision)
     health.lacks_history_since = None
     return False
@@ -421,18 +423,22 @@
     return lacking_since is not None and now - lacking_since >= _HISTORY_WAIT_S
 
 
-async def _apply_listing(host, changes, revision):
+def _is_never_outdated(change):
+    return False
+
+
+async def _apply_listing(host, changes, revision, is_outdated=_is_never_outdated):
     if host.catalog.configuration is None:
         # The configuration makes the host ready, so the endpoints come first.
         changes = sorted(changes, key=lambda c: isinstance(c, ConfigurationChange))
-    await apply_changes(host, changes)
+    await apply_changes(host, changes, is_outdated)
     names = {c.name for c in changes if isinstance(c, EndpointChange)}
     zones = {c.zone for c in changes if isinstance(c, EvacuationChange)}
     for change in host.catalog.keep_only(names, zones, revision, host.now()):
         _log_change(change)
 
 
-async def apply_changes(host, changes):
+async def apply_changes(host, changes, is_outdated=_is_never_outdated):
     """Apply changes and log those that had an effect, while other tasks get turns.
 
     Each change takes effect at once and as a whole. Changes commute, so others may be
@@ -444,10 +450,14 @@
         This process.
     changes : list
         Changes as published.
+    is_outdated : callable
+        ``is_outdated(change)`` returns whether to leave out a change when its turn
+        comes.
     """
     steps = Steps(host.now)
     for change in changes:
-        _apply_change(host, change)
+        if not is_outdated(change):
+            _apply_change(host, change)
         await steps.pause()
     host.catalog.forget_removed(host.now() - _KEEP_REMOVED_S)
     host.placement.keep_only(host.catalog.names())
--- a/standins/followers.py
+++ b/standins/followers.py
@@ -19,7 +19,7 @@
 
 from .loopback import Store
 
-STORE_LATENCY_S, LINK_LATENCY_S = 0.004, 0.003
+STORE_LATENCY_S = 0.004
 HEARTBEAT_S, REMOTE_HEARTBEAT_S = 0.15, 0.6
 
 
@@ -78,6 +78,8 @@
         Region of each availability zone.
     places : dict of str to str
         Availability zone of each host.
+    link_s : tuple of (float, float)
+        Shortest and longest time of an export on its way, in seconds.
     exports, exported_bytes : int
         Number and size of the exports that hosts fetched.
     """
@@ -86,6 +88,7 @@
     zones: dict
     places: dict
     seed: int = 1
+    link_s: tuple = (0.003, 0.003)
     running: dict = attrs.field(factory=dict)
     exports: int = 0
     exported_bytes: int = 0
@@ -175,7 +178,7 @@
             other.host.gossip.apply_heartbeat(heartbeat, now)
 
     async def _fetch_items(self, host, member, since):
-        await trio.sleep(LINK_LATENCY_S)
+        await trio.sleep(self.link_s[0])
         own, other = self.running[host.cfg.host], self.running[member.id.name]
         is_ended = other.host.membership.own_id.incarnation != member.id.incarnation
         if is_ended or own.is_isolated or other.is_isolated:
@@ -183,7 +186,7 @@
         data = await other.host.source.export(since, other.host.catalog.revision)
         self.exports += 1
         self.exported_bytes += len(data)
-        await trio.sleep(LINK_LATENCY_S)
+        await trio.sleep(self.rng.uniform(*self.link_s))
         return data
 
     def problems(self, name):
--- a/tests/serving/test_followers.py
+++ b/tests/serving/test_followers.py
@@ -119,6 +119,25 @@
     assert run_scenario(scenario) == []
 
 
+async def receive_an_export_after_a_listing(fleet):
+    """Let an export that has an endpoint arrive after a listing that lacks it."""
+    fleet.link_s = 1.0, 1.0
+    fleet.running["w0"].link.is_cut = True
+    await trio.sleep(4.0)
+    fleet.store.put("servers/x", entry(100, 1))
+    await trio.sleep(1.5)
+    fleet.store.remove("servers/x")
+    fleet.store.compact_history()
+    fleet.running["w0"].link.is_cut = False
+    await trio.sleep(IN_TOUCH_S)
+    return all_problems(fleet)
+
+
+def test_export_that_arrives_after_a_listing_restores_no_removed_endpoint():
+    """Guards against requests to endpoints that have left, on slow links."""
+    assert run_scenario(receive_an_export_after_a_listing) == []
+
+
 async def restore_without_publishing_again(fleet):
     await trio.sleep(IN_TOUCH_S)
     copy = fleet.store.copy()
@@ -163,9 +182,10 @@
 class Followers(RuleBasedStateMachine):
     """Hosts that list, follow, restart, are cut off and rejoin."""
 
-    @initialize(seed=st.integers(0, 99))
-    def start(self, seed):
+    @initialize(seed=st.integers(0, 99), link_s=st.sampled_from([0.003, 0.3, 1.0]))
+    def start(self, seed, link_s):
         self.fleet = new_fleet(seed)
+        self.fleet.link_s = 0.003, link_s
         self.run = SteppedRun(self.main)
         self.evacuated, self.entries = set(), {f"e{n}": (n + 1, 1) for n in range(4)}
         self.version, self.starts = 1, 100
