Take a started host as informed only by one without other decisions

A host that has just started let a prompt run that others hold back.

Cause: any first heartbeat counted as knowledge of what crashes endpoints, and most carry neither the decisions nor their hash.

Tests: test_started_host_is_not_informed_by_a_host_that_told_it_no_decisions failed before.

--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -501,7 +501,7 @@
 
     def is_informed(self, now):
         """Return whether this host knows what the others hold back."""
-        if self.gossip.has_heard or now - self.started_at > _INFORM_S:
+        if self.gossip.has_decisions or now - self.started_at > _INFORM_S:
             return True
         return all(seed == self.cfg.ip for seed in self.cfg.seeds)
 
--- a/src/cactusmill/serving/gossip.py
+++ b/src/cactusmill/serving/gossip.py
@@ -209,14 +209,15 @@
         UDP port, the same on every host.
     seeds : tuple of str
         IP addresses of hosts to contact first. Addresses without a host do no harm.
-    has_heard : bool
-        True once another host's heartbeat was applied.
+    has_decisions : bool
+        True once another host was heard that has no other decisions on what crashes
+        endpoints than this one.
     """
 
     host: object
     port: int
     seeds: tuple
-    has_heard: bool = False
+    has_decisions: bool = False
     _sock: object = None
     _sequence: int = 0
     _new_member_ips: list = attrs.field(factory=list)
@@ -700,7 +701,7 @@
         for zone in heartbeat.reopened or ():
             reopened_at = now - max(0, zone.age_ms) / 1000
             host.catalog.merge_reopening(zone.zone, zone.revision, reopened_at)
-        self._apply_news(heartbeat.containment, now)
+        self._apply_news(heartbeat, now)
 
     def _sender_of(self, heartbeat):
         """Return a heartbeat's sender; None if it is short and not a member."""
@@ -714,11 +715,18 @@
         is_known = known is not None and known.name == entry.host
         return known if is_known else _host_id(entry)
 
-    def _apply_news(self, news, now):
-        """Apply another host's news about what crashes endpoints."""
-        host, self.has_heard = self.host, True
+    def _apply_news(self, heartbeat, now):
+        """Apply another host's news about what crashes endpoints.
+
+        Without news, a heartbeat shows that its sender has no decisions only if it
+        would tell their hash, as those with totals of regions do.
+        """
+        host, news = self.host, heartbeat.containment
         if news is None:
+            self.has_decisions = self.has_decisions or bool(heartbeat.regions)
             return
         if apply_news(host.containment, news, now):
             self._others_differ_until = now + _DIFFERENCE_S
+        else:
+            self.has_decisions = True
         host.log_decisions(now)
--- a/tests/serving/test_gossip.py
+++ b/tests/serving/test_gossip.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import trio
 
 from cactusmill.serving import gossip as gossip_module
@@ -13,6 +14,8 @@
 )
 from cactusmill.serving.membership import HostId
 
+from .test_source_sync import Clock, new_host
+
 HOSTS = 195
 
 
@@ -112,3 +115,26 @@
     host = make_host()
     host.gossip._sock = FailingSocket()
     assert host.gossip._receive_batch() == []
+
+
+def started_host_hears(sender, **heartbeat):
+    """Return whether a host that started just now then knows what is held back."""
+    clock = Clock(10.0)
+    host = new_host("new", clock)
+    host.started_at = clock.now
+    host.cfg = attrs.evolve(host.cfg, seeds=("127.0.0.9",))
+    host.gossip.apply_heartbeat(
+        sender.gossip.build_heartbeat(clock.now, **heartbeat), clock.now
+    )
+    return host.is_informed(clock.now)
+
+
+def test_started_host_is_not_informed_by_a_host_that_told_it_no_decisions():
+    """Guards against a crash by each host that starts, of what others hold back."""
+    other = new_host("other", Clock(10.0), others=["new"])
+    assert started_host_hears(other, is_same_region=False)
+    assert not started_host_hears(other, is_same_region=True)
+    other.containment.convictions.convict([7], 3, 0.0, 1.0)
+    assert not started_host_hears(other, is_same_region=True)
+    assert not started_host_hears(other, is_same_region=False)
+    assert started_host_hears(other, is_same_region=False, is_first=True)
