--- a/standins/followers.py
+++ b/standins/followers.py
@@ -80,6 +80,8 @@
         Availability zone of each host.
     link_s : tuple of (float, float)
         Shortest and longest time of an export on its way, in seconds.
+    wrap_source : callable
+        ``wrap_source(source)`` returns the source of a host that starts.
     exports, exported_bytes : int
         Number and size of the exports that hosts fetched.
     """
@@ -89,6 +91,7 @@
     places: dict
     seed: int = 1
     link_s: tuple = (0.003, 0.003)
+    wrap_source: object = lambda source: source
     running: dict = attrs.field(factory=dict)
     exports: int = 0
     exported_bytes: int = 0
@@ -137,7 +140,7 @@
         client = StoreClient("127.0.0.1:1", None, self.zones)
         link = StoreLink(self.store)
         client._client = link
-        host.source = client.source()
+        host.source = self.wrap_source(client.source())
         follower = self.running[name] = Follower(host, link)
         self._nursery.start_soon(self._run, follower)
 
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -80,6 +80,8 @@
         Oldest revision from which a watch can start.
     era : int or None
         Rises when the store comes back from an older copy; None if it does not say.
+    page_size : int
+        Most items of a page of a listing.
     """
 
     items: dict = attrs.field(factory=dict)
@@ -89,6 +91,7 @@
     is_down: bool = False
     oldest: int = 0
     era: int | None = None
+    page_size: int = 3
     changed: trio.Event = attrs.field(factory=trio.Event)
 
     def put(self, key, value):
@@ -150,9 +153,10 @@
         params = {k: v[0] for k, v in urllib.parse.parse_qs(query).items()}
         if path.endswith("kv-range"):
             keys = sorted(k for k in self.items if k > params.get("after", ""))
-            page = [self.items[k] for k in keys[:3]]
+            page = [self.items[k] for k in keys[: self.page_size]]
+            has_more = len(keys) > self.page_size
             return _json_response(
-                items=page, has_more=len(keys) > 3, store_revision=self.revision
+                items=page, has_more=has_more, store_revision=self.revision
             )
         after, era = int(params["after"]), self.era
         if after > self.revision:
