Take a refused copy of all items for a failed fetch

Cause: a host that was told that even a copy is incomplete, which only a faulty build says, asked again at once and without end.

Change: only fetches after a revision can lack history; a refused copy counts as a failed fetch, with its pause.

Tests: test_host_that_always_lacks_history_is_not_asked_without_pause failed before.

--- a/benchmarks/following.py
+++ b/benchmarks/following.py
@@ -13,12 +13,13 @@
 import attrs
 import trio
 import trio.testing
+from absl import logging
 
 from cactusmill.serving.history import ChangeHistory
 from standins.followers import FollowerFleet
 from standins.loopback import Store, configuration
 
-SETTLED_S, PLAYED_S = 6.0, 30.0
+SETTLED_S = 6.0
 PAGE_SIZE = 500
 CHANGE_INTERVAL_S, RESTART_INTERVAL_S = 0.1, 1.0
 RESTARTED_AT_ONCE = 4
@@ -87,7 +88,7 @@
         await trio.sleep(RESTART_INTERVAL_S)
 
 
-async def play(hosts, endpoints, has_restarts):
+async def play(hosts, endpoints, played_s, has_restarts):
     """Play a region; return its figures and the hosts that differ from the source."""
     store, costs = Store(page_size=PAGE_SIZE), Costs()
     store.put("op/config", configuration(1))
@@ -105,9 +106,9 @@
             nursery.start_soon(change_endpoints, store, endpoints)
             if has_restarts:
                 nursery.start_soon(restart_hosts, fleet)
-            await trio.sleep(PLAYED_S)
+            await trio.sleep(played_s)
             nursery.cancel_scope.cancel()
-        rate = 1 / (hosts * PLAYED_S)
+        rate = 1 / (hosts * played_s)
         figures = (
             fleet.exports * rate,
             fleet.exported_bytes * rate,
@@ -123,7 +124,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument("--hosts", type=int, default=28)
     parser.add_argument("--endpoints", type=int, default=112)
+    parser.add_argument("--seconds", type=float, default=30.0)
     args = parser.parse_args()
+    # Each host lists all endpoints at its start, a line for each.
+    logging.set_verbosity(logging.ERROR)
     print(
         f"{args.hosts} hosts, {args.endpoints} endpoints; per host and second: "
         "exports, bytes, ms of processor time, calls to the source; then the hosts "
@@ -140,6 +144,7 @@
                 play,
                 args.hosts,
                 args.endpoints,
+                args.seconds,
                 has_restarts,
                 clock=trio.testing.MockClock(autojump_threshold=0),
             )
--- a/src/cactusmill/serving/source_sync.py
+++ b/src/cactusmill/serving/source_sync.py
@@ -313,18 +313,10 @@
     try:
         data = await fetch_items(host, member, since)
         export = await source.read_export(data, since)
-    except IncompleteExportError as exc:
-        member.history_since = exc.complete_after
-        if health.lacks_history_since is None:
-            health.lacks_history_since = host.now()
-        log_event(
-            "history_incomplete",
-            host=member.id.name,
-            since=since,
-            complete_after=exc.complete_after,
-        )
-        return True
     except (ConnectError, LinkClosedError, PlatformError) as exc:
+        if since and isinstance(exc, IncompleteExportError):
+            _record_incomplete_history(host, member, since, exc.complete_after)
+            return True
         log_event("catch_up_failed", host=member.id.name, reason=repr(exc))
         health.follow_after = host.now() + _WATCH_AFTER_PEER_FAILURE_S
         return False
@@ -342,6 +334,18 @@
     return False
 
 
+def _record_incomplete_history(host, member, since, complete_after):
+    member.history_since = complete_after
+    if host.source_health.lacks_history_since is None:
+        host.source_health.lacks_history_since = host.now()
+    log_event(
+        "history_incomplete",
+        host=member.id.name,
+        since=since,
+        complete_after=complete_after,
+    )
+
+
 def _watch_if_history_is_lacking(host, now):
     """Let a follower watch the source if no other host has what it lacks."""
     health = host.source_health
--- a/tests/serving/test_followers.py
+++ b/tests/serving/test_followers.py
@@ -16,7 +16,7 @@
     run_state_machine_as_test,
 )
 
-from cactusmill.serving import catalog, history, source_sync
+from cactusmill.serving import catalog, history, item_cache, source_sync
 from cactusmill.serving.watchers import choose_watchers
 from standins.followers import FollowerFleet
 from standins.loopback import Store, configuration
@@ -179,6 +179,24 @@
     assert run_scenario(scenario) == []
 
 
+def test_host_that_always_lacks_history_is_not_asked_without_pause(monkeypatch):
+    """Guards against fetches one after the other, from a host with a faulty build."""
+
+    async def export(cache, since, revision):
+        return await item_cache._pack_export(2**50, since, ())
+
+    monkeypatch.setattr(item_cache.ItemCache, "export", export)
+
+    async def scenario(fleet):
+        fleet.running["w0"].link.is_cut = True
+        fleet.exports = 0
+        fleet.store.remove("servers/e1")
+        await trio.sleep(IN_TOUCH_S)
+        return fleet.exports
+
+    assert run_scenario(scenario) < 100
+
+
 class Followers(RuleBasedStateMachine):
     """Hosts that list, follow, restart, are cut off and rejoin."""
 
