Share the stand-in for a host's connection to the store

Cause: test_eras.py and the stand-in of followers had the same class. Change: one of them, and attributes of the state machine that nothing read are gone.

--- a/tests/serving/test_eras.py
+++ b/tests/serving/test_eras.py
@@ -3,7 +3,6 @@
 import random
 
 import attrs
-import h11
 import pytest
 import trio
 import trio.testing
@@ -15,6 +14,7 @@
 from cactusmill.platform.store import StoreClient
 from cactusmill.serving import catalog, source_sync
 from cactusmill.serving.positions import era_of, position, revision_of
+from standins.followers import StoreLink
 from standins.loopback import ZONES, Store, configuration
 
 from .test_source_sync import Clock, new_host
@@ -32,23 +32,6 @@
     assert (era_of(position(3, 7)), revision_of(position(3, 7))) == (3, 7)
 
 
-@attrs.define
-class StoreConnection:
-    """Stands for a host's HTTP client of the store."""
-
-    store: Store
-    is_cut: bool = False
-    request_count: int = 0
-
-    async def get(self, target, timeout_s):
-        self.request_count += 1
-        await trio.sleep(0.004)
-        if self.is_cut:
-            raise PlatformError("cut")
-        request = h11.Request(method="GET", target=target, headers=[("host", "s")])
-        return await self.store.handle_request(request, b"")
-
-
 @attrs.define
 class Writers:
     """The operator and the endpoints, who publish again what the store lost.
@@ -157,7 +140,7 @@
         host.now = trio.current_time
         host.catalog.configuration = None
         client = StoreClient("127.0.0.1:1", None, ZONES)
-        client._client = StoreConnection(store)
+        client._client = StoreLink(store)
         host.source = client.source()
         links[host] = client._client
     versions, lives, evacuations = {}, {}, set()
--- a/tests/serving/test_followers.py
+++ b/tests/serving/test_followers.py
@@ -207,10 +207,7 @@
         self.run = SteppedRun(self.main)
         self.evacuated, self.entries = set(), {f"e{n}": (n + 1, 1) for n in range(4)}
         self.version, self.starts = 1, 100
-        # Time from which nothing has struck a host, and the last change of an era.
-        self.calm_since = dict.fromkeys(PLACES, 0.0)
-        self.era_at = self.cut_in_era = 0.0
-        self.now = 0.0
+        self.copies, self.now, self.era_at = [], 0.0, 0.0
         self.wait(STARTED_S)
 
     async def main(self, task_status):
@@ -264,17 +261,14 @@
     def restart(self, names):
         for name in sorted(names):
             self.fleet.start(name)
-            self.calm_since[name] = self.now
 
     @rule(name=st.sampled_from(sorted(PLACES)), is_cut=st.booleans())
     def cut_from_source(self, name, is_cut):
         self.fleet.running[name].link.is_cut = is_cut
-        self.calm_since[name] = self.now
 
     @rule(name=st.sampled_from(sorted(PLACES)), is_isolated=st.booleans())
     def isolate(self, name, is_isolated):
         self.fleet.running[name].is_isolated = is_isolated
-        self.calm_since[name] = self.now
 
     @rule()
     def forget_history(self):
@@ -282,8 +276,6 @@
 
     @rule(age=st.integers(0, 2))
     def restore_older_copy(self, age):
-        if not hasattr(self, "copies"):
-            self.copies = []
         self.copies.append(self.fleet.store.copy())
         self.fleet.store.restore(self.copies[-1 - min(age, len(self.copies) - 1)])
         self.wait(0.5)
