Let fleets of test runs that start at once claim different ports

Traced: their fleets were made 32 ms apart with the same ports (callers at 8101), and the processes of each took ports of the other.

Cause: free ports were looked for, and taken only later.

Change: a fleet claims its ports as the stand-ins on loopback do, by a socket on an address of its own; both use one function.

Tests: test_fleets_that_start_at_once_get_different_ports failed before.

--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -20,6 +20,10 @@
 _STOP_TIMEOUT_S = 30.0
 _PORT = re.compile(r"127\.0\.0\.1:(\d+)")
 _FIRST_PORT = 7000
+# Sockets that claim ports for this process, so that other test runs on the machine do
+# not use them. Nothing else uses this address.
+_CLAIM_IP = "127.0.0.3"
+_claims = []
 
 
 def copy_example(source, folder):
@@ -47,11 +51,24 @@
         for port in _PORT.findall(path.read_text())
     }
     for offset in range(1000, 50_000, 600):
-        if all(is_port_free(port + offset) for port in ports):
+        is_free = all(is_port_free(port + offset) for port in ports)
+        if is_free and claim_port(min(ports) + offset):
             return offset
     raise RuntimeError("no range of free ports found")
 
 
+def claim_port(port):
+    """Claim a port until this process ends; return whether no other run has."""
+    claim = socket.socket()
+    try:
+        claim.bind((_CLAIM_IP, port))
+    except OSError:
+        claim.close()
+        return False
+    _claims.append(claim)
+    return True
+
+
 def is_port_free(port):
     """Return whether nothing uses a port of 127.0.0.1."""
     with socket.socket() as probe:
--- a/standins/loopback.py
+++ b/standins/loopback.py
@@ -9,7 +9,6 @@
 import itertools
 import json
 import random
-import socket
 import urllib.parse
 
 import attrs
@@ -29,7 +28,7 @@
 from cactusmill.platform.store import StoreClient
 from cactusmill.serving.gateway_host import GatewayHost, HostSettings
 
-from .fleet import is_port_free
+from .fleet import claim_port, is_port_free
 
 ZONES = {"east-a": "east", "west-a": "west", "north-a": "north"}
 KEY = "key-of-red"
@@ -38,24 +37,13 @@
 # Below the ports that the operating system gives to outgoing connections.
 _PORTS = range(10_000, 32_000, _PORT_STEP)
 _FIRST_PORTS = itertools.count(random.SystemRandom().randrange(len(_PORTS)))
-# Sockets that claim ports for this process, so that other test runs on the machine do
-# not use them. Nothing else uses this address.
-_CLAIM_IP = "127.0.0.3"
-_claims = []
 
 
 def next_port():
     """Return a port that is free, with the six behind it, and used by no other run."""
     for number in itertools.islice(_FIRST_PORTS, len(_PORTS)):
         port = _PORTS[number % len(_PORTS)]
-        claim = socket.socket()
-        try:
-            claim.bind((_CLAIM_IP, port))
-        except OSError:
-            claim.close()
-            continue
-        _claims.append(claim)
-        if all(is_port_free(port + n) for n in range(_PORT_STEP)):
+        if claim_port(port) and all(is_port_free(port + n) for n in range(_PORT_STEP)):
             return port
     raise RuntimeError("no free ports: end other test runs on this machine")
 
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -35,6 +35,15 @@
         fleet.kill_all()
 
 
+def test_fleets_that_start_at_once_get_different_ports(tmp_path):
+    """Guards against two test runs whose processes take each other's ports."""
+    copies = [tmp_path / name for name in ("first", "second")]
+    for copy in copies:
+        copy_example(EXAMPLE, copy)
+    first, second = (Fleet(copy).settings("osrednja-1") for copy in copies)
+    assert first["callers"] != second["callers"]
+
+
 def base_url(fleet, host):
     return f"http://{fleet.settings(host)['callers']}"
 
