--- a/review/lib-3/stand.py
+++ b/review/lib-3/stand.py
@@ -380,9 +380,13 @@
     writer.transport.abort()
 
 
-async def send(address, target, request_id, *, method="GET", body=b"", timeout_s=5.0):
+async def send(
+    address, target, request_id, *, method="GET", body=b"", timeout_s=5.0, **more
+):
     """Send a request on a new connection, as a client does.
 
+    `more` are further headers, with underscores for hyphens.
+
     Returns
     -------
     Message or None
@@ -393,6 +397,7 @@
         "Host": HOST,
         "Request-Id": request_id,
         "Deadline-Ms": int(timeout_s * 1000),
+        **{name.replace("_", "-"): value for name, value in more.items()},
     }
     writer = None
     try:
@@ -427,7 +432,7 @@
     }
 
 
-def configuration(version, routes, services):
+def configuration(version, routes, services, tenants=()):
     """Return a configuration as the operator writes it."""
     return {
         "version": version,
@@ -442,7 +447,7 @@
             "header_timeout_ms": 5000,
             "idle_timeout_ms": 10000,
         },
-        "tenants": [],
+        "tenants": list(tenants),
     }
 
 
@@ -656,6 +661,8 @@
             place.close()
 
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(NOT_RUN))
+    # The processes start with the default action, also below nohup.
+    signal.signal(signal.SIGHUP, signal.SIG_DFL)
     try:
         result = asyncio.run(play())
     except Exception:
