--- a/review/15/case.py
+++ b/review/15/case.py
@@ -1,7 +1,7 @@
 """Tell machines that have just started that their settings file has changed.
 
-Three times, two machines of three are stopped and started again, as planned work.
-Just after the start their seeds change, and the platform sends SIGHUP.
+Three times, two machines of three are stopped and started again, as planned work. The
+seeds change meanwhile, and the platform sends SIGHUP to all machines.
 """
 
 import asyncio
@@ -45,16 +45,17 @@
             record(f"{daemon.name} has ended with {code}")
             if code != 0:
                 return stand.NOT_RUN
-        for daemon in restarted:
-            daemon.start()
-            record(f"{daemon.name} starts")
-        await asyncio.sleep(AFTER_START_S)
         seeds = [d.listen["control"] for d in place.daemons]
         seeds = seeds[number:] + seeds[:number]
-        for daemon in reversed(place.daemons):
+        for daemon in place.daemons:
             daemon.write_settings(seeds=seeds)
             record(f"settings of {daemon.name} have changed")
-            if stand.TROUBLE:
+        for daemon in restarted:
+            daemon.start()
+            record(f"{daemon.name} starts")
+        await asyncio.sleep(AFTER_START_S)
+        if stand.TROUBLE:
+            for daemon in place.daemons:
                 daemon.signal(signal.SIGHUP)
                 record(f"SIGHUP to {daemon.name}")
         await asyncio.sleep(HANDLED_S)
