Reject odd values in the settings of cactusmilld by their type

Cause: a date or a number that YAML cannot convert, and a number without a finite value (.nan, .inf, hundreds of digits), left load_settings as ValueError or OverflowError, or passed and failed in the task that used them. A settings file that is a FIFO made the reader wait for ever, a large one was read whole.

Change: all of them are a SettingsError; both daemons read the file through settings.read_bytes, which never waits and reads at most 4 MiB. The decoding of the bytes is a function of its own, so that a daemon can compare what it read.

--- a/src/cactusmill/platform/settings.py
+++ b/src/cactusmill/platform/settings.py
@@ -4,8 +4,6 @@
 :class:`~cactusmill.serving.gateway_host.HostSettings`.
 """
 
-import pathlib
-
 import attrs
 
 from ..errors import SettingsError
@@ -13,7 +11,7 @@
 from ..internal.steps import loads
 from ..serving.gateway_host import HostSettings
 from ..serving.quota import RateExcess
-from ..settings import parse_address
+from ..settings import parse_address, read_bytes
 
 SETTINGS_VARIABLE = "CACTUSMILL_CONFIG"
 # Must match deploy/system.toml, which scrapers read.
@@ -55,18 +53,38 @@
     -------
     PlatformSettings
 
+    Raises
+    ------
+    SettingsError
+        Names the invalid field, its value and how to fix it.
+    """
+    return decode_platform_settings(read_bytes(path), path)
+
+
+def decode_platform_settings(data, path):
+    """Validate the bytes of a settings file.
+
+    Parameters
+    ----------
+    data : bytes
+        JSON document.
+    path : str
+        The file, for errors.
+
+    Returns
+    -------
+    PlatformSettings
+
     Raises
     ------
     SettingsError
         Names the invalid field, its value and how to fix it.
     """
     try:
-        data = loads(pathlib.Path(path).read_bytes())
-    except OSError as exc:
-        raise SettingsError(str(path), f"cannot be read: {exc.strerror}") from exc
+        document = loads(data)
     except ValueError as exc:
         raise SettingsError(str(path), f"is not JSON: {exc}") from exc
-    return parse_platform_settings(data)
+    return parse_platform_settings(document)
 
 
 def parse_platform_settings(data):
--- a/src/cactusmill/settings.py
+++ b/src/cactusmill/settings.py
@@ -6,15 +6,17 @@
 """
 
 import ipaddress
-import pathlib
+import os
 import re
 
 import attrs
 import yaml
 
 from .errors import SettingsError
+from .fields import MAX_NUMBER, describe
 
 _PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
+_MAX_BYTES = 4 * 1024 * 1024
 
 
 @attrs.frozen
@@ -198,6 +200,8 @@
         )
     if value < 0 or (value == 0 and name != "slot_quarantine_s"):
         raise SettingsError(name, f"{value!r} must be greater than zero")
+    if not value <= MAX_NUMBER:
+        raise SettingsError(name, f"{describe(value)} must be at most {MAX_NUMBER}")
     return field.type(value)
 
 
@@ -222,6 +226,39 @@
         )
 
 
+def read_bytes(path):
+    """Return the content of a settings file, without ever waiting for a writer.
+
+    Parameters
+    ----------
+    path : str or pathlib.Path
+        The file.
+
+    Returns
+    -------
+    bytes
+
+    Raises
+    ------
+    SettingsError
+        If it cannot be read, or has more than `_MAX_BYTES`.
+    """
+    try:
+        with open(path, "rb", opener=_open_without_waiting) as file:
+            data = file.read(_MAX_BYTES + 1) or b""
+    except OSError as exc:
+        raise SettingsError(str(path), f"cannot be read: {exc.strerror}") from exc
+    if len(data) > _MAX_BYTES:
+        raise SettingsError(
+            str(path), f"has more than {_MAX_BYTES} bytes; shorten it or check the path"
+        )
+    return data
+
+
+def _open_without_waiting(path, flags):
+    return os.open(path, flags | os.O_NONBLOCK)
+
+
 def load_settings(path):
     """Read and validate a settings file.
 
@@ -239,12 +276,30 @@
     SettingsError
         If the file cannot be read or a field is invalid.
     """
+    return decode_settings(read_bytes(path), path)
+
+
+def decode_settings(data, path):
+    """Validate the bytes of a settings file.
+
+    Parameters
+    ----------
+    data : bytes
+        YAML document.
+    path : str or pathlib.Path
+        The file, for errors.
+
+    Returns
+    -------
+    Settings
+
+    Raises
+    ------
+    SettingsError
+        Naming the first invalid field, the bad value and how to fix it.
+    """
     try:
-        text = pathlib.Path(path).read_text(encoding="utf-8")
-    except OSError as exc:
-        raise SettingsError(str(path), f"cannot be read: {exc.strerror}") from exc
-    try:
-        data = yaml.safe_load(text)
-    except yaml.YAMLError as exc:
+        document = yaml.safe_load(data)
+    except (yaml.YAMLError, ValueError, RecursionError) as exc:
         raise SettingsError(str(path), f"is not YAML: {exc}") from exc
-    return parse_settings(data)
+    return parse_settings(document)
