Apply every change of the settings file, and wait for a valid one at the start

Seen: a file that was empty, cut or missing as a daemon started ended it with code 2. A change between the read at the start and the first look of the watch never took force, nor did one that kept the time of the file; a cut file that was mended within the same tick of the file system's clock stayed rejected. A missing file was logged each second. grace_s was read once, and no changed field that needs a restart was named. cactusmilld read its file only once.

Cause: the watch compared times of the file from its own first look on, not what had been read; the start took any rejected file as an error of usage. The users' pages (PROTOCOL, DEPLOY) say that the file may change without a signal, and not that a change is one step, so a reader may meet any part of it.

Change: internal/settings_file compares the bytes with those read last, for both daemons, from the first read on. A rejected file is logged once and read again: before the start each 0.1 s, later each second, and on SIGHUP. A reload takes over what a running process can (gateway: grace_s too; cactusmilld: times, sizes, seeds) and names the rest in needs_restart. settings_read logs the CRC-32 of the file in force.

--- a/src/cactusmill/daemon.py
+++ b/src/cactusmill/daemon.py
@@ -1,19 +1,18 @@
-"""``cactusmilld``: the daemon that runs on every host that serves callers."""
+"""Start, signals and exit codes of ``cactusmilld``."""
 
 import argparse
-import signal
 import sys
 
 import trio
 from absl import logging
 
-from .errors import SettingsError
 from .internal.host_process import HostProcess
-from .internal.logs import configure_json_logging
+from .internal.logs import configure_json_logging, log_fields
+from .internal.settings_file import SettingsFile, wait_for_settings
+from .internal.signals import OPERATOR_SIGNALS, RELOAD, SHUT_DOWN
 from .internal.steps import freeze_heap
-from .settings import load_settings
+from .settings import decode_settings
 
-EXIT_USAGE = 2
 EXIT_CANNOT_LISTEN = 3
 
 
@@ -22,7 +21,8 @@
         prog="cactusmilld",
         description="Serve callers on this host as a member of the fleet. "
         "SIGTERM or SIGINT leaves the fleet without interrupting requests; "
-        "a second signal stops the process at once.",
+        "a second signal of these stops the process at once. SIGHUP reads the "
+        "settings again, as does a change of their file.",
     )
     parser.add_argument("--config", required=True, metavar="FILE.yaml")
     parser.add_argument(
@@ -31,19 +31,43 @@
     return parser
 
 
-async def _run(cfg):
+async def _run(settings_file):
+    with trio.open_signal_receiver(*OPERATOR_SIGNALS) as signals:
+        cfg = await wait_for_settings(settings_file, signals)
+        if cfg is not None:
+            return await _run_host(cfg, settings_file, signals)
+    log_fields("stopped_before_start")
+
+
+async def _run_host(cfg, settings_file, signals):
     host = HostProcess(cfg)
+
+    def apply(new):
+        log_fields("reload", needs_restart=host.apply_settings(new))
+
+    def reload():
+        new = settings_file.load()
+        if new is not None:
+            apply(new)
+
     async with trio.open_nursery() as nursery:
-        nursery.start_soon(_shut_down_on_signal, host, nursery.cancel_scope)
+        nursery.start_soon(_handle_signals, host, signals, reload, nursery.cancel_scope)
+        run = host.supervisor.run
+        nursery.start_soon(run, "watch_settings", settings_file.watch, apply)
         nursery.start_soon(freeze_heap, host.ready.is_set)
         await host.run()
         nursery.cancel_scope.cancel()
 
 
-async def _shut_down_on_signal(host, scope):
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        is_first = True
-        async for _ in signals:
+async def _handle_signals(host, signals, reload, scope):
+    is_first = True
+    async for number in signals:
+        if number == RELOAD:
+            try:
+                reload()
+            except Exception:
+                host.record_fault("a reload of the settings")
+        elif number in SHUT_DOWN:
             if not is_first or not host.ready.is_set():
                 scope.cancel()
                 return
@@ -62,12 +86,7 @@
     args = _parser().parse_args(argv)
     configure_json_logging(args.verbosity)
     try:
-        cfg = load_settings(args.config)
-    except SettingsError as exc:
-        print(f"cactusmilld: {exc}", file=sys.stderr)
-        return EXIT_USAGE
-    try:
-        trio.run(_run, cfg)
+        trio.run(_run, SettingsFile(args.config, decode_settings, log_fields))
     except BaseException as exc:
         if not _is_listen_failure(exc):
             raise
--- a/src/cactusmill/internal/host_process.py
+++ b/src/cactusmill/internal/host_process.py
@@ -48,6 +48,7 @@
 from .relay import BodyRelay
 from .request import is_permitted
 from .retries import RetryBudgets
+from .settings_file import find_changes
 from .shedding import Shedder
 from .supervision import Supervisor
 from .wire.ttypes import Hello
@@ -65,6 +66,19 @@
 EXPIRY_S = 1.0
 _EXIT_POLL_S = 0.02
 _SECRET_BYTES = 32
+# Settings that a running process takes over.
+_RELOADED = frozenset(
+    {
+        "seed_peers",
+        "heartbeat_s",
+        "peer_timeout_s",
+        "watch_s",
+        "drain_s",
+        "idle_timeout_s",
+        "max_head_bytes",
+        "max_body_bytes",
+    }
+)
 
 
 @attrs.define(eq=False)
@@ -174,6 +188,23 @@
         """Identity of this process for link handshakes; the nonce is empty."""
         return Hello(self.cfg.host, self.cfg.zone, self.incarnation, b"")
 
+    def apply_settings(self, cfg):
+        """Take over changed settings; return the names of those that need a restart.
+
+        Parameters
+        ----------
+        cfg : Settings
+            The changed settings.
+
+        Returns
+        -------
+        list of str
+        """
+        needs_restart = find_changes(self.cfg, cfg, _RELOADED)
+        changed = {name: getattr(cfg, name) for name in _RELOADED}
+        self.cfg = attrs.evolve(self.cfg, **changed)
+        return needs_restart
+
     def store_named(self, name):
         """Return the record store named ``"records"`` or ``"hosts"``."""
         return self.host_list if name == "hosts" else self.records
--- /dev/null
+++ b/src/cactusmill/internal/signals.py
@@ -0,0 +1,7 @@
+"""Signals of the operator."""
+
+import signal
+
+RELOAD = signal.SIGHUP
+SHUT_DOWN = (signal.SIGTERM, signal.SIGINT)
+OPERATOR_SIGNALS = (RELOAD, *SHUT_DOWN)
--- a/src/cactusmill/platform/daemon.py
+++ b/src/cactusmill/platform/daemon.py
@@ -3,30 +3,37 @@
 import argparse
 import functools
 import os
-import signal
 import sys
 
 import trio
-from absl import logging
 
-from ..errors import SettingsError
 from ..internal.logs import configure_json_logging
 from ..internal.net import TCP
 from ..internal.operators import serve_operator
+from ..internal.settings_file import SettingsFile, find_changes, wait_for_settings
+from ..internal.signals import OPERATOR_SIGNALS, RELOAD, SHUT_DOWN
 from ..internal.steps import freeze_heap
 from ..serving.events import log_event
-from ..serving.file_watch import call_on_change
 from ..serving.gateway_host import GatewayHost
 from ..serving.pages import render_page
 from .dialect import DIALECT
 from .directory import serve_directory
-from .settings import SETTINGS_VARIABLE, load_platform_settings
+from .settings import SETTINGS_VARIABLE, decode_platform_settings
 from .store import StoreClient
 
-_EXIT_USAGE = 2
+# The host decides about its own settings.
+_RELOADED = frozenset({"host"})
 
 
-async def _run(cfg, path):
+async def _run(settings_file):
+    with trio.open_signal_receiver(*OPERATOR_SIGNALS) as signals:
+        cfg = await wait_for_settings(settings_file, signals)
+        if cfg is not None:
+            return await _run_host(cfg, settings_file, signals)
+    log_event("stopped_before_start")
+
+
+async def _run_host(cfg, settings_file, signals):
     store = StoreClient(cfg.store, TCP, cfg.host.zones)
     host = GatewayHost(cfg.host, DIALECT, store.source())
 
@@ -35,7 +42,20 @@
     async def metrics(stream):
         await host.contain_errors(serve_operator, host, stream, render_page)
 
+    def apply(new):
+        needs_restart = [
+            *find_changes(cfg, new, _RELOADED),
+            *host.apply_settings(new.host),
+        ]
+        log_event("reload", seeds=list(new.host.seeds), needs_restart=needs_restart)
+
+    async def reload():
+        new = settings_file.load()
+        if new is not None:
+            apply(new)
+
     async with trio.open_nursery() as nursery:
+        nursery.start_soon(_handle_signals, host, signals, reload)
         try:
             await nursery.start(TCP.serve, cfg.metrics, metrics, nursery)
         except OSError as exc:
@@ -43,45 +63,23 @@
             log_event("metrics_not_served", address=cfg.metrics, reason=repr(exc))
         for address in {cfg.ready, cfg.directory}:
             await nursery.start(TCP.serve, address, directory, nursery)
-        nursery.start_soon(_handle_signals, host, path)
         run = host.supervisor.run
-        reload = functools.partial(_reload_settings, host, path)
-        nursery.start_soon(run, "watch_settings", call_on_change, path, reload)
+        nursery.start_soon(run, "watch_settings", settings_file.watch, apply)
         nursery.start_soon(run, "freeze_heap", freeze_heap, host.has_configuration)
         await host.run()
         nursery.cancel_scope.cancel()
 
 
-async def _handle_signals(host, path):
-    with trio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-        async for number in signals:
-            await host.contain_errors(_handle_signal, host, path, number)
-
-
-async def _handle_signal(host, path, number):
-    if number == signal.SIGTERM and not host.is_leaving:
-        await host.shut_down()
-    elif number == signal.SIGHUP:
-        _reload_settings(host, path)
-
-
-def _reload_settings(host, path):
-    try:
-        cfg = load_platform_settings(path).host
-    except SettingsError as exc:
-        log_event("settings_rejected", place=exc.place, reason=exc.problem)
-        return
-    host.retry_budgets.ratio, host.retry_budgets.slack = (
-        cfg.retry_ratio,
-        cfg.retry_slack,
-    )
-    host.quotas.excess = cfg.rate_excess
-    host.gossip.seeds = cfg.seeds
-    log_event("reload", seeds=list(cfg.seeds))
+async def _handle_signals(host, signals, reload):
+    async for number in signals:
+        if number == RELOAD:
+            await host.contain_errors(reload)
+        elif number in SHUT_DOWN and not host.is_leaving:
+            await host.contain_errors(host.shut_down)
 
 
 def main(argv=None):
-    """Run until SIGTERM; return the exit code."""
+    """Run until SIGTERM or SIGINT; return the exit code."""
     parser = argparse.ArgumentParser(
         prog="python -m cactusmill.platform.daemon",
         description="Run the inference gateway on this host.",
@@ -98,12 +96,7 @@
     configure_json_logging(args.verbosity)
     if not args.settings:
         parser.error(f"pass --settings or set ${SETTINGS_VARIABLE}")
-    try:
-        cfg = load_platform_settings(args.settings)
-    except SettingsError as exc:
-        logging.error("settings: %s", exc)
-        return _EXIT_USAGE
-    trio.run(_run, cfg, args.settings)
+    trio.run(_run, SettingsFile(args.settings, decode_platform_settings, log_event))
     return 0
 
 
--- a/src/cactusmill/serving/gateway_host.py
+++ b/src/cactusmill/serving/gateway_host.py
@@ -22,6 +22,7 @@
 from ..internal.loop_monitor import LoopMonitor
 from ..internal.metrics import Metrics
 from ..internal.net import TCP
+from ..internal.settings_file import find_changes
 from ..internal.shedding import ShedAverage, Shedder, name_with_room
 from ..internal.supervision import Supervisor
 from ..records import CallerLimits, Service
@@ -63,6 +64,8 @@
 # Heartbeats of the other hosts have arrived this long after the start of the process.
 _INFORM_S = 0.4
 _DRAIN_POLL_INTERVAL_S = 0.02
+# Settings that a running process takes over.
+_RELOADED = frozenset({"seeds", "grace_s", "retry_ratio", "retry_slack", "rate_excess"})
 
 
 @attrs.frozen(kw_only=True)
@@ -253,6 +256,31 @@
         configuration = self.catalog.configuration
         return configuration.services.get(name) or Service(name=name)
 
+    def apply_settings(self, cfg):
+        """Take over changed settings; return the names of those that need a restart.
+
+        A shutdown that has begun keeps its grace time, of which callers were told.
+
+        Parameters
+        ----------
+        cfg : HostSettings
+            The changed settings.
+
+        Returns
+        -------
+        list of str
+        """
+        needs_restart = find_changes(self.cfg, cfg, _RELOADED)
+        changed = {name: getattr(cfg, name) for name in _RELOADED}
+        if self.is_leaving:
+            changed["grace_s"] = self.cfg.grace_s
+        self.cfg = attrs.evolve(self.cfg, **changed)
+        self.retry_budgets.ratio = cfg.retry_ratio
+        self.retry_budgets.slack = cfg.retry_slack
+        self.quotas.excess = cfg.rate_excess
+        self.gossip.seeds = cfg.seeds
+        return needs_restart
+
     def has_configuration(self):
         """Return whether a configuration is in force."""
         return self.catalog.configuration is not None
