--- a/src/cactusmill/__init__.py
+++ b/src/cactusmill/__init__.py
@@ -5,17 +5,31 @@
 ``cactusmilld``; the command-line tool for operators is ``cactusmill``.
 """
 
-from .errors import CactusmillError, Outcome, RecordError, Refusal, SettingsError
-from .records import parse_record
-from .settings import Settings, load_settings
-
-__all__ = [
-    "CactusmillError",
-    "Outcome",
-    "RecordError",
-    "Refusal",
-    "Settings",
-    "SettingsError",
-    "load_settings",
-    "parse_record",
-]
+# Imported on first use: a daemon must hold signals before the long imports, and this
+# module is run before it.
+_MODULES = {
+    "CactusmillError": "errors",
+    "Outcome": "errors",
+    "RecordError": "errors",
+    "Refusal": "errors",
+    "Settings": "settings",
+    "SettingsError": "errors",
+    "load_settings": "settings",
+    "parse_record": "records",
+}
+
+__all__ = list(_MODULES)
+
+
+def __getattr__(name):
+    """Return a public name from the module that defines it."""
+    if name not in _MODULES:
+        raise AttributeError(f"module {__name__!r} has no attribute {name!r}")
+    import importlib
+
+    return getattr(importlib.import_module(f".{_MODULES[name]}", __name__), name)
+
+
+def __dir__():
+    """Return the public names."""
+    return sorted([*globals(), *_MODULES])
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -128,6 +128,16 @@
         endpoints : bool
             Whether to start the endpoints' stand-ins.
         """
+        self.start_services()
+        for name in self.endpoints if endpoints else ():
+            self.start_endpoint(name)
+        for name in self.hosts:
+            self.start_host(name)
+        for name in self.hosts:
+            self.wait_ready(name)
+
+    def start_services(self):
+        """Start the platform's services of the configuration and the host list."""
         cfg = self.settings(self.hosts[0])
         for name, address, records in (
             ("configuration", cfg["configuration"], "records.yaml"),
@@ -136,12 +146,6 @@
             self._start_standin(
                 name, "changes", address, "--records", str(self.folder / records)
             )
-        for name in self.endpoints if endpoints else ():
-            self.start_endpoint(name)
-        for name in self.hosts:
-            self.start_host(name)
-        for name in self.hosts:
-            self.wait_ready(name)
 
     def start_endpoint(self, name):
         """Start an engine or an order service, chosen by the prefix of its name."""
