Reject settings of the gateway on which no listener can stand

Seen: a settings file whose ip is no address, or which gives two listeners one address, passed the checks; the gateway then ended with an OSError when it bound them.

Cause: ip was any text, and addresses were only checked one by one.

Change: ip must be an IPv4 address, and the listeners must differ (the readiness check and the directory may share one). Such a file is rejected, at the start the gateway waits for a valid one.

An address that another process has, or that is not this machine's, still ends the start.

--- a/src/cactusmill/platform/settings.py
+++ b/src/cactusmill/platform/settings.py
@@ -4,6 +4,8 @@
 :class:`~cactusmill.serving.gateway_host.HostSettings`.
 """
 
+import ipaddress
+
 import attrs
 
 from ..errors import SettingsError
@@ -112,7 +114,7 @@
     ]
     host = HostSettings(
         host=_get_field(data, "node", str),
-        ip=_get_field(data, "ip", str),
+        ip=_get_ip(data),
         zone=_get_field(data, "zone", str),
         region=_get_field(data, "region", str),
         callers=_get_address(data, "listen.front"),
@@ -130,13 +132,20 @@
             tokens=_get_field(bounds, "quota_slack", int | float, 0.0, "bounds."),
         ),
     )
-    return PlatformSettings(
+    cfg = PlatformSettings(
         host=host,
         ready=_get_address(data, "listen.ready_address"),
         directory=_get_address(data, "listen.directory"),
         store=_get_address(data, "platform.address"),
         metrics=f"{host.ip}:{METRICS_PORT}",
     )
+    # The readiness check and the directory may share an address.
+    listeners = [host.callers, peers, *{cfg.ready, cfg.directory}]
+    if len(set(listeners)) < len(listeners):
+        raise SettingsError(
+            "listen", f"{', '.join(listeners)}: give each listener its own address"
+        )
+    return cfg
 
 
 _MISSING = object()
@@ -162,6 +171,14 @@
     return value
 
 
+def _get_ip(data):
+    text = _get_field(data, "ip", str)
+    try:
+        return str(ipaddress.IPv4Address(text))
+    except ValueError:
+        raise SettingsError("ip", f"{describe(text)} is no IPv4 address") from None
+
+
 def _get_zones(data):
     zones = _get_field(data, "zones", dict)
     for zone in zones:
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -49,6 +49,12 @@
         ({"bounds": {"quota_slack": float("nan")}}, "bounds.quota_slack"),
         ({"bounds": {"retry_slack": 10**400}}, "bounds.retry_slack"),
         ({"bounds": {"retry_budget_ratio": -1}}, "bounds.retry_budget_ratio"),
+        ({"ip": "front-1"}, "ip"),
+        ({"ip": ""}, "ip"),
+        (
+            {"listen": {**SETTINGS["listen"], "control": "10.1.0.25:8221"}},
+            "listen",
+        ),
         ({"node": "front-\ud800"}, "node"),
         ({"zones": {"east-a": ["east"]}}, "zones.east-a"),
         ({"seeds": ["10.1.0.25:²"]}, "seeds.0"),
