Keep a held SIGINT that the parent process had ignored

Cause: a shell ignores SIGINT for its background jobs, nohup ignores SIGHUP. trio's start sets SIGINT to what it was, here to be ignored, which discards one that is pending (trial: sigpending has it before trio.run and not inside).

Change: the hold sets what is ignored to its default action, which cannot apply while the signal is blocked. The test of a start without the hold sets its own action.

--- a/src/cactusmill/internal/signals.py
+++ b/src/cactusmill/internal/signals.py
@@ -14,8 +14,16 @@
 
 
 def hold_signals():
-    """Block the operator's signals in the main thread until a receiver is open."""
+    """Block the operator's signals in the main thread until a receiver is open.
+
+    One that the parent process had ignored, such as a shell that starts a background
+    job, is received as well: trio sets SIGINT to what it was, and setting a signal to
+    be ignored discards one that is pending.
+    """
     signal.pthread_sigmask(signal.SIG_BLOCK, _OPERATOR_SIGNALS)
+    for number in _OPERATOR_SIGNALS:
+        if signal.getsignal(number) is signal.SIG_IGN:
+            signal.signal(number, signal.SIG_DFL)
 
 
 def is_shut_down_pending():
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -154,6 +154,7 @@
 def test_sighup_ends_a_start_that_does_not_hold_it(store, tmp_path):
     """Shows that the tests above see the default action of a signal at a start."""
     code = (
+        "import signal; signal.signal(signal.SIGHUP, signal.SIG_DFL); "
         "import cactusmill.internal.signals as s; s.hold_signals = lambda: None; "
         "print('imports', flush=True); import cactusmill.platform.daemon as d; d.main()"
     )
@@ -169,6 +170,25 @@
         daemon.kill()
 
 
+@pytest.mark.parametrize("number", ENDS)
+def test_signal_that_the_parent_ignored_is_not_lost(store, tmp_path, number):
+    """Guards against a pending SIGINT that is discarded as the event loop starts."""
+    code = (
+        "import os, signal, sys\n"
+        f"for n in ({number:d}, {signal.SIGHUP:d}): signal.signal(n, signal.SIG_IGN)\n"
+        f"os.execv(sys.executable, [sys.executable, *{GATEWAY!r}])"
+    )
+    daemon = make_gateway(store, tmp_path, ["-c", code])
+    daemon.write("missing", 0)
+    daemon.start()
+    try:
+        daemon.wait_for("held", 0.05)
+        daemon.signal(number)
+        daemon.check_ended(END_TIMEOUT_S)
+    finally:
+        daemon.kill()
+
+
 @pytest.mark.parametrize("module", ["cactusmill.platform.daemon", "cactusmill.daemon"])
 def test_daemons_hold_signals_before_the_long_imports(module):
     """Guards against imports that come before the signals are held."""
