--- a/benchmarks/starts.py
+++ b/benchmarks/starts.py
@@ -121,14 +121,13 @@
     module = ["-m", "cactusmill.platform.daemon"]
     command = [sys.executable, *args.interpreter.split(), *module]
     with tempfile.TemporaryDirectory() as folder, run_beside(args.busy):
-        path = _write_settings(folder)
+        command += ["--settings", str(_write_settings(folder))]
         for _ in range(args.starts):
             for source, rows in results.items():
                 packages = os.pathsep.join([str(source), *sys.path[1:]])
                 env = {
                     "PATH": os.environ["PATH"],
                     "PYTHONPATH": packages,
-                    "CACTUSMILL_CONFIG": str(path),
                 }
                 rows.append(measure_start(command, env, pathlib.Path(folder) / "log"))
     load = os.getloadavg()[0]
